--- /dev/null
+++ b/laurelwind/coordination/rollouts.py
@@ -0,0 +1,360 @@
+"""Roll-outs: which version a request gets, and what becomes of a version."""
+
+import statistics
+from collections import deque
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import Final
+
+from attrs import define, evolve, field, frozen
+
+from laurelwind.decisions import DecisionLog
+from laurelwind.state.directory import EndpointRecord
+from laurelwind.state.load import read_clock
+from laurelwind.state.rollouts import (
+    RolloutOrder,
+    RolloutReport,
+    RolloutState,
+    RolloutStatus,
+    Tally,
+)
+from laurelwind.state.routes import hash_fraction
+
+# Bad answers that are enough against a version, and the least part of its
+# answers that they must be.  A version that fails a fifth of its requests is
+# found by its first dozen or so.
+BAD_ANSWERS: Final = 3
+BAD_SHARE: Final = 0.2
+# Against a version whose bad answers are rarer: this many, this much oftener
+# than those of the other version.
+MANY_BAD_ANSWERS: Final = 8
+BAD_RATIO: Final = 4.0
+# An answer is slow when it takes this many times the other version's median.
+SLOW_RATIO: Final = 3.5
+SLOW_FLOOR_S: Final = 0.02
+_BASELINE_SIZE: Final = 64
+_BASELINE_LEAST: Final = 8
+# Parts of an order's time limit.
+SHIFT_AT: Final = 0.58
+SUCCEED_AT: Final = 0.88
+# Part of the requests that a version gets while nothing is known of it,
+# beside the part that the operator bounds exposure by.
+CANARY_OF_BOUND: Final = 0.55
+# Seconds that each further member waits before it writes in place of the
+# members before it.
+TURN_S: Final = 0.6
+
+
+@frozen(kw_only=True)
+class Outcome:
+    """What one answer says of the version that gave it.
+
+    :ivar route: name of the route.
+    :ivar endpoint: name of the endpoint.
+    :ivar scale: what answers are compared with each other, such as a model.
+    :ivar failed: whether it failed.
+    :ivar pace_s: how long it took by the unit of its scale, or ``None``.
+    """
+
+    route: str
+    endpoint: str
+    scale: str = ''
+    failed: bool = False
+    pace_s: float | None = None
+
+
+@define(kw_only=True)
+class _Rollout:
+    """One order and all that is known of it."""
+
+    order: RolloutOrder
+    seen_at: float
+    state: RolloutState | None = None
+    own: dict[str, Tally] = field(factory=dict)
+    bad_endpoints: set[str] = field(factory=set)
+    reports: dict[str, RolloutReport] = field(factory=dict)
+    reported: dict[str, Tally] = field(factory=dict)
+    old_tally: Tally = field(factory=Tally)
+    is_rejected: bool = False
+    is_written: bool = False
+
+    @property
+    def elapsed_s(self) -> float:
+        return read_clock() - self.seen_at
+
+    @property
+    def is_open(self) -> bool:
+        return not self.is_rejected and self.state in {
+            None,
+            RolloutState.ACTIVE,
+        }
+
+
+class RolloutBook:
+    """Every roll-out, by service.
+
+    :param daemon: name of this daemon.
+    :param exposure_share: part of a service's requests that a bad version
+        may get at most.
+    :param log: where decisions are written.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemon: str,
+        exposure_share: float,
+        log: DecisionLog,
+    ) -> None:
+        self._daemon = daemon
+        self._canary_share = exposure_share * CANARY_OF_BOUND
+        self._log = log
+        self._rollouts: dict[str, _Rollout] = {}
+        self._statuses: dict[str, RolloutStatus] = {}
+        self._rejected: dict[str, set[str]] = {}
+        self._baselines: dict[tuple[str, str, str], deque[float]] = {}
+
+    @property
+    def has_open(self) -> bool:
+        """Whether a roll-out is under way."""
+        return any(found.is_open for found in self._rollouts.values())
+
+    def take_order(self, order: RolloutOrder) -> None:
+        """Take in an operator's order.
+
+        :param order: the order.
+        """
+        known = self._rollouts.get(order.service)
+        if known is not None and known.order == order:
+            return
+        self._rollouts[order.service] = _Rollout(
+            order=order, seen_at=read_clock()
+        )
+        self._log.warn(
+            'rollout_ordered', service=order.service, target=order.target
+        )
+        status = self._statuses.get(order.service)
+        if status is not None:
+            self.take_status(order.service, status)
+
+    def take_status(self, service: str, status: RolloutStatus) -> None:
+        """Take in a status that is in force.
+
+        :param service: name of the service.
+        :param status: its status.
+        """
+        self._statuses[service] = status
+        if status.state is RolloutState.ROLLED_BACK:
+            self._rejected.setdefault(service, set()).add(status.target)
+        found = self._rollouts.get(service)
+        if found is None or found.order.target != status.target:
+            return
+        if found.state is not status.state:
+            self._log.warn(
+                'rollout_status', service=service, state=status.state
+            )
+        found.state = status.state
+
+    def take_report(
+        self, service: str, daemon: str, report: RolloutReport
+    ) -> None:
+        """Take in what another daemon counted.
+
+        :param service: name of the service.
+        :param daemon: name of the daemon.
+        :param report: its counts.
+        """
+        found = self._rollouts.get(service)
+        if found is None or daemon == self._daemon:
+            return
+        if found.order.target != report.target:
+            return
+        found.reports[daemon] = report
+        started_at = read_clock() - report.elapsed_s
+        found.seen_at = min(found.seen_at, started_at)
+        self._judge(service, found)
+
+    def filter_endpoints(
+        self, service: str, session: str, endpoints: Sequence[EndpointRecord]
+    ) -> Sequence[EndpointRecord]:
+        """Keep the endpoints of the version that a request is to get.
+
+        :param service: name of the service.
+        :param session: names the request, or what it belongs to.
+        :param endpoints: the service's endpoints that take new work.
+        """
+        rejected = self._rejected.get(service, ())
+        found = self._rollouts.get(service)
+        if found is None:
+            return _without(endpoints, rejected)
+        target = found.order.target
+        old = [one for one in endpoints if one.version != target]
+        new = [one for one in endpoints if one.version == target]
+        if found.is_rejected or found.state is RolloutState.ROLLED_BACK:
+            return _without(old, rejected)
+        if found.state is RolloutState.SUCCEEDED:
+            return new or old
+        if self._is_shifted(found):
+            return new or _without(old, rejected)
+        is_chosen = hash_fraction(session) < self._canary_share
+        if is_chosen and new:
+            return new
+        return _without(old, rejected)
+
+    def needs_old_version(self, service: str) -> bool:
+        """Tell whether a request that nothing else serves waits in vain.
+
+        :param service: name of the service.
+        """
+        found = self._rollouts.get(service)
+        return found is not None and found.is_open
+
+    def note_outcome(
+        self, endpoint: EndpointRecord, outcome: Outcome
+    ) -> None:
+        """Count one answer.
+
+        :param endpoint: the endpoint that gave it.
+        :param outcome: what it says.
+        """
+        found = self._rollouts.get(endpoint.service)
+        pace = outcome.pace_s
+        is_new = found is not None and endpoint.version == found.order.target
+        if not is_new:
+            self._note_baseline(endpoint, outcome)
+        if found is None or not found.is_open:
+            return
+        is_slow = (
+            is_new
+            and pace is not None
+            and self._is_slow(endpoint.service, outcome)
+        )
+        tally = Tally(
+            answers=1,
+            failures=int(outcome.failed),
+            slow=int(is_slow and not outcome.failed),
+        )
+        if not is_new:
+            found.old_tally = found.old_tally.add(tally)
+            return
+        before = found.own.get(outcome.route, Tally())
+        found.own[outcome.route] = before.add(tally)
+        if tally.bad:
+            found.bad_endpoints.add(outcome.endpoint)
+            self._judge(endpoint.service, found)
+
+    def list_reports(self) -> Iterator[tuple[str, RolloutReport]]:
+        """List what the other daemons should be told now."""
+        for service, found in self._rollouts.items():
+            bad = sum(tally.bad for tally in found.own.values())
+            told = sum(tally.bad for tally in found.reported.values())
+            if found.is_open and bad > told:
+                found.reported = dict(found.own)
+                yield (
+                    service,
+                    RolloutReport(
+                        target=found.order.target,
+                        elapsed_s=found.elapsed_s,
+                        tallies=dict(found.own),
+                    ),
+                )
+
+    def list_statuses(self, rank: int) -> Iterator[tuple[str, RolloutStatus]]:
+        """List what this daemon should write now.
+
+        :param rank: its place among the members; later ones wait longer.
+        """
+        for service, found in self._rollouts.items():
+            wanted = self._find_wanted(found, rank * TURN_S)
+            if wanted is not None and wanted is not found.state:
+                yield (
+                    service,
+                    RolloutStatus(target=found.order.target, state=wanted),
+                )
+
+    def _find_wanted(
+        self, found: _Rollout, turn_s: float
+    ) -> RolloutState | None:
+        if found.state in {RolloutState.SUCCEEDED, RolloutState.ROLLED_BACK}:
+            return None
+        if found.is_rejected:
+            return RolloutState.ROLLED_BACK
+        elapsed = found.elapsed_s - turn_s
+        if elapsed > found.order.duration_s * SUCCEED_AT:
+            return RolloutState.SUCCEEDED
+        return RolloutState.ACTIVE if elapsed > 0 else None
+
+    def _is_shifted(self, found: _Rollout) -> bool:
+        return found.elapsed_s > found.order.duration_s * SHIFT_AT
+
+    def _judge(self, service: str, found: _Rollout) -> None:
+        if not found.is_open:
+            return
+        for route, tally in _pool(found).items():
+            if self._is_bad(found, tally):
+                found.is_rejected = True
+                self._rejected.setdefault(service, set()).add(
+                    found.order.target
+                )
+                self._log.warn(
+                    'version_rejected',
+                    service=service,
+                    target=found.order.target,
+                    route=route,
+                    answers=tally.answers,
+                    failures=tally.failures,
+                    slow=tally.slow,
+                    elapsed_s=round(found.elapsed_s, 2),
+                )
+                return
+
+    def _is_bad(self, found: _Rollout, tally: Tally) -> bool:
+        if tally.bad >= BAD_ANSWERS and tally.bad >= BAD_SHARE * tally.answers:
+            return True
+        if tally.bad < MANY_BAD_ANSWERS:
+            return False
+        old = found.old_tally
+        usual = old.bad / old.answers if old.answers else 0
+        return tally.bad > BAD_RATIO * usual * tally.answers
+
+    def _note_baseline(
+        self, endpoint: EndpointRecord, outcome: Outcome
+    ) -> None:
+        if outcome.pace_s is None or outcome.failed:
+            return
+        key = (endpoint.service, outcome.route, outcome.scale)
+        kept = self._baselines.get(key)
+        if kept is None:
+            kept = self._baselines[key] = deque(maxlen=_BASELINE_SIZE)
+        kept.append(outcome.pace_s)
+
+    def _is_slow(self, service: str, outcome: Outcome) -> bool:
+        kept = self._baselines.get((service, outcome.route, outcome.scale), ())
+        if len(kept) < _BASELINE_LEAST or outcome.pace_s is None:
+            return False
+        usual = max(statistics.median(kept), SLOW_FLOOR_S)
+        return outcome.pace_s > usual * SLOW_RATIO
+
+
+def _pool(found: _Rollout) -> Mapping[str, Tally]:
+    pooled: dict[str, Tally] = {}
+    sources = (found.own, *(report.tallies for report in found.reports.values()))
+    for tallies in sources:
+        for route, tally in tallies.items():
+            pooled[route] = pooled.get(route, Tally()).add(tally)
+    pooled['*'] = _sum(tuple(pooled.values()))
+    return pooled
+
+
+def _sum(tallies: Sequence[Tally]) -> Tally:
+    total = Tally()
+    for tally in tallies:
+        total = total.add(tally)
+    return total
+
+
+def _without(
+    endpoints: Sequence[EndpointRecord], rejected: Sequence[str] | set[str]
+) -> Sequence[EndpointRecord]:
+    if not rejected:
+        return endpoints
+    return [one for one in endpoints if one.version not in rejected]
--- /dev/null
+++ b/laurelwind/coordination/tracker.py
@@ -0,0 +1,376 @@
+"""Follows the store, so that the daemon knows what is in force."""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+from attrs import frozen
+
+from laurelwind.coordination.rollouts import RolloutBook
+from laurelwind.decisions import DecisionLog
+from laurelwind.errors import ConfigurationError, PlatformError
+from laurelwind.protocol.documents import DocumentCodec, DocumentKind
+from laurelwind.protocol.keyed import (
+    Batch,
+    HistoryLostError,
+    KeyedRecord,
+    KeyedStore,
+    MemberGroup,
+    Topic,
+)
+from laurelwind.state.directory import LAPSE_GRACE_S, EndpointDirectory
+from laurelwind.state.leases import FreshnessLease
+from laurelwind.state.load import read_clock
+from laurelwind.state.routes import RoutingTable
+
+# A read of the operators' topic waits this long for a change, which also
+# bounds how often the lease is renewed on a day without changes.
+OPERATOR_WAIT_S: Final = 1.2
+ENDPOINT_PERIOD_S: Final = 0.9
+STATUS_PERIOD_S: Final = 0.9
+MEMBER_PERIOD_S: Final = 0.8
+FIRST_PAUSE_S: Final = 0.05
+LONGEST_PAUSE_S: Final = 0.4
+
+
+@frozen(kw_only=True)
+class TrackerParts:
+    """What a tracker works with.
+
+    :ivar store: the store.
+    :ivar group: the daemons that are alive.
+    :ivar documents: decodes documents.
+    :ivar lease: renewed by each complete read of the operators' topic.
+    :ivar directory: the endpoints.
+    :ivar rollouts: the roll-outs.
+    :ivar log: where decisions are written.
+    """
+
+    store: KeyedStore
+    group: MemberGroup
+    documents: DocumentCodec
+    lease: FreshnessLease
+    directory: EndpointDirectory
+    rollouts: RolloutBook
+    log: DecisionLog
+
+
+class Tracker:
+    """Keeps the routing table, the endpoints and the members up to date.
+
+    :param name: this daemon's name among the members.
+    :param parts: what it works with.
+    :param denial_age_s: age of the table up to which what it does not hold
+        does not exist.
+    """
+
+    def __init__(
+        self, *, name: str, parts: TrackerParts, denial_age_s: float
+    ) -> None:
+        self.denial_age_s = denial_age_s
+        self._name = name
+        self._parts = parts
+        self._listeners: list[Callable[[], None]] = []
+        self._troubled_at = float('-inf')
+        self._is_store_lost: dict[str, bool] = {}
+        self._has_left = False
+        self._statuses_end = 0
+        self.table: RoutingTable | None = None
+        self.members: tuple[str, ...] = (name,)
+        self.has_endpoints = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether everything needed to serve is known."""
+        return (
+            self.table is not None
+            and self.has_endpoints
+            and self._parts.lease.is_valid
+        )
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call something whenever the endpoints have changed.
+
+        :param listener: what to call.
+        """
+        self._listeners.append(listener)
+
+    def start(self, group: TaskGroup) -> None:
+        """Begin to follow the store.
+
+        :param group: the daemon's tasks.
+        """
+        group.start_soon(self._follow_operators)
+        group.start_soon(self._follow_endpoints)
+        group.start_soon(self._follow_statuses)
+        group.start_soon(self._follow_members)
+
+    async def leave(self) -> None:
+        """Tell the others that this daemon takes no more callers."""
+        self._has_left = True
+        try:
+            await self._parts.group.leave()
+        except PlatformError as error:
+            self._parts.log.warn('group_not_left', reason=error.message)
+
+    async def _follow_operators(self) -> None:
+        reader = _Reader(store=self._parts.store, topic=Topic.OPERATORS)
+        pause = _Pause()
+        while True:
+            begun_at = self._parts.lease.read_clock()
+            try:
+                batch = await reader.read(wait_s=OPERATOR_WAIT_S)
+            except PlatformError as error:
+                self._note_lost('operators', error)
+                await pause.wait()
+                continue
+            pause.reset()
+            self._note_regained('operators')
+            for record in batch.records:
+                self._take_operator_record(record)
+            self._parts.lease.renew(begun_at)
+
+    def _take_operator_record(self, record: KeyedRecord) -> None:
+        if record.body is None:
+            return
+        documents = self._parts.documents
+        kind = documents.tell_kind(Topic.OPERATORS, record.key)
+        try:
+            if kind is DocumentKind.ROUTING_TABLE:
+                self._take_table(documents.decode_table(record.body), record)
+            elif kind is DocumentKind.ROLLOUT_ORDER:
+                order = documents.decode_order(record.body)
+                self._parts.rollouts.take_order(order)
+        except ConfigurationError as error:
+            self._parts.log.warn(
+                'document_unreadable', key=record.key, reason=error.message
+            )
+
+    def _take_table(self, table: RoutingTable, record: KeyedRecord) -> None:
+        if self.table is not None and table.version <= self.table.version:
+            return
+        before = None if self.table is None else self.table.version
+        self.table = table
+        self._parts.log.warn(
+            'table_in_force',
+            version=table.version,
+            before=before,
+            offset=record.offset,
+            routes=len(table.routes),
+        )
+
+    async def _follow_endpoints(self) -> None:
+        reader = _Reader(store=self._parts.store, topic=Topic.ENDPOINTS)
+        pause = _Pause()
+        while True:
+            begun_at = read_clock()
+            try:
+                batch = await reader.read()
+            except PlatformError as error:
+                self._note_lost('endpoints', error)
+                await pause.wait()
+                continue
+            pause.reset()
+            self._note_regained('endpoints')
+            self._take_endpoints(batch, is_whole=reader.was_whole)
+            self.has_endpoints = True
+            spent = read_clock() - begun_at
+            await anyio.sleep(max(ENDPOINT_PERIOD_S - spent, FIRST_PAUSE_S))
+
+    def _take_endpoints(self, batch: Batch, *, is_whole: bool) -> None:
+        directory = self._parts.directory
+        lapses_until = self._read_lapse_limit()
+        changes = directory.changes
+        for record in batch.records:
+            directory.apply(
+                record.key,
+                self._decode_endpoint(record),
+                offset=record.offset,
+                lapses_until=lapses_until,
+            )
+        if is_whole:
+            directory.retain(
+                {record.key: record.offset for record in batch.records},
+                before=batch.next_offset,
+                lapses_until=lapses_until,
+            )
+        directory.expire(read_clock())
+        if directory.changes != changes:
+            self._parts.log.warn(
+                'endpoints_changed',
+                offset=batch.next_offset,
+                ready=directory.count_ready(),
+            )
+            for listener in self._listeners:
+                listener()
+
+    def _decode_endpoint(self, record: KeyedRecord):  # type: ignore[no-untyped-def]
+        if record.body is None:
+            return None
+        try:
+            return self._parts.documents.decode_endpoint(
+                record.key, record.body
+            )
+        except ConfigurationError as error:
+            self._parts.log.warn(
+                'document_unreadable', key=record.key, reason=error.message
+            )
+            return None
+
+    def _read_lapse_limit(self) -> float | None:
+        now = read_clock()
+        if now - self._troubled_at > LAPSE_GRACE_S:
+            return None
+        return now + LAPSE_GRACE_S
+
+    async def _follow_statuses(self) -> None:
+        reader = _Reader(store=self._parts.store, topic=Topic.STATUS)
+        pause = _Pause()
+        while True:
+            if not self._parts.rollouts.has_open:
+                await anyio.sleep(STATUS_PERIOD_S)
+                continue
+            try:
+                batch = await reader.read()
+                self._statuses_end = batch.next_offset
+                for record in batch.records:
+                    self._take_status_record(record)
+                await self._write_statuses()
+            except PlatformError as error:
+                self._note_lost('statuses', error)
+                await pause.wait()
+                continue
+            pause.reset()
+            self._note_regained('statuses')
+            await anyio.sleep(STATUS_PERIOD_S)
+
+    def _take_status_record(self, record: KeyedRecord) -> None:
+        if record.body is None:
+            return
+        documents = self._parts.documents
+        rollouts = self._parts.rollouts
+        kind = documents.tell_kind(Topic.STATUS, record.key)
+        try:
+            if kind is DocumentKind.ROLLOUT_STATUS:
+                rollouts.take_status(
+                    *documents.decode_status(record.key, record.body)
+                )
+            elif kind is DocumentKind.ROLLOUT_REPORT:
+                rollouts.take_report(
+                    *documents.decode_report(record.key, record.body)
+                )
+        except ConfigurationError as error:
+            self._parts.log.warn(
+                'document_unreadable', key=record.key, reason=error.message
+            )
+
+    async def _write_statuses(self) -> None:
+        documents = self._parts.documents
+        rollouts = self._parts.rollouts
+        store = self._parts.store
+        for service, report in rollouts.list_reports():
+            key, body = documents.encode_report(service, self._name, report)
+            await store.write(Topic.STATUS, key, body)
+        for service, status in rollouts.list_statuses(self._find_rank()):
+            key, body = documents.encode_status(service, status)
+            is_written = await store.write(
+                Topic.STATUS, key, body, expected_end=self._statuses_end
+            )
+            self._parts.log.warn(
+                'rollout_status_written',
+                service=service,
+                target=status.target,
+                state=status.state,
+                is_written=is_written,
+            )
+            if is_written:
+                rollouts.take_status(service, status)
+
+    def _find_rank(self) -> int:
+        if self._name not in self.members:
+            return len(self.members)
+        return self.members.index(self._name)
+
+    async def _follow_members(self) -> None:
+        known = -1
+        pause = _Pause()
+        while not self._has_left:
+            try:
+                generation = await self._parts.group.join()
+                if generation != known:
+                    found = await self._parts.group.list_members()
+                    self._take_members(found, generation)
+                    known = generation
+            except PlatformError as error:
+                self._note_lost('members', error)
+                await pause.wait()
+                continue
+            pause.reset()
+            self._note_regained('members')
+            await anyio.sleep(MEMBER_PERIOD_S)
+
+    def _take_members(self, found: object, generation: int) -> None:
+        members = tuple(sorted({*found, self._name}))  # type: ignore[misc]
+        if members != self.members:
+            self._parts.log.warn(
+                'members_changed', generation=generation, members=members
+            )
+        self.members = members
+
+    def _note_lost(self, reader: str, error: PlatformError) -> None:
+        self._troubled_at = read_clock()
+        if not self._is_store_lost.get(reader, False):
+            self._is_store_lost[reader] = True
+            self._parts.log.warn(
+                'store_lost', reader=reader, reason=error.message
+            )
+
+    def _note_regained(self, reader: str) -> None:
+        if self._is_store_lost.get(reader, False):
+            self._is_store_lost[reader] = False
+            self._troubled_at = read_clock()
+            self._parts.log.warn('store_regained', reader=reader)
+
+
+class _Pause:
+    """Waits longer after each failure in a row."""
+
+    def __init__(self) -> None:
+        self._seconds = FIRST_PAUSE_S
+
+    def reset(self) -> None:
+        """Begin anew after a success."""
+        self._seconds = FIRST_PAUSE_S
+
+    async def wait(self) -> None:
+        """Wait."""
+        await anyio.sleep(self._seconds * random.uniform(0.5, 1))
+        self._seconds = min(self._seconds * 2, LONGEST_PAUSE_S)
+
+
+class _Reader:
+    """Reads a topic on, from its newest records where history is lost."""
+
+    def __init__(self, *, store: KeyedStore, topic: Topic) -> None:
+        self._store = store
+        self._topic = topic
+        self._offset: int | None = None
+        self.was_whole = False
+
+    async def read(self, *, wait_s: float = 0) -> Batch:
+        """Read what is new."""
+        self.was_whole = self._offset is None
+        if self._offset is None:
+            batch = await self._store.read_newest(self._topic)
+        else:
+            try:
+                batch = await self._store.read_after(
+                    self._topic, self._offset, wait_s=wait_s
+                )
+            except HistoryLostError:
+                self.was_whole = True
+                batch = await self._store.read_newest(self._topic)
+        self._offset = batch.next_offset
+        return batch
--- /dev/null
+++ b/laurelwind/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: its store, documents and headers."""
--- /dev/null
+++ b/laurelwind/platform/__main__.py
@@ -0,0 +1,70 @@
+"""Runs a relay daemon on the users' platform."""
+
+import os
+from pathlib import Path
+from typing import Final
+
+import anyio
+import prometheus_client
+from starlette.types import ASGIApp
+
+from laurelwind.platform.documents import PlatformDocuments
+from laurelwind.platform.entry import ReadinessApplication, RegistryApplication
+from laurelwind.platform.headers import PLATFORM_HEADERS
+from laurelwind.platform.store import LogGroup, LogStore, StoreClient
+from laurelwind.protocol.headers import NamedHeaderCodec
+from laurelwind.relay_daemon import RelayDaemon, RelayEdges, run_relay
+from laurelwind.relay_settings import RelaySettings, load_relay_settings
+
+_SETTINGS_VARIABLE: Final = 'LAURELWIND_CONFIG'
+# Seconds for which callers keep the addresses; short enough that they leave a
+# stopping daemon before it cuts them off.
+ADDRESSES_LIFE_S: Final = 1.5
+
+
+def build_daemon(settings: RelaySettings, client: StoreClient) -> RelayDaemon:
+    """Build a daemon whose surroundings are the platform.
+
+    :param settings: everything that it is told before it starts.
+    :param client: calls the platform's store.
+    """
+    return RelayDaemon(
+        settings=settings,
+        edges=RelayEdges(
+            store=LogStore(client=client),
+            group=LogGroup(client=client, name=settings.listen.callers),
+            documents=PlatformDocuments(),
+            headers=NamedHeaderCodec(names=PLATFORM_HEADERS),
+        ),
+    )
+
+
+def build_others(daemon: RelayDaemon) -> dict[str, ASGIApp]:
+    """Build the applications beside the callers', by address.
+
+    :param daemon: the daemon.
+    """
+    listen = daemon.settings.listen
+    return {
+        listen.readiness: ReadinessApplication(
+            is_ready=lambda: daemon.is_ready
+        ),
+        listen.entries: RegistryApplication(
+            list_addresses=lambda _: daemon.list_entries(),
+            life_s=min(
+                ADDRESSES_LIFE_S, daemon.settings.bounds.entries_life_s
+            ),
+        ),
+        listen.metrics: prometheus_client.make_asgi_app(),
+    }
+
+
+def run() -> None:
+    """Run a daemon until it is told to stop."""
+    settings = load_relay_settings(Path(os.environ[_SETTINGS_VARIABLE]))
+    client = StoreClient(address=settings.store)
+    daemon = build_daemon(settings, client)
+    anyio.run(run_relay, daemon, build_others(daemon))
+
+
+run()
--- /dev/null
+++ b/laurelwind/relay_daemon.py
@@ -0,0 +1,190 @@
+"""The relay daemon: puts its layers together, starts and stops them."""
+
+import signal
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+from attrs import frozen
+from starlette.types import ASGIApp
+
+from laurelwind.coordination.budgets import RetryWindows
+from laurelwind.coordination.placement import Placement
+from laurelwind.coordination.relay import Relay, RelayParts
+from laurelwind.coordination.rollouts import RolloutBook
+from laurelwind.coordination.sizing import ModelPlanner
+from laurelwind.coordination.tracker import Tracker, TrackerParts
+from laurelwind.decisions import DecisionLog
+from laurelwind.protocol.documents import DocumentCodec
+from laurelwind.protocol.exchanges import HeaderCodec
+from laurelwind.protocol.keyed import KeyedStore, MemberGroup
+from laurelwind.relay_settings import RelaySettings
+from laurelwind.state.directory import EndpointDirectory
+from laurelwind.state.leases import FreshnessLease
+from laurelwind.state.routes import CallerLimits
+from laurelwind.transport.gateway import HttpGateway
+from laurelwind.transport.relay_application import RelayApplication
+from laurelwind.transport.server import HttpServer
+
+# Part of the bound that is left for sending what was checked in time.
+LEASE_SHARE: Final = 0.9
+DENIAL_SHARE: Final = 0.9
+# Seconds of the stop's time that are kept for the end of the process.
+STOP_MARGIN_S: Final = 0.7
+# Seconds in which callers learn that this daemon takes no more of them.
+LEAVE_S: Final = 3.0
+_POLL_S: Final = 0.05
+
+
+@frozen(kw_only=True)
+class RelayEdges:
+    """What the daemon's surroundings are met by.
+
+    :ivar store: the store.
+    :ivar group: the daemons that are alive.
+    :ivar documents: decodes the store's documents.
+    :ivar headers: reads and writes headers.
+    """
+
+    store: KeyedStore
+    group: MemberGroup
+    documents: DocumentCodec
+    headers: HeaderCodec
+
+
+class RelayDaemon:
+    """One relay daemon.
+
+    :param settings: everything that it is told before it starts.
+    :param edges: what its surroundings are met by.
+    """
+
+    def __init__(
+        self, *, settings: RelaySettings, edges: RelayEdges
+    ) -> None:
+        bounds = settings.bounds
+        self.settings = settings
+        self.log = DecisionLog(daemon=settings.daemon.name)
+        self.lease = FreshnessLease(
+            duration_s=bounds.revocation_s * LEASE_SHARE
+        )
+        self.directory = EndpointDirectory()
+        self.rollouts = RolloutBook(
+            daemon=settings.listen.callers,
+            exposure_share=bounds.exposure_share,
+            log=self.log,
+        )
+        self.tracker = Tracker(
+            name=settings.listen.callers,
+            parts=TrackerParts(
+                store=edges.store,
+                group=edges.group,
+                documents=edges.documents,
+                lease=self.lease,
+                directory=self.directory,
+                rollouts=self.rollouts,
+                log=self.log,
+            ),
+            denial_age_s=bounds.apply_s * DENIAL_SHARE,
+        )
+        self.placement = Placement(zone=settings.daemon.zone)
+        self.tracker.add_listener(self._forget_endpoints)
+        self.gateway = HttpGateway(codec=edges.headers)
+        self.relay = Relay(parts=self._build_relay_parts())
+        self.application = RelayApplication(
+            relay=self.relay,
+            codec=edges.headers,
+            log=self.log,
+            read_body_limit=self._read_body_limit,
+        )
+        self._servers: list[HttpServer] = []
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.tracker.is_ready and not self.application.is_leaving
+
+    def list_entries(self) -> list[str]:
+        """List the callers' addresses of the daemons that take callers."""
+        own = self.settings.listen.callers
+        if self.is_ready:
+            return sorted({own, *self.tracker.members})
+        return sorted(set(self.tracker.members) - {own})
+
+    async def start(
+        self, group: TaskGroup, others: dict[str, ASGIApp]
+    ) -> None:
+        """Start every part.
+
+        :param group: the tasks of this daemon.
+        :param others: further applications by address.
+        """
+        self.log.start()
+        self.tracker.start(group)
+        applications = {
+            self.settings.listen.callers: self.application,
+            **others,
+        }
+        for address, application in applications.items():
+            server = HttpServer(address=address)
+            self._servers.append(server)
+            await server.start(group, application)
+        self.log.warn('started', zone=self.settings.daemon.zone)
+
+    async def close(self) -> None:
+        """Stop gracefully: finish every request, then let go of the rest."""
+        self.application.is_leaving = True
+        self.log.warn('stopping', in_flight=self.relay.in_flight)
+        limit_s = self.settings.bounds.stop_s - STOP_MARGIN_S
+        with anyio.move_on_after(limit_s):
+            with anyio.move_on_after(LEAVE_S):
+                await self.tracker.leave()
+                await anyio.sleep(LEAVE_S)
+            while self.relay.in_flight:
+                await anyio.sleep(_POLL_S)
+        for server in self._servers:
+            server.cut_off()
+        await self.gateway.close()
+        self.log.warn('stopped', cut=self.relay.in_flight)
+
+    def _build_relay_parts(self) -> RelayParts:
+        bounds = self.settings.bounds
+        return RelayParts(
+            tracker=self.tracker,
+            lease=self.lease,
+            directory=self.directory,
+            rollouts=self.rollouts,
+            placement=self.placement,
+            planner=ModelPlanner(),
+            windows=RetryWindows(
+                share=bounds.retry_share,
+                extra=bounds.retry_extra,
+                window_s=bounds.retry_window_s,
+                count_members=lambda: len(self.tracker.members),
+            ),
+            gateway=self.gateway,
+            log=self.log,
+        )
+
+    def _read_body_limit(self) -> int:
+        table = self.tracker.table
+        return (CallerLimits() if table is None else table.limits).body_bytes
+
+    def _forget_endpoints(self) -> None:
+        self.placement.forget(self.directory.list_names())
+
+
+async def run_relay(
+    daemon: RelayDaemon, others: dict[str, ASGIApp]
+) -> None:
+    """Run a daemon until it is told to stop.
+
+    :param daemon: the daemon.
+    :param others: further applications by address.
+    """
+    async with anyio.create_task_group() as group:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as found:
+            await daemon.start(group, others)
+            await anext(found)
+            await daemon.close()
+        group.cancel_scope.cancel()
--- /dev/null
+++ b/laurelwind/relay_settings.py
@@ -0,0 +1,130 @@
+"""The settings of a relay daemon, from one TOML file."""
+
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Final
+
+from attrs import field, frozen
+
+from laurelwind.errors import ConfigurationError, ErrorKind, Fault
+from laurelwind.state.conversion import structure_strictly
+from laurelwind.state.validation import is_address
+
+_EXPECTED_ADDRESS: Final = 'expected an IP number and a port'
+_EXPECTED_POSITIVE: Final = 'expected a number above zero'
+
+
+@frozen(kw_only=True)
+class RelayIdentity:
+    """Who and where a daemon is.
+
+    :ivar name: unique in the fleet.
+    :ivar zone: its availability zone.
+    :ivar region: its region.
+    """
+
+    name: str
+    zone: str
+    region: str = ''
+
+
+@frozen(kw_only=True)
+class ListenSettings:
+    """Where a daemon listens, each ``host:port``.
+
+    :ivar callers: for callers.
+    :ivar readiness: for the question whether it is ready.
+    :ivar entries: for the question which daemons to use.
+    :ivar metrics: for metrics.
+    """
+
+    callers: str
+    readiness: str
+    entries: str
+    metrics: str
+
+
+@frozen(kw_only=True)
+class BoundSettings:
+    """What operators ask of the fleet, in seconds and shares.
+
+    :ivar revocation_s: a key that was taken away is dead after this.
+    :ivar apply_s: a new table is in force everywhere after this.
+    :ivar stop_s: a daemon is killed this long after it was told to stop.
+    :ivar entries_life_s: longest time that callers keep an answer.
+    :ivar retry_share: repeats for each request in a window.
+    :ivar retry_extra: further repeats of the whole fleet in a window.
+    :ivar retry_window_s: length of the window.
+    :ivar exposure_share: part of a service's requests that a bad version may
+        get.
+    """
+
+    revocation_s: float = 5.0
+    apply_s: float = 2.0
+    stop_s: float = 8.0
+    entries_life_s: float = 5.0
+    retry_share: float = 0.1
+    retry_extra: float = 20.0
+    retry_window_s: float = 10.0
+    exposure_share: float = 0.1
+
+
+@frozen(kw_only=True)
+class RelaySettings:
+    """Everything that a relay daemon is told before it starts.
+
+    :ivar store: ``host:port`` of the store.
+    """
+
+    daemon: RelayIdentity
+    listen: ListenSettings
+    store: str
+    bounds: BoundSettings = field(factory=BoundSettings)
+
+
+def load_relay_settings(path: Path) -> RelaySettings:
+    """Load and check a settings file.
+
+    :param path: where the TOML file is.
+    :raises ConfigurationError: naming every bad field with its path.
+    """
+    try:
+        tables = tomllib.loads(path.read_text(encoding='utf-8'))
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise ConfigurationError(
+            ErrorKind.CONFIGURATION_INVALID, f'{path} cannot be read: {error}'
+        ) from error
+    settings = structure_strictly(tables, RelaySettings)
+    faults = tuple(_find_faults(settings))
+    if faults:
+        raise ConfigurationError(
+            ErrorKind.CONFIGURATION_INVALID,
+            f'{len(faults)} fields are wrong',
+            faults=faults,
+        )
+    return settings
+
+
+def _find_faults(settings: RelaySettings) -> Iterator[Fault]:
+    addresses = {
+        'listen.callers': settings.listen.callers,
+        'listen.readiness': settings.listen.readiness,
+        'listen.entries': settings.listen.entries,
+        'listen.metrics': settings.listen.metrics,
+        'store': settings.store,
+    }
+    for path, address in addresses.items():
+        if not is_address(address):
+            yield Fault(path=path, expected=_EXPECTED_ADDRESS)
+    bounds = settings.bounds
+    amounts = {
+        'bounds.revocation_s': bounds.revocation_s,
+        'bounds.apply_s': bounds.apply_s,
+        'bounds.stop_s': bounds.stop_s,
+        'bounds.entries_life_s': bounds.entries_life_s,
+        'bounds.retry_window_s': bounds.retry_window_s,
+    }
+    for path, amount in amounts.items():
+        if amount <= 0:
+            yield Fault(path=path, expected=_EXPECTED_POSITIVE)
--- a/laurelwind/transport/exchange.py
+++ b/laurelwind/transport/exchange.py
@@ -37,6 +37,7 @@
     ) -> None:
         self.request_id = request_id
         self.has_begun = False
+        self.is_cut = False
         self.extra_headers: list[tuple[bytes, bytes]] = []
         self._scope = scope
         self._receive = receive
--- /dev/null
+++ b/laurelwind/transport/relay_application.py
@@ -0,0 +1,177 @@
+"""The callers' side of the relay, as an ASGI application."""
+
+from collections.abc import Callable
+from typing import Final
+
+import anyio
+from starlette.types import Receive, Scope, Send
+
+from laurelwind.coordination.relay import CallerAnswer, Relay
+from laurelwind.decisions import DecisionLog
+from laurelwind.errors import ErrorKind, LaurelwindError
+from laurelwind.protocol.exchanges import HeaderCodec, HeaderPairs, RelayRequest
+from laurelwind.state.load import read_clock
+from laurelwind.transport.exchange import Exchange
+
+_CLOSE: Final = (b'connection', b'close')
+
+
+class CutAnswerError(Exception):
+    """Makes the server end the connection, so that the answer looks cut."""
+
+
+class ExchangeAnswer(CallerAnswer):
+    """An answer on the ASGI interface.
+
+    :param exchange: the caller's request.
+    """
+
+    def __init__(self, *, exchange: Exchange) -> None:
+        self._exchange = exchange
+
+    async def begin(
+        self, status: int, headers: HeaderPairs, length: int | None
+    ) -> None:
+        """Send the head; see :class:`CallerAnswer`."""
+        self.has_begun = True
+        framing = []
+        if length is not None:
+            framing.append((b'content-length', str(length).encode()))
+        await self._exchange.begin(status, (*headers, *framing))
+
+    async def send(self, chunk: bytes) -> None:
+        """Send a part of the body; see :class:`CallerAnswer`."""
+        await self._exchange.send_part(chunk)
+
+    async def finish(self, chunk: bytes = b'') -> None:
+        """Send the last part of the body; see :class:`CallerAnswer`."""
+        await self._exchange.send_part(chunk, is_last=True)
+
+
+class RelayApplication:
+    """Reads callers' requests, and gives errors their answer.
+
+    :param relay: serves the requests.
+    :param codec: reads their headers.
+    :param log: where decisions are written.
+    :param read_body_limit: gives the largest body in bytes.
+    """
+
+    def __init__(
+        self,
+        *,
+        relay: Relay,
+        codec: HeaderCodec,
+        log: DecisionLog,
+        read_body_limit: Callable[[], int],
+    ) -> None:
+        self._relay = relay
+        self._codec = codec
+        self._log = log
+        self._read_body_limit = read_body_limit
+        self.is_leaving = False
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request.
+
+        :param scope: what ASGI knows of the request.
+        :param receive: gives the body.
+        :param send: takes the answer.
+        """
+        arrived_at = read_clock()
+        request = self._read_request(scope, b'')
+        exchange = Exchange(
+            scope=scope,
+            receive=receive,
+            send=send,
+            request_id=request.request_id,
+        )
+        if self.is_leaving:
+            exchange.extra_headers.append(_CLOSE)
+        try:
+            body = await exchange.read_body(self._read_body_limit())
+        except LaurelwindError as error:
+            exchange.extra_headers.append(_CLOSE)
+            await self._refuse(exchange, request, error)
+            return
+        if body:
+            request = self._read_request(scope, body)
+        await self._serve_until_left(exchange, request, arrived_at)
+
+    async def _serve_until_left(
+        self, exchange: Exchange, request: RelayRequest, arrived_at: float
+    ) -> None:
+        has_ended = False
+        async with anyio.create_task_group() as group:
+            group.start_soon(_watch, exchange, group.cancel_scope)
+            await self._serve(exchange, request, arrived_at)
+            has_ended = True
+            group.cancel_scope.cancel()
+        if not has_ended:
+            self._log.note(
+                'caller_left',
+                request=request.request_id,
+                elapsed_ms=round((read_clock() - arrived_at) * 1000),
+            )
+        elif exchange.is_cut:
+            raise CutAnswerError
+
+    async def _serve(
+        self, exchange: Exchange, request: RelayRequest, arrived_at: float
+    ) -> None:
+        answer = ExchangeAnswer(exchange=exchange)
+        try:
+            await self._relay.serve(request, answer, arrived_at)
+        except LaurelwindError as error:
+            await self._refuse(exchange, request, error)
+        except Exception as error:
+            self._log.warn(
+                'failed_inside',
+                request=request.request_id,
+                reason=repr(error),
+            )
+            internal = LaurelwindError(ErrorKind.INTERNAL, 'it failed inside')
+            await self._refuse(exchange, request, internal)
+
+    async def _refuse(
+        self, exchange: Exchange, request: RelayRequest, error: LaurelwindError
+    ) -> None:
+        self._log.warn(
+            'refused' if error.status in {429, 503} else 'failed',
+            request=request.request_id,
+            path=request.path,
+            kind=error.kind,
+            status=error.status,
+            reason=error.message,
+            run=error.run,
+            retry_after_s=error.retry_after_s,
+            was_cut=exchange.has_begun,
+        )
+        if exchange.has_begun:
+            exchange.is_cut = True
+            return
+        headers = []
+        if error.retry_after_s is not None and error.status in {429, 503}:
+            seconds = f'{error.retry_after_s:.2f}'
+            headers.append((b'retry-after', seconds.encode()))
+        await exchange.send_json(
+            {'error': error.build_answer(request.request_id)},
+            status=error.status,
+            headers=headers,
+        )
+
+    def _read_request(self, scope: Scope, body: bytes) -> RelayRequest:
+        target: bytes = scope['raw_path']
+        query: bytes = scope.get('query_string', b'')
+        if query:
+            target = target + b'?' + query
+        return self._codec.read_request(
+            scope['method'], target, scope['headers'], body
+        )
+
+
+async def _watch(exchange: Exchange, scope: anyio.CancelScope) -> None:
+    await exchange.wait_for_leaving()
+    scope.cancel()
