Move sessions to a new version in the second half only, and judge it fairly

Ruled out: reports that came late (they were read within 0.1 s). Change: trial from 0.51 of the time limit, all from 0.66; silence is no evidence; slow answers of both versions are counted alike; silence of a stream up to twice its timely pause is borne; lapses end with the outage's grace; a stopping daemon refuses what comes after 2.9 s. First bytes that come late are the next weakness.

--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -17,6 +17,7 @@
     CallerError,
     CapacityError,
     EndpointError,
+    EndpointSilentError,
     ErrorKind,
     LaurelwindError,
     RunState,
@@ -45,9 +46,13 @@
 WHOLE_BYTES: Final = 1 << 20
 # Part of the latency goal after which a repeatable request that has had no
 # first byte is sent to another endpoint.
-FIRST_BYTE_SHARE: Final = 0.6
-# Part of a stream's longest timely pause after which it is resumed elsewhere.
-GAP_SHARE: Final = 0.6
+FIRST_BYTE_SHARE: Final = 0.8
+# The same for plain calls, whose goals are short beside their work.
+PLAIN_BYTE_SHARE: Final = 2.0
+# Times a stream's longest timely pause after which it is resumed elsewhere.
+# A pause within it comes from long prompts that others send; going elsewhere
+# has the whole prompt read once more, and makes such pauses longer.
+GAP_SHARE: Final = 2.0
 # Least seconds that a request must have left to be sent once more.
 LEAST_LEFT_S: Final = 0.05
 # Seconds after which callers may come back when nothing can serve them.
@@ -423,12 +428,15 @@
     async def _read_head(self, job: _Job, attempt: _Attempt) -> AnswerHead:
         wait_s: float | None = None
         if job.route.is_repeatable and job.attempts < job.route.max_attempts:
-            wait_s = job.route.latency_goal_s * FIRST_BYTE_SHARE
+            share = PLAIN_BYTE_SHARE
+            if job.route.kind is RequestKind.STREAMING:
+                share = FIRST_BYTE_SHARE
+            wait_s = job.route.latency_goal_s * share
         try:
             with anyio.fail_after(wait_s):
                 return await attempt.exchange.read_head()
         except TimeoutError:
-            raise EndpointError(
+            raise EndpointSilentError(
                 ErrorKind.ENDPOINT_FAILED,
                 f'no first byte within {wait_s} s',
                 run=RunState.UNKNOWN,
@@ -543,7 +551,7 @@
             with anyio.fail_after(wait_s):
                 chunk = await attempt.exchange.read_chunk()
         except TimeoutError:
-            raise EndpointError(
+            raise EndpointSilentError(
                 ErrorKind.ENDPOINT_FAILED,
                 f'no event within {wait_s} s',
                 run=RunState.RAN,
@@ -588,7 +596,9 @@
         else:
             job.may_have_run = True
             pause_s = parts.placement.note_failure(attempt.endpoint)
-            self._note_answer(job, attempt, failed=True)
+            # Silence speaks of load or of the path, not of the version.
+            if not isinstance(error, EndpointSilentError):
+                self._note_answer(job, attempt, failed=True)
         job.avoided.add(attempt.endpoint.name)
         parts.log.warn(
             'attempt_failed',
--- a/laurelwind/coordination/rollouts.py
+++ b/laurelwind/coordination/rollouts.py
@@ -29,16 +29,25 @@
 MANY_BAD_ANSWERS: Final = 8
 BAD_RATIO: Final = 4.0
 # An answer is slow when it takes this many times the other version's median.
-SLOW_RATIO: Final = 3.5
+# Answers of the other version are judged alike, so that what slows both down
+# speaks against neither.
+SLOW_RATIO: Final = 5.0
 SLOW_FLOOR_S: Final = 0.02
 _BASELINE_SIZE: Final = 64
 _BASELINE_LEAST: Final = 8
-# Parts of an order's time limit.
-SHIFT_AT: Final = 0.58
-SUCCEED_AT: Final = 0.88
-# Part of the requests that a version gets while nothing is known of it,
-# beside the part that the operator bounds exposure by.
-CANARY_OF_BOUND: Final = 0.55
+# Parts of an order's time limit.  A session may not change its version in the
+# first half; a version is tried on some sessions, then used by all.
+CANARY_AT: Final = 0.51
+SHIFT_AT: Final = 0.66
+SUCCEED_AT: Final = 0.92
+# Seconds of the time limit that are kept for the last status to be written.
+SUCCEED_MARGIN_S: Final = 0.8
+# Part of the requests that a version gets while it is tried, beside the part
+# of all requests that the operator bounds exposure by.
+CANARY_OF_BOUND: Final = 1.0
+# Seconds after which the first member tells the others the time again, for
+# those that have just started.
+REMIND_S: Final = 2.5
 # Seconds that each further member waits before it writes in place of the
 # members before it.
 TURN_S: Final = 0.6
@@ -75,7 +84,7 @@
     reported: dict[str, Tally] = field(factory=dict)
     old_tally: Tally = field(factory=Tally)
     is_rejected: bool = False
-    is_written: bool = False
+    reminded_at: float = 0
 
     @property
     def elapsed_s(self) -> float:
@@ -145,6 +154,8 @@
         self._statuses[service] = status
         if status.state is RolloutState.ROLLED_BACK:
             self._rejected.setdefault(service, set()).add(status.target)
+        if status.state is RolloutState.SUCCEEDED:
+            self._rejected.get(service, set()).discard(status.target)
         found = self._rollouts.get(service)
         if found is None or found.order.target != status.target:
             return
@@ -189,24 +200,16 @@
         target = found.order.target
         old = [one for one in endpoints if one.version != target]
         new = [one for one in endpoints if one.version == target]
-        if found.is_rejected or found.state is RolloutState.ROLLED_BACK:
+        if found.state is RolloutState.ROLLED_BACK:
             return _without(old, rejected)
+        if found.is_rejected:
+            return _without(old, rejected) or new
         if found.state is RolloutState.SUCCEEDED:
             return new or old
-        if self._is_shifted(found):
-            return new or _without(old, rejected)
-        is_chosen = hash_fraction(session) < self._canary_share
-        if is_chosen and new:
+        share = self._find_share(found)
+        if new and hash_fraction(session) < share:
             return new
-        return _without(old, rejected)
-
-    def needs_old_version(self, service: str) -> bool:
-        """Tell whether a request that nothing else serves waits in vain.
-
-        :param service: name of the service.
-        """
-        found = self._rollouts.get(service)
-        return found is not None and found.is_open
+        return _without(old, rejected) or new
 
     def note_outcome(
         self, endpoint: EndpointRecord, outcome: Outcome
@@ -217,17 +220,12 @@
         :param outcome: what it says.
         """
         found = self._rollouts.get(endpoint.service)
-        pace = outcome.pace_s
         is_new = found is not None and endpoint.version == found.order.target
         if not is_new:
             self._note_baseline(endpoint, outcome)
         if found is None or not found.is_open:
             return
-        is_slow = (
-            is_new
-            and pace is not None
-            and self._is_slow(endpoint.service, outcome)
-        )
+        is_slow = self._is_slow(endpoint.service, outcome)
         tally = Tally(
             answers=1,
             failures=int(outcome.failed),
@@ -242,13 +240,20 @@
             found.bad_endpoints.add(outcome.endpoint)
             self._judge(endpoint.service, found)
 
-    def list_reports(self) -> Iterator[tuple[str, RolloutReport]]:
-        """List what the other daemons should be told now."""
+    def list_reports(
+        self, rank: int
+    ) -> Iterator[tuple[str, RolloutReport]]:
+        """List what the other daemons should be told now.
+
+        :param rank: this daemon's place among the members.
+        """
         for service, found in self._rollouts.items():
             bad = sum(tally.bad for tally in found.own.values())
             told = sum(tally.bad for tally in found.reported.values())
-            if found.is_open and bad > told:
+            is_due = not rank and read_clock() - found.reminded_at > REMIND_S
+            if found.is_open and (bad > told or is_due):
                 found.reported = dict(found.own)
+                found.reminded_at = read_clock()
                 yield (
                     service,
                     RolloutReport(
@@ -279,12 +284,17 @@
         if found.is_rejected:
             return RolloutState.ROLLED_BACK
         elapsed = found.elapsed_s - turn_s
-        if elapsed > found.order.duration_s * SUCCEED_AT:
+        duration = found.order.duration_s
+        due = min(duration * SUCCEED_AT, duration - SUCCEED_MARGIN_S)
+        if elapsed > due:
             return RolloutState.SUCCEEDED
         return RolloutState.ACTIVE if elapsed > 0 else None
 
-    def _is_shifted(self, found: _Rollout) -> bool:
-        return found.elapsed_s > found.order.duration_s * SHIFT_AT
+    def _find_share(self, found: _Rollout) -> float:
+        part = found.elapsed_s / found.order.duration_s
+        if part < CANARY_AT:
+            return 0
+        return self._canary_share if part < SHIFT_AT else 1
 
     def _judge(self, service: str, found: _Rollout) -> None:
         if not found.is_open:
@@ -308,13 +318,13 @@
                 return
 
     def _is_bad(self, found: _Rollout, tally: Tally) -> bool:
-        if tally.bad >= BAD_ANSWERS and tally.bad >= BAD_SHARE * tally.answers:
-            return True
-        if tally.bad < MANY_BAD_ANSWERS:
-            return False
         old = found.old_tally
         usual = old.bad / old.answers if old.answers else 0
-        return tally.bad > BAD_RATIO * usual * tally.answers
+        if tally.bad <= BAD_RATIO * usual * tally.answers:
+            return False
+        if tally.bad >= MANY_BAD_ANSWERS:
+            return True
+        return tally.bad >= max(BAD_ANSWERS, BAD_SHARE * tally.answers)
 
     def _note_baseline(
         self, endpoint: EndpointRecord, outcome: Outcome
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -28,8 +28,13 @@
 # A read of the operators' topic waits this long for a change, which also
 # bounds how often the lease is renewed on a day without changes.
 OPERATOR_WAIT_S: Final = 1.2
-ENDPOINT_PERIOD_S: Final = 0.9
+# The endpoints' topic changes seldom; a read waits this long for a change, or
+# this long where a lapsed record is about to be dropped.
+ENDPOINT_WAIT_S: Final = 1.5
+LAPSED_WAIT_S: Final = 0.3
 STATUS_PERIOD_S: Final = 0.9
+# Tries to write a status while others write too, before the next period.
+STATUS_TRIES: Final = 4
 MEMBER_PERIOD_S: Final = 0.8
 FIRST_PAUSE_S: Final = 0.05
 LONGEST_PAUSE_S: Final = 0.4
@@ -76,7 +81,6 @@
         self._troubled_at = float('-inf')
         self._is_store_lost: dict[str, bool] = {}
         self._has_left = False
-        self._statuses_end = 0
         self.table: RoutingTable | None = None
         self.members: tuple[str, ...] = (name,)
         self.has_endpoints = False
@@ -165,9 +169,10 @@
         reader = _Reader(store=self._parts.store, topic=Topic.ENDPOINTS)
         pause = _Pause()
         while True:
-            begun_at = read_clock()
+            has_lapsed = self._parts.directory.has_lapsed
+            wait_s = LAPSED_WAIT_S if has_lapsed else ENDPOINT_WAIT_S
             try:
-                batch = await reader.read()
+                batch = await reader.read(wait_s=wait_s)
             except PlatformError as error:
                 self._note_lost('endpoints', error)
                 await pause.wait()
@@ -176,8 +181,6 @@
             self._note_regained('endpoints')
             self._take_endpoints(batch, is_whole=reader.was_whole)
             self.has_endpoints = True
-            spent = read_clock() - begun_at
-            await anyio.sleep(max(ENDPOINT_PERIOD_S - spent, FIRST_PAUSE_S))
 
     def _take_endpoints(self, batch: Batch, *, is_whole: bool) -> None:
         directory = self._parts.directory
@@ -220,10 +223,10 @@
             return None
 
     def _read_lapse_limit(self) -> float | None:
-        now = read_clock()
-        if now - self._troubled_at > LAPSE_GRACE_S:
-            return None
-        return now + LAPSE_GRACE_S
+        # Records that lapsed during an outage are back by then, if their
+        # endpoints live; a later removal means that the endpoint is leaving.
+        limit = self._troubled_at + LAPSE_GRACE_S
+        return limit if limit > read_clock() else None
 
     async def _follow_statuses(self) -> None:
         reader = _Reader(store=self._parts.store, topic=Topic.STATUS)
@@ -233,11 +236,7 @@
                 await anyio.sleep(STATUS_PERIOD_S)
                 continue
             try:
-                batch = await reader.read()
-                self._statuses_end = batch.next_offset
-                for record in batch.records:
-                    self._take_status_record(record)
-                await self._write_statuses()
+                await self._exchange_statuses(reader)
             except PlatformError as error:
                 self._note_lost('statuses', error)
                 await pause.wait()
@@ -246,6 +245,15 @@
             self._note_regained('statuses')
             await anyio.sleep(STATUS_PERIOD_S)
 
+    async def _exchange_statuses(self, reader: '_Reader') -> None:
+        for _ in range(STATUS_TRIES):
+            batch = await reader.read()
+            for record in batch.records:
+                self._take_status_record(record)
+            if await self._write_statuses(batch.next_offset):
+                break
+        await self._write_reports()
+
     def _take_status_record(self, record: KeyedRecord) -> None:
         if record.body is None:
             return
@@ -266,17 +274,20 @@
                 'document_unreadable', key=record.key, reason=error.message
             )
 
-    async def _write_statuses(self) -> None:
+    async def _write_reports(self) -> None:
         documents = self._parts.documents
         rollouts = self._parts.rollouts
-        store = self._parts.store
-        for service, report in rollouts.list_reports():
+        for service, report in rollouts.list_reports(self._find_rank()):
             key, body = documents.encode_report(service, self._name, report)
-            await store.write(Topic.STATUS, key, body)
+            await self._parts.store.write(Topic.STATUS, key, body)
+
+    async def _write_statuses(self, end: int) -> bool:
+        """Write what is due; false where others wrote meanwhile."""
+        rollouts = self._parts.rollouts
         for service, status in rollouts.list_statuses(self._find_rank()):
-            key, body = documents.encode_status(service, status)
-            is_written = await store.write(
-                Topic.STATUS, key, body, expected_end=self._statuses_end
+            key, body = self._parts.documents.encode_status(service, status)
+            is_written = await self._parts.store.write(
+                Topic.STATUS, key, body, expected_end=end
             )
             self._parts.log.warn(
                 'rollout_status_written',
@@ -285,8 +296,11 @@
                 state=status.state,
                 is_written=is_written,
             )
-            if is_written:
-                rollouts.take_status(service, status)
+            if not is_written:
+                return False
+            end += 1
+            rollouts.take_status(service, status)
+        return True
 
     def _find_rank(self) -> int:
         if self._name not in self.members:
--- a/laurelwind/errors.py
+++ b/laurelwind/errors.py
@@ -252,6 +252,10 @@
     """An endpoint failed, or its answer was not whole."""
 
 
+class EndpointSilentError(EndpointError):
+    """An endpoint was given up on before it said anything more."""
+
+
 class PlatformError(LaurelwindError):
     """A service of the platform is down, slow or wrong."""
 
--- a/laurelwind/platform/__main__.py
+++ b/laurelwind/platform/__main__.py
@@ -19,7 +19,7 @@
 _SETTINGS_VARIABLE: Final = 'LAURELWIND_CONFIG'
 # Seconds for which callers keep the addresses; short enough that they leave a
 # stopping daemon before it cuts them off.
-ADDRESSES_LIFE_S: Final = 1.5
+ADDRESSES_LIFE_S: Final = 1.0
 
 
 def build_daemon(settings: RelaySettings, client: StoreClient) -> RelayDaemon:
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -32,7 +32,10 @@
 # Seconds of the stop's time that are kept for the end of the process.
 STOP_MARGIN_S: Final = 0.7
 # Seconds in which callers learn that this daemon takes no more of them.
-LEAVE_S: Final = 3.0
+LEAVE_S: Final = 3.2
+# Seconds after which a stopping daemon takes no more requests: what comes
+# then could not be finished in time.
+REFUSE_S: Final = 2.9
 _POLL_S: Final = 0.05
 
 
@@ -137,9 +140,11 @@
         self.log.warn('stopping', in_flight=self.relay.in_flight)
         limit_s = self.settings.bounds.stop_s - STOP_MARGIN_S
         with anyio.move_on_after(limit_s):
-            with anyio.move_on_after(LEAVE_S):
+            with anyio.move_on_after(REFUSE_S):
                 await self.tracker.leave()
-                await anyio.sleep(LEAVE_S)
+                await anyio.sleep(REFUSE_S)
+            self.application.is_closed = True
+            await anyio.sleep(LEAVE_S - REFUSE_S)
             while self.relay.in_flight:
                 await anyio.sleep(_POLL_S)
         for server in self._servers:
--- a/laurelwind/state/directory.py
+++ b/laurelwind/state/directory.py
@@ -5,9 +5,9 @@
 
 from attrs import evolve, frozen
 
-# Seconds that a lapsed record has to come back after an outage, and that an
-# outage counts as recent; the store's documentation gives about two seconds.
-LAPSE_GRACE_S: Final = 2.0
+# Seconds after an outage in which lapsed records come back; the store's
+# documentation gives about two.
+LAPSE_GRACE_S: Final = 2.2
 _NO_REPORT: Final = (-1, -1)
 
 
@@ -64,6 +64,13 @@
         self._reports: dict[str, tuple[int, int]] = {}
         self.changes = 0
 
+    @property
+    def has_lapsed(self) -> bool:
+        """Whether a removed record has time left to come back."""
+        return any(
+            entry.removed_at is not None for entry in self._entries.values()
+        )
+
     def list_ready(self, service: str) -> list[EndpointRecord]:
         """List the endpoints of a service that take new work.
 
--- a/laurelwind/transport/relay_application.py
+++ b/laurelwind/transport/relay_application.py
@@ -8,7 +8,7 @@
 
 from laurelwind.coordination.relay import CallerAnswer, Relay
 from laurelwind.decisions import DecisionLog
-from laurelwind.errors import ErrorKind, LaurelwindError
+from laurelwind.errors import CapacityError, ErrorKind, LaurelwindError
 from laurelwind.protocol.exchanges import HeaderCodec, HeaderPairs, RelayRequest
 from laurelwind.state.load import read_clock
 from laurelwind.transport.exchange import Exchange
@@ -16,6 +16,10 @@
 _CLOSE: Final = (b'connection', b'close')
 
 
+# Seconds after which callers may try another daemon.
+ELSEWHERE_S: Final = 0.05
+
+
 class CutAnswerError(Exception):
     """Makes the server end the connection, so that the answer looks cut."""
 
@@ -70,6 +74,7 @@
         self._log = log
         self._read_body_limit = read_body_limit
         self.is_leaving = False
+        self.is_closed = False
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -91,6 +96,7 @@
         if self.is_leaving:
             exchange.extra_headers.append(_CLOSE)
         try:
+            self._check_open()
             body = await exchange.read_body(self._read_body_limit())
         except LaurelwindError as error:
             exchange.extra_headers.append(_CLOSE)
@@ -162,6 +168,14 @@
             headers=headers,
         )
 
+    def _check_open(self) -> None:
+        if self.is_closed:
+            raise CapacityError(
+                ErrorKind.STOPPING,
+                'this daemon is stopping; another one will serve it',
+                retry_after_s=ELSEWHERE_S,
+            )
+
     def _read_request(self, scope: Scope, body: bytes) -> RelayRequest:
         target: bytes = scope['raw_path']
         query: bytes = scope.get('query_string', b'')
