--- a/laurelwind/coordination/placement.py
+++ b/laurelwind/coordination/placement.py
@@ -26,6 +26,10 @@
 ZONE_PENALTY: Final = 0.35
 
 
+LANE_PENALTY: Final = 0.0
+SMALL_SHARE: Final = 0.34
+
+
 @define(kw_only=True)
 class _Seen:
     """One endpoint as this daemon sees it."""
@@ -57,6 +61,7 @@
 
     affinity: str = ''
     tokens: int = 0
+    lane: float | None = None
     avoided: frozenset[str] = frozenset()
 
 
@@ -85,6 +90,11 @@
         if not candidates:
             return None
         costs = {one.name: self._weigh(one, now) for one in candidates}
+        if want.lane is not None:
+            small = _list_small(endpoints)
+            for one in candidates:
+                if (one.name in small) != (want.lane > 0.5):
+                    costs[one.name] += LANE_PENALTY
         best = min(
             candidates, key=lambda one: (costs[one.name], random.random())
         )
@@ -187,6 +197,17 @@
         return seen
 
 
+def _list_small(endpoints: Sequence[EndpointRecord]) -> set[str]:
+    zones: dict[str, list[str]] = {}
+    for one in endpoints:
+        zones.setdefault(one.zone, []).append(one.name)
+    chosen = set()
+    for names in zones.values():
+        names.sort()
+        chosen.update(names[: max(round(len(names) * SMALL_SHARE), 1)])
+    return chosen
+
+
 def _rank(affinity: str, name: str) -> bytes:
     text = f'{affinity}/{name}'.encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -57,6 +57,7 @@
 LEAST_LEFT_S: Final = 0.05
 # Seconds after which callers may come back when nothing can serve them.
 COME_BACK_S: Final = 0.8
+LONG_TOKENS: Final = 10000
 _PROMISES: Final = frozenset((408, 421, 429, 503))
 _LOWEST_RANK: Final = 9
 
@@ -136,6 +137,19 @@
     head: AnswerHead | None = None
     last_event_id: str = ''
     events: int = 0
+    first_at: float = 0
+    event_at: float = 0
+    longest_gap_s: float = 0
+
+    def note_events(self, count: int) -> None:
+        """Note events that are passed on."""
+        now = read_clock()
+        if self.events:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.event_at)
+        else:
+            self.first_at = now
+        self.event_at = now
+        self.events += count
 
     @property
     def left_s(self) -> float:
@@ -145,6 +159,12 @@
     def elapsed_ms(self) -> int:
         return round((read_clock() - self.arrived_at) * 1000)
 
+    @property
+    def first_ms(self) -> int | None:
+        if not self.events:
+            return None
+        return round((self.first_at - self.arrived_at) * 1000)
+
     @property
     def model(self) -> ModelSize | None:
         if not self.models:
@@ -308,12 +328,19 @@
             affinity=affinity,
             tokens=request.prompt_tokens,
             avoided=frozenset(job.avoided),
+            lane=self._find_lane(job),
         )
         endpoint = parts.placement.choose(ready, want)
         if endpoint is None:
             raise self._explain_no_endpoint(job)
         return endpoint
 
+    def _find_lane(self, job: _Job) -> float | None:
+        if not job.models:
+            return None
+        is_large = job.step > 0
+        return float(is_large and job.request.prompt_tokens > LONG_TOKENS)
+
     def _explain_no_endpoint(self, job: _Job) -> LaurelwindError:
         if job.may_have_run:
             return EndpointError(
@@ -509,7 +536,7 @@
             if not answer.has_begun:
                 await answer.begin(head.status, head.headers, None)
             await answer.send(b''.join(event.raw for event in events))
-            job.events += len(events)
+            job.note_events(len(events))
             job.last_event_id = events[-1].event_id or job.last_event_id
         if splitter.has_rest or not job.events:
             raise EndpointError(
@@ -651,5 +678,7 @@
             status=status,
             attempts=job.attempts,
             events=job.events,
+            first_ms=job.first_ms,
+            longest_gap_ms=round(job.longest_gap_s * 1000),
             elapsed_ms=job.elapsed_ms,
         )
