Keep long prompts of large models on a third of the endpoints

Cause: every late stream was late by a pause between events, not by its first one: an engine reads a piece of a waiting prompt in each step, so a long prompt of the largest model stretches each step of all streams beside it to 0.2 s, and an event needs seven steps. Median time of an event was the same for the smallest and the largest model, 52 ms: they share steps. Ruled out: our own delay (events are passed on within some ms); the first byte's limit. Change: endpoints of a zone are divided into lanes alike in every daemon; costs are seconds of waiting work; daemons of a zone tell each other by datagram which work they sent; a request stays with the endpoint that knows its prompt for as long as reading it anew would take.

--- a/laurelwind/coordination/placement.py
+++ b/laurelwind/coordination/placement.py
@@ -1,8 +1,17 @@
-"""Which endpoint a request goes to."""
+"""Which endpoint a request goes to.
 
+Engines run requests in batches: each step makes one token for every request
+of the batch, takes as long as the largest model in it needs, and reads a
+piece of the prompts that wait.  So a long prompt of a large model holds up
+every answer beside it, and a small model is only fast among its like.
+Endpoints are therefore divided into lanes, by the work that they are asked
+for, and the work that waits at each is told among the daemons of a zone.
+"""
+
+import enum
 import hashlib
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 from attrs import define, frozen
@@ -17,17 +26,28 @@
 FIRST_PAUSE_S: Final = 0.4
 LONGEST_PAUSE_S: Final = 5.0
 _MAX_DOUBLINGS: Final = 4
-# A request stays with the endpoint that knows its prompt while that one is
-# not this much fuller than the mean of the others.
-AFFINITY_SLACK: Final = 0.12
-# Tokens of waiting prompts that count like one busy slot.
-TOKENS_PER_SLOT: Final = 3000.0
-# Fullness that another availability zone must be better by.
-ZONE_PENALTY: Final = 0.35
+# Costs of a choice, in seconds of waiting.  A full endpoint costs as much as
+# a second of waiting work; another zone and another lane cost a part of it.
+FULL_S: Final = 1.0
+ZONE_S: Final = 0.2
+LANE_S: Final = 0.5
+# Seconds by which the endpoint that knows a prompt may be worse than the best
+# one, besides the time that reading the prompt anew would take.
+AFFINITY_S: Final = 0.05
+
+
+class Lane(enum.Enum):
+    """Kinds of work that are kept apart at engines."""
 
+    LONG = 'long'
+    OTHER = 'other'
 
-LANE_PENALTY: Final = 0.0
-SMALL_SHARE: Final = 0.34
+
+# Parts of a zone's endpoints, in the order in which they are dealt out.
+LANE_SHARES: Final[Mapping[Lane, float]] = {
+    Lane.LONG: 0.34,
+    Lane.OTHER: 0.66,
+}
 
 
 @define(kw_only=True)
@@ -35,7 +55,8 @@
     """One endpoint as this daemon sees it."""
 
     in_flight: int = 0
-    prompt_tokens: int = 0
+    work_s: float = 0
+    work_at: float = 0
     report: EndpointReport | None = None
     reported_at: float = 0
     own_at_report: int = 0
@@ -49,20 +70,30 @@
         others = self.report.running + self.report.waiting - self.own_at_report
         return max(others, 0) + self.in_flight
 
+    def estimate_work(self, now: float) -> float:
+        """Estimate the seconds of prompts that wait there to be read."""
+        return max(self.work_s - (now - self.work_at), 0)
+
+    def add_work(self, work_s: float, now: float) -> None:
+        """Add a prompt that waits to be read."""
+        self.work_s = self.estimate_work(now) + work_s
+        self.work_at = now
+
 
 @frozen(kw_only=True)
 class Want:
     """What a request wants of an endpoint.
 
     :ivar affinity: requests with the same one share work, or empty.
-    :ivar tokens: length of the prompt.
+    :ivar saving_s: seconds of reading that the shared work saves.
     :ivar avoided: names of endpoints that failed it.
+    :ivar lane: kind of work, or ``None`` where nothing is kept apart.
     """
 
     affinity: str = ''
-    tokens: int = 0
-    lane: float | None = None
+    saving_s: float = 0
     avoided: frozenset[str] = frozenset()
+    lane: Lane | None = None
 
 
 class Placement:
@@ -89,18 +120,18 @@
         candidates = awake or usable
         if not candidates:
             return None
-        costs = {one.name: self._weigh(one, now) for one in candidates}
-        if want.lane is not None:
-            small = _list_small(endpoints)
-            for one in candidates:
-                if (one.name in small) != (want.lane > 0.5):
-                    costs[one.name] += LANE_PENALTY
+        lanes = {} if want.lane is None else assign_lanes(endpoints)
+        costs = {}
+        for one in candidates:
+            costs[one.name] = self._weigh(one, now)
+            if lanes.get(one.name) is not want.lane:
+                costs[one.name] += LANE_S
         best = min(
             candidates, key=lambda one: (costs[one.name], random.random())
         )
         if not want.affinity:
             return best
-        allowed = costs[best.name] + AFFINITY_SLACK
+        allowed = costs[best.name] + AFFINITY_S + want.saving_s
         near = [one for one in candidates if costs[one.name] <= allowed]
         return max(near, key=lambda one: _rank(want.affinity, one.name))
 
@@ -112,24 +143,23 @@
         busy = self._find(endpoint).estimate_busy(read_clock())
         return busy / max(endpoint.slots, 1)
 
-    def note_sent(self, endpoint: EndpointRecord, tokens: int) -> None:
+    def note_sent(self, endpoint: EndpointRecord, work_s: float) -> None:
         """Note a request on its way.
 
         :param endpoint: where it went.
-        :param tokens: length of its prompt.
+        :param work_s: seconds that reading its prompt takes.
         """
         seen = self._find(endpoint)
         seen.in_flight += 1
-        seen.prompt_tokens += tokens
+        seen.add_work(work_s, read_clock())
 
-    def note_started(self, endpoint: EndpointRecord, tokens: int) -> None:
-        """Note that an endpoint has read a prompt.
+    def note_work(self, name: str, work_s: float) -> None:
+        """Note a request that another daemon has sent.
 
-        :param endpoint: the endpoint.
-        :param tokens: length of the prompt.
+        :param name: name of the endpoint.
+        :param work_s: seconds that reading its prompt takes.
         """
-        seen = self._find(endpoint)
-        seen.prompt_tokens = max(seen.prompt_tokens - tokens, 0)
+        self._seen.setdefault(name, _Seen()).add_work(work_s, read_clock())
 
     def note_ended(self, endpoint: EndpointRecord) -> None:
         """Note that a request has ended.
@@ -184,10 +214,10 @@
 
     def _weigh(self, endpoint: EndpointRecord, now: float) -> float:
         seen = self._find(endpoint)
-        busy = seen.estimate_busy(now) + seen.prompt_tokens / TOKENS_PER_SLOT
-        cost = busy / max(endpoint.slots, 1)
+        fullness = seen.estimate_busy(now) / max(endpoint.slots, 1)
+        cost = seen.estimate_work(now) + fullness * FULL_S
         if endpoint.zone != self._zone:
-            cost += ZONE_PENALTY
+            cost += ZONE_S
         return cost
 
     def _find(self, endpoint: EndpointRecord) -> _Seen:
@@ -197,15 +227,27 @@
         return seen
 
 
-def _list_small(endpoints: Sequence[EndpointRecord]) -> set[str]:
+def assign_lanes(endpoints: Iterable[EndpointRecord]) -> dict[str, Lane]:
+    """Divide the endpoints of each zone into lanes, alike in every daemon.
+
+    :param endpoints: the endpoints.
+    """
     zones: dict[str, list[str]] = {}
     for one in endpoints:
         zones.setdefault(one.zone, []).append(one.name)
-    chosen = set()
+    lanes = {}
     for names in zones.values():
-        names.sort()
-        chosen.update(names[: max(round(len(names) * SMALL_SHARE), 1)])
-    return chosen
+        for place, name in enumerate(sorted(names)):
+            lanes[name] = _find_lane((place + 0.5) / len(names))
+    return lanes
+
+
+def _find_lane(part: float) -> Lane:
+    for lane, share in LANE_SHARES.items():
+        part -= share
+        if part < 0:
+            return lane
+    return Lane.OTHER
 
 
 def _rank(affinity: str, name: str) -> bytes:
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -1,14 +1,14 @@
 """Serves a caller's request as it is, from its route to its answer."""
 
 import abc
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
 import anyio
 from attrs import define, field, frozen
 
 from laurelwind.coordination.budgets import RetryWindows
-from laurelwind.coordination.placement import Placement, Want
+from laurelwind.coordination.placement import Lane, Placement, Want
 from laurelwind.coordination.rollouts import Outcome, RolloutBook
 from laurelwind.coordination.sizing import ModelPlanner
 from laurelwind.coordination.tracker import Tracker
@@ -53,11 +53,15 @@
 # A pause within it comes from long prompts that others send; going elsewhere
 # has the whole prompt read once more, and makes such pauses longer.
 GAP_SHARE: Final = 2.0
+# Prompt tokens that an engine reads in a second with its largest model; other
+# models read faster as they cost less.
+READ_TOKENS_PER_S: Final = 20000.0
+# Work from which a prompt holds up the answers beside it noticeably.
+LONG_WORK_S: Final = 0.5
 # Least seconds that a request must have left to be sent once more.
 LEAST_LEFT_S: Final = 0.05
 # Seconds after which callers may come back when nothing can serve them.
 COME_BACK_S: Final = 0.8
-LONG_TOKENS: Final = 10000
 _PROMISES: Final = frozenset((408, 421, 429, 503))
 _LOWEST_RANK: Final = 9
 
@@ -105,6 +109,8 @@
     :ivar planner: chooses models.
     :ivar windows: the retry budget.
     :ivar gateway: reaches endpoints.
+    :ivar tell_work: tells other daemons of an endpoint's name and seconds of
+        work.
     :ivar log: where decisions are written.
     """
 
@@ -116,6 +122,7 @@
     planner: ModelPlanner
     windows: RetryWindows
     gateway: EndpointGateway
+    tell_work: Callable[[str, float], Awaitable[None]]
     log: DecisionLog
 
 
@@ -171,6 +178,23 @@
             return None
         return self.models[min(self.step, len(self.models) - 1)]
 
+    def estimate_work(self, tokens: int) -> float:
+        """Estimate the seconds that reading some tokens takes."""
+        if self.model is None:
+            return 0
+        dearest = max(model.cost for model in self.models) or 1
+        return tokens / READ_TOKENS_PER_S * (self.model.cost or 1) / dearest
+
+    @property
+    def work_s(self) -> float:
+        return self.estimate_work(self.request.prompt_tokens)
+
+    @property
+    def lane(self) -> Lane | None:
+        if len(self.models) < 2:
+            return None
+        return Lane.LONG if self.work_s > LONG_WORK_S else Lane.OTHER
+
     @property
     def group(self) -> str:
         return self.request.session or self.request.request_id
@@ -299,10 +323,6 @@
                 job.step += 1
             finally:
                 self._parts.placement.note_ended(attempt.endpoint)
-                if not attempt.has_started:
-                    self._parts.placement.note_started(
-                        attempt.endpoint, job.request.prompt_tokens
-                    )
                 with anyio.CancelScope(shield=True):
                     await attempt.exchange.close()
 
@@ -319,28 +339,19 @@
         ready = parts.rollouts.filter_endpoints(
             job.service, job.group, parts.directory.list_ready(job.service)
         )
-        request = job.request
-        affinity = ''
-        if request.parts:
-            shared = request.parts[-2] if len(request.parts) > 1 else None
-            affinity = shared.name if shared else request.parts[0].name
+        parts_known = job.request.parts[:-1] or job.request.parts
+        shared_tokens = sum(part.tokens for part in parts_known)
         want = Want(
-            affinity=affinity,
-            tokens=request.prompt_tokens,
+            affinity=parts_known[-1].name if parts_known else '',
+            saving_s=job.estimate_work(shared_tokens),
             avoided=frozenset(job.avoided),
-            lane=self._find_lane(job),
+            lane=job.lane,
         )
         endpoint = parts.placement.choose(ready, want)
         if endpoint is None:
             raise self._explain_no_endpoint(job)
         return endpoint
 
-    def _find_lane(self, job: _Job) -> float | None:
-        if not job.models:
-            return None
-        is_large = job.step > 0
-        return float(is_large and job.request.prompt_tokens > LONG_TOKENS)
-
     def _explain_no_endpoint(self, job: _Job) -> LaurelwindError:
         if job.may_have_run:
             return EndpointError(
@@ -371,7 +382,8 @@
         else:
             parts.windows.note_request(job.service)
         job.attempts += 1
-        parts.placement.note_sent(endpoint, job.request.prompt_tokens)
+        parts.placement.note_sent(endpoint, job.work_s)
+        await parts.tell_work(endpoint.name, job.work_s)
         parts.log.note(
             'sent',
             request=job.request.request_id,
@@ -388,7 +400,6 @@
             exchange = await parts.gateway.send(job.request, dispatch)
         except BaseException:
             parts.placement.note_ended(endpoint)
-            parts.placement.note_started(endpoint, job.request.prompt_tokens)
             raise
         return _Attempt(
             endpoint=endpoint,
@@ -591,9 +602,6 @@
             return
         attempt.has_started = True
         attempt.first_at = read_clock()
-        self._parts.placement.note_started(
-            attempt.endpoint, job.request.prompt_tokens
-        )
 
     def _note_answer(
         self, job: _Job, attempt: _Attempt, *, failed: bool
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -1,7 +1,7 @@
 """Follows the store, so that the daemon knows what is in force."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import anyio
@@ -20,6 +20,7 @@
     MemberGroup,
     Topic,
 )
+from laurelwind.protocol.platform import ListedInstance
 from laurelwind.state.directory import LAPSE_GRACE_S, EndpointDirectory
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.state.load import read_clock
@@ -65,24 +66,24 @@
 class Tracker:
     """Keeps the routing table, the endpoints and the members up to date.
 
-    :param name: this daemon's name among the members.
+    :param own: this daemon, as the others see it.
     :param parts: what it works with.
     :param denial_age_s: age of the table up to which what it does not hold
         does not exist.
     """
 
     def __init__(
-        self, *, name: str, parts: TrackerParts, denial_age_s: float
+        self, *, own: ListedInstance, parts: TrackerParts, denial_age_s: float
     ) -> None:
         self.denial_age_s = denial_age_s
-        self._name = name
+        self._own = own
         self._parts = parts
         self._listeners: list[Callable[[], None]] = []
         self._troubled_at = float('-inf')
         self._is_store_lost: dict[str, bool] = {}
         self._has_left = False
         self.table: RoutingTable | None = None
-        self.members: tuple[str, ...] = (name,)
+        self.members: tuple[ListedInstance, ...] = (own,)
         self.has_endpoints = False
 
     @property
@@ -278,7 +279,9 @@
         documents = self._parts.documents
         rollouts = self._parts.rollouts
         for service, report in rollouts.list_reports(self._find_rank()):
-            key, body = documents.encode_report(service, self._name, report)
+            key, body = documents.encode_report(
+                service, self._own.name, report
+            )
             await self._parts.store.write(Topic.STATUS, key, body)
 
     async def _write_statuses(self, end: int) -> bool:
@@ -303,9 +306,7 @@
         return True
 
     def _find_rank(self) -> int:
-        if self._name not in self.members:
-            return len(self.members)
-        return self.members.index(self._name)
+        return self.members.index(self._own)
 
     async def _follow_members(self) -> None:
         known = -1
@@ -325,11 +326,16 @@
             self._note_regained('members')
             await anyio.sleep(MEMBER_PERIOD_S)
 
-    def _take_members(self, found: object, generation: int) -> None:
-        members = tuple(sorted({*found, self._name}))  # type: ignore[misc]
+    def _take_members(
+        self, found: Sequence[ListedInstance], generation: int
+    ) -> None:
+        members = tuple(
+            sorted({*found, self._own}, key=lambda member: member.name)
+        )
         if members != self.members:
             self._parts.log.warn(
-                'members_changed', generation=generation, members=members
+                'members_changed', generation=generation,
+                members=[member.name for member in members],
             )
         self.members = members
 
--- a/laurelwind/platform/__main__.py
+++ b/laurelwind/platform/__main__.py
@@ -13,7 +13,12 @@
 from laurelwind.platform.headers import PLATFORM_HEADERS
 from laurelwind.platform.store import LogGroup, LogStore, StoreClient
 from laurelwind.protocol.headers import NamedHeaderCodec
-from laurelwind.relay_daemon import RelayDaemon, RelayEdges, run_relay
+from laurelwind.relay_daemon import (
+    RelayDaemon,
+    RelayEdges,
+    build_member,
+    run_relay,
+)
 from laurelwind.relay_settings import RelaySettings, load_relay_settings
 
 _SETTINGS_VARIABLE: Final = 'LAURELWIND_CONFIG'
@@ -32,7 +37,7 @@
         settings=settings,
         edges=RelayEdges(
             store=LogStore(client=client),
-            group=LogGroup(client=client, name=settings.listen.callers),
+            group=LogGroup(client=client, own=build_member(settings)),
             documents=PlatformDocuments(),
             headers=NamedHeaderCodec(names=PLATFORM_HEADERS),
         ),
--- a/laurelwind/platform/documents.py
+++ b/laurelwind/platform/documents.py
@@ -167,7 +167,9 @@
     limits = found.get('limits') or {}
     return RoutingTable(
         version=int(found['version']),
-        routes=[_build_route(row) for row in found['routes']],
+        routes=[
+            _build_route(row, _list_costs(found)) for row in found['routes']
+        ],
         services={
             row['name']: _build_service(row)
             for row in found.get('services') or ()
@@ -181,7 +183,17 @@
     )
 
 
-def _build_route(row: Mapping[str, Any]) -> Route:
+def _list_costs(found: Mapping[str, Any]) -> dict[str, float]:
+    return {
+        model['name']: float(model.get('cost', 0))
+        for row in found.get('services') or ()
+        for model in (row.get('engine') or {}).get('models') or ()
+    }
+
+
+def _build_route(
+    row: Mapping[str, Any], costs: Mapping[str, float]
+) -> Route:
     timeout_ms = row.get('timeout_ms', 30000)
     return Route(
         name=row['name'],
@@ -196,8 +208,11 @@
         max_attempts=max(int(row.get('max_attempts', 1)), 1),
         is_public=bool(row.get('public', False)),
         is_resumable=bool(row.get('resumable', False)),
-        # The names of sizes are bare here; their costs stand with the engine.
-        models=[ModelSize(name=name) for name in row.get('sizes') or ()],
+        # Sizes are bare names here; their costs stand with the engine.
+        models=[
+            ModelSize(name=name, cost=costs.get(name, 0))
+            for name in row.get('sizes') or ()
+        ],
     )
 
 
--- a/laurelwind/platform/store.py
+++ b/laurelwind/platform/store.py
@@ -20,6 +20,7 @@
     MemberGroup,
     Topic,
 )
+from laurelwind.protocol.platform import ListedInstance
 
 _TOPICS: Final[Mapping[Topic, str]] = {
     Topic.OPERATORS: 'keyed.op',
@@ -27,6 +28,9 @@
     Topic.STATUS: 'keyed.status',
 }
 _MEMBER_TOPICS: Final = tuple(f'laurelwind.members.{part}' for part in range(4))
+# A member's name holds its addresses for callers and peers, and its zone.
+_SEPARATOR: Final = '|'
+_MEMBER_WORDS: Final = 3
 _GROUP: Final = 'laurelwind'
 _OK: Final = 200
 _GONE: Final = 410
@@ -194,12 +198,14 @@
     A daemon is known by the address that callers connect to.
 
     :param client: calls the store.
-    :param name: name of this daemon.
+    :param own: this daemon.
     """
 
-    def __init__(self, *, client: StoreClient, name: str) -> None:
+    def __init__(self, *, client: StoreClient, own: ListedInstance) -> None:
         self._client = client
-        self._name = name
+        self._name = _SEPARATOR.join(
+            (own.caller_address, own.peer_address, own.zone)
+        )
         self._generation = 0
 
     async def join(self) -> int:
@@ -213,14 +219,14 @@
         self._generation = int(answer.read_json()['generation'])
         return self._generation
 
-    async def list_members(self) -> Sequence[str]:
-        """List the members' names; see :class:`MemberGroup`."""
+    async def list_members(self) -> Sequence[ListedInstance]:
+        """List the members; see :class:`MemberGroup`."""
         answer = await self._client.call(
             'GET', '/log-owners', query={'group': _GROUP}
         )
         found = orjson.loads(answer.body)
         rows = found if isinstance(found, list) else _find_rows(found)
-        return sorted({row[2] for row in rows if row[2]})
+        return _read_members({row[2] for row in rows if row[2]})
 
     async def leave(self) -> None:
         """Leave the group; see :class:`MemberGroup`."""
@@ -231,6 +237,22 @@
         return await self._client.call('POST', path, body=orjson.dumps(body))
 
 
+def _read_members(names: set[str]) -> Sequence[ListedInstance]:
+    members = []
+    for name in sorted(names):
+        words = name.split(_SEPARATOR)
+        if len(words) == _MEMBER_WORDS:
+            members.append(
+                ListedInstance(
+                    name=words[0],
+                    caller_address=words[0],
+                    peer_address=words[1],
+                    zone=words[2],
+                )
+            )
+    return members
+
+
 def _find_rows(found: Mapping[str, Any]) -> Sequence[Any]:
     for rows in found.values():
         if isinstance(rows, list):
--- a/laurelwind/protocol/keyed.py
+++ b/laurelwind/protocol/keyed.py
@@ -6,6 +6,8 @@
 
 from attrs import frozen
 
+from laurelwind.protocol.platform import ListedInstance
+
 
 class Topic(enum.Enum):
     """What records are kept about."""
@@ -102,8 +104,8 @@
         """
 
     @abc.abstractmethod
-    async def list_members(self) -> Sequence[str]:
-        """List the members' names.
+    async def list_members(self) -> Sequence[ListedInstance]:
+        """List the members.
 
         :raises PlatformError: when the store does not answer.
         """
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -18,11 +18,13 @@
 from laurelwind.protocol.documents import DocumentCodec
 from laurelwind.protocol.exchanges import HeaderCodec
 from laurelwind.protocol.keyed import KeyedStore, MemberGroup
+from laurelwind.protocol.platform import ListedInstance
 from laurelwind.relay_settings import RelaySettings
 from laurelwind.state.directory import EndpointDirectory
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.state.routes import CallerLimits
 from laurelwind.transport.gateway import HttpGateway
+from laurelwind.transport.hints import WorkHints
 from laurelwind.transport.relay_application import RelayApplication
 from laurelwind.transport.server import HttpServer
 
@@ -78,7 +80,7 @@
             log=self.log,
         )
         self.tracker = Tracker(
-            name=settings.listen.callers,
+            own=build_member(settings),
             parts=TrackerParts(
                 store=edges.store,
                 group=edges.group,
@@ -93,6 +95,12 @@
         self.placement = Placement(zone=settings.daemon.zone)
         self.tracker.add_listener(self._forget_endpoints)
         self.gateway = HttpGateway(codec=edges.headers)
+        self.hints = WorkHints(
+            address=settings.listen.peers,
+            list_peers=self._list_zone_peers,
+            note_work=self.placement.note_work,
+            log=self.log,
+        )
         self.relay = Relay(parts=self._build_relay_parts())
         self.application = RelayApplication(
             relay=self.relay,
@@ -110,9 +118,20 @@
     def list_entries(self) -> list[str]:
         """List the callers' addresses of the daemons that take callers."""
         own = self.settings.listen.callers
-        if self.is_ready:
-            return sorted({own, *self.tracker.members})
-        return sorted(set(self.tracker.members) - {own})
+        return [
+            member.caller_address
+            for member in self.tracker.members
+            if self.is_ready or member.caller_address != own
+        ]
+
+    def _list_zone_peers(self) -> list[str]:
+        own = self.settings.listen.peers
+        return [
+            member.peer_address
+            for member in self.tracker.members
+            if member.zone == self.settings.daemon.zone
+            and member.peer_address != own
+        ]
 
     async def start(
         self, group: TaskGroup, others: dict[str, ASGIApp]
@@ -124,6 +143,7 @@
         """
         self.log.start()
         self.tracker.start(group)
+        await self.hints.start(group)
         applications = {
             self.settings.listen.callers: self.application,
             **others,
@@ -150,6 +170,7 @@
         for server in self._servers:
             server.cut_off()
         await self.gateway.close()
+        await self.hints.close()
         self.log.warn('stopped', cut=self.relay.in_flight)
 
     def _build_relay_parts(self) -> RelayParts:
@@ -168,6 +189,7 @@
                 count_members=lambda: len(self.tracker.members),
             ),
             gateway=self.gateway,
+            tell_work=self.hints.tell,
             log=self.log,
         )
 
@@ -179,6 +201,19 @@
         self.placement.forget(self.directory.list_names())
 
 
+def build_member(settings: RelaySettings) -> ListedInstance:
+    """Describe a daemon as the others see it.
+
+    :param settings: everything that it is told before it starts.
+    """
+    return ListedInstance(
+        name=settings.listen.callers,
+        zone=settings.daemon.zone,
+        caller_address=settings.listen.callers,
+        peer_address=settings.listen.peers,
+    )
+
+
 async def run_relay(
     daemon: RelayDaemon, others: dict[str, ASGIApp]
 ) -> None:
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -37,12 +37,14 @@
     :ivar readiness: for the question whether it is ready.
     :ivar entries: for the question which daemons to use.
     :ivar metrics: for metrics.
+    :ivar peers: for hints from other daemons, by datagram.
     """
 
     callers: str
     readiness: str
     entries: str
     metrics: str
+    peers: str
 
 
 @frozen(kw_only=True)
@@ -112,6 +114,7 @@
         'listen.readiness': settings.listen.readiness,
         'listen.entries': settings.listen.entries,
         'listen.metrics': settings.listen.metrics,
+        'listen.peers': settings.listen.peers,
         'store': settings.store,
     }
     for path, address in addresses.items():
