--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -355,7 +355,8 @@
     def _explain_no_endpoint(self, job: _Job) -> LaurelwindError:
         if job.may_have_run:
             return EndpointError(
-                ErrorKind.ENDPOINT_FAILED, 'every endpoint that was asked failed'
+                ErrorKind.ENDPOINT_FAILED,
+                'every endpoint that was asked failed',
             )
         return CapacityError(
             ErrorKind.NO_ENDPOINT,
@@ -424,7 +425,7 @@
     ) -> None:
         pause_s = self._parts.placement.note_failure(endpoint)
         job.avoided.add(endpoint.name)
-        self._parts.log.warn(
+        self._parts.log.warning(
             'not_sent',
             request=job.request.request_id,
             endpoint=endpoint.name,
@@ -635,7 +636,7 @@
             if not isinstance(error, EndpointSilentError):
                 self._note_answer(job, attempt, failed=True)
         job.avoided.add(attempt.endpoint.name)
-        parts.log.warn(
+        parts.log.warning(
             'attempt_failed',
             request=job.request.request_id,
             route=job.route.name,
@@ -674,9 +675,7 @@
             return False
         return self._parts.windows.measure_room(job.service) > 0
 
-    def _log_answered(
-        self, job: _Job, attempt: _Attempt, status: int
-    ) -> None:
+    def _log_answered(self, job: _Job, attempt: _Attempt, status: int) -> None:
         self._parts.log.note(
             'answered',
             request=job.request.request_id,
--- a/laurelwind/coordination/rollouts.py
+++ b/laurelwind/coordination/rollouts.py
@@ -2,10 +2,10 @@
 
 import statistics
 from collections import deque
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Final
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 from laurelwind.decisions import DecisionLog
 from laurelwind.state.directory import EndpointRecord
@@ -19,14 +19,17 @@
 )
 from laurelwind.state.routes import hash_fraction
 
-# Bad answers that are enough against a version, and the least part of its
-# answers that they must be.  A version that fails a fifth of its requests is
-# found by its first dozen or so.
-BAD_ANSWERS: Final = 3
+# Failures that are enough against a version, and the least part of its answers
+# that they must be.  A version that fails a fifth of its requests is found by
+# its first dozen or so.
+FAILURES: Final = 3
 BAD_SHARE: Final = 0.2
-# Against a version whose bad answers are rarer: this many, this much oftener
-# than those of the other version.
-MANY_BAD_ANSWERS: Final = 8
+# Against a version whose failures are rarer: this many.
+MANY_FAILURES: Final = 8
+# Slow answers say less, since load and cold caches slow answers down as well.
+SLOW_ANSWERS: Final = 6
+SLOW_SHARE: Final = 0.3
+# In each case bad answers must be this much oftener than the old version's.
 BAD_RATIO: Final = 4.0
 # An answer is slow when it takes this many times the other version's median.
 # Answers of the other version are judged alike, so that what slows both down
@@ -211,9 +214,7 @@
             return new
         return _without(old, rejected) or new
 
-    def note_outcome(
-        self, endpoint: EndpointRecord, outcome: Outcome
-    ) -> None:
+    def note_outcome(self, endpoint: EndpointRecord, outcome: Outcome) -> None:
         """Count one answer.
 
         :param endpoint: the endpoint that gave it.
@@ -240,9 +241,7 @@
             found.bad_endpoints.add(outcome.endpoint)
             self._judge(endpoint.service, found)
 
-    def list_reports(
-        self, rank: int
-    ) -> Iterator[tuple[str, RolloutReport]]:
+    def list_reports(self, rank: int) -> Iterator[tuple[str, RolloutReport]]:
         """List what the other daemons should be told now.
 
         :param rank: this daemon's place among the members.
@@ -319,12 +318,14 @@
 
     def _is_bad(self, found: _Rollout, tally: Tally) -> bool:
         old = found.old_tally
-        usual = old.bad / old.answers if old.answers else 0
-        if tally.bad <= BAD_RATIO * usual * tally.answers:
+        if _exceeds(tally.failures, tally, old.failures, old):
+            if tally.failures >= MANY_FAILURES:
+                return True
+            if tally.failures >= max(FAILURES, BAD_SHARE * tally.answers):
+                return True
+        if not _exceeds(tally.slow, tally, old.slow, old):
             return False
-        if tally.bad >= MANY_BAD_ANSWERS:
-            return True
-        return tally.bad >= max(BAD_ANSWERS, BAD_SHARE * tally.answers)
+        return tally.slow >= max(SLOW_ANSWERS, SLOW_SHARE * tally.answers)
 
     def _note_baseline(
         self, endpoint: EndpointRecord, outcome: Outcome
@@ -345,9 +346,17 @@
         return outcome.pace_s > usual * SLOW_RATIO
 
 
+def _exceeds(bad: int, tally: Tally, old_bad: int, old: Tally) -> bool:
+    usual = old_bad / old.answers if old.answers else 0
+    return bad > BAD_RATIO * usual * tally.answers
+
+
 def _pool(found: _Rollout) -> Mapping[str, Tally]:
     pooled: dict[str, Tally] = {}
-    sources = (found.own, *(report.tallies for report in found.reports.values()))
+    sources = (
+        found.own,
+        *(report.tallies for report in found.reports.values()),
+    )
     for tallies in sources:
         for route, tally in tallies.items():
             pooled[route] = pooled.get(route, Tally()).add(tally)
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -118,7 +118,7 @@
         try:
             await self._parts.group.leave()
         except PlatformError as error:
-            self._parts.log.warn('group_not_left', reason=error.message)
+            self._parts.log.warning('group_not_left', reason=error.message)
 
     async def _follow_operators(self) -> None:
         reader = _Reader(store=self._parts.store, topic=Topic.OPERATORS)
@@ -149,7 +149,7 @@
                 order = documents.decode_order(record.body)
                 self._parts.rollouts.take_order(order)
         except ConfigurationError as error:
-            self._parts.log.warn(
+            self._parts.log.warning(
                 'document_unreadable', key=record.key, reason=error.message
             )
 
@@ -158,7 +158,7 @@
             return
         before = None if self.table is None else self.table.version
         self.table = table
-        self._parts.log.warn(
+        self._parts.log.warning(
             'table_in_force',
             version=table.version,
             before=before,
@@ -202,7 +202,7 @@
             )
         directory.expire(read_clock())
         if directory.changes != changes:
-            self._parts.log.warn(
+            self._parts.log.warning(
                 'endpoints_changed',
                 offset=batch.next_offset,
                 ready=directory.count_ready(),
@@ -218,7 +218,7 @@
                 record.key, record.body
             )
         except ConfigurationError as error:
-            self._parts.log.warn(
+            self._parts.log.warning(
                 'document_unreadable', key=record.key, reason=error.message
             )
             return None
@@ -271,7 +271,7 @@
                     *documents.decode_report(record.key, record.body)
                 )
         except ConfigurationError as error:
-            self._parts.log.warn(
+            self._parts.log.warning(
                 'document_unreadable', key=record.key, reason=error.message
             )
 
@@ -279,9 +279,7 @@
         documents = self._parts.documents
         rollouts = self._parts.rollouts
         for service, report in rollouts.list_reports(self._find_rank()):
-            key, body = documents.encode_report(
-                service, self._own.name, report
-            )
+            key, body = documents.encode_report(service, self._own.name, report)
             await self._parts.store.write(Topic.STATUS, key, body)
 
     async def _write_statuses(self, end: int) -> bool:
@@ -292,7 +290,7 @@
             is_written = await self._parts.store.write(
                 Topic.STATUS, key, body, expected_end=end
             )
-            self._parts.log.warn(
+            self._parts.log.warning(
                 'rollout_status_written',
                 service=service,
                 target=status.target,
@@ -333,8 +331,9 @@
             sorted({*found, self._own}, key=lambda member: member.name)
         )
         if members != self.members:
-            self._parts.log.warn(
-                'members_changed', generation=generation,
+            self._parts.log.warning(
+                'members_changed',
+                generation=generation,
                 members=[member.name for member in members],
             )
         self.members = members
@@ -343,7 +342,7 @@
         self._troubled_at = read_clock()
         if not self._is_store_lost.get(reader, False):
             self._is_store_lost[reader] = True
-            self._parts.log.warn(
+            self._parts.log.warning(
                 'store_lost', reader=reader, reason=error.message
             )
 
@@ -351,7 +350,7 @@
         if self._is_store_lost.get(reader, False):
             self._is_store_lost[reader] = False
             self._troubled_at = read_clock()
-            self._parts.log.warn('store_regained', reader=reader)
+            self._parts.log.warning('store_regained', reader=reader)
 
 
 class _Pause:
--- a/laurelwind/platform/documents.py
+++ b/laurelwind/platform/documents.py
@@ -191,9 +191,7 @@
     }
 
 
-def _build_route(
-    row: Mapping[str, Any], costs: Mapping[str, float]
-) -> Route:
+def _build_route(row: Mapping[str, Any], costs: Mapping[str, float]) -> Route:
     timeout_ms = row.get('timeout_ms', 30000)
     return Route(
         name=row['name'],
--- a/laurelwind/platform/store.py
+++ b/laurelwind/platform/store.py
@@ -136,9 +136,7 @@
         records: list[KeyedRecord] = []
         next_offset: int | None = None
         while True:
-            answer = await self._client.call(
-                'GET', '/log-newest', query=query
-            )
+            answer = await self._client.call('GET', '/log-newest', query=query)
             page = answer.read_json()
             rows = page.get('items', [])
             records.extend(_read_row(row) for row in rows)
@@ -283,9 +281,7 @@
 def _read_record(text: bytes, offset: int) -> KeyedRecord:
     size = text[0] if text else 0
     key = text[1 : size + 1].decode('utf-8', 'replace')
-    return KeyedRecord(
-        key=key, body=text[size + 1 :] or None, offset=offset
-    )
+    return KeyedRecord(key=key, body=text[size + 1 :] or None, offset=offset)
 
 
 def _fail(message: str) -> PlatformError:
--- a/laurelwind/protocol/headers.py
+++ b/laurelwind/protocol/headers.py
@@ -173,7 +173,8 @@
     found: Mapping[bytes, bytes],
 ) -> HeaderPairs:
     named = {
-        word.strip().lower() for word in found.get(b'connection', b'').split(b',')
+        word.strip().lower()
+        for word in found.get(b'connection', b'').split(b',')
     }
     return tuple(
         (name, text)
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -64,9 +64,7 @@
     :param edges: what its surroundings are met by.
     """
 
-    def __init__(
-        self, *, settings: RelaySettings, edges: RelayEdges
-    ) -> None:
+    def __init__(self, *, settings: RelaySettings, edges: RelayEdges) -> None:
         bounds = settings.bounds
         self.settings = settings
         self.log = DecisionLog(daemon=settings.daemon.name)
@@ -133,9 +131,7 @@
             and member.peer_address != own
         ]
 
-    async def start(
-        self, group: TaskGroup, others: dict[str, ASGIApp]
-    ) -> None:
+    async def start(self, group: TaskGroup, others: dict[str, ASGIApp]) -> None:
         """Start every part.
 
         :param group: the tasks of this daemon.
@@ -152,12 +148,12 @@
             server = HttpServer(address=address)
             self._servers.append(server)
             await server.start(group, application)
-        self.log.warn('started', zone=self.settings.daemon.zone)
+        self.log.warning('started', zone=self.settings.daemon.zone)
 
     async def close(self) -> None:
         """Stop gracefully: finish every request, then let go of the rest."""
         self.application.is_leaving = True
-        self.log.warn('stopping', in_flight=self.relay.in_flight)
+        self.log.warning('stopping', in_flight=self.relay.in_flight)
         limit_s = self.settings.bounds.stop_s - STOP_MARGIN_S
         with anyio.move_on_after(limit_s):
             with anyio.move_on_after(REFUSE_S):
@@ -171,7 +167,7 @@
             server.cut_off()
         await self.gateway.close()
         await self.hints.close()
-        self.log.warn('stopped', cut=self.relay.in_flight)
+        self.log.warning('stopped', cut=self.relay.in_flight)
 
     def _build_relay_parts(self) -> RelayParts:
         bounds = self.settings.bounds
@@ -214,9 +210,7 @@
     )
 
 
-async def run_relay(
-    daemon: RelayDaemon, others: dict[str, ASGIApp]
-) -> None:
+async def run_relay(daemon: RelayDaemon, others: dict[str, ASGIApp]) -> None:
     """Run a daemon until it is told to stop.
 
     :param daemon: the daemon.
