--- a/laurelwind/coordination/rollouts.py
+++ b/laurelwind/coordination/rollouts.py
@@ -141,7 +141,7 @@
         self._rollouts[order.service] = _Rollout(
             order=order, seen_at=read_clock()
         )
-        self._log.warn(
+        self._log.warning(
             'rollout_ordered', service=order.service, target=order.target
         )
         status = self._statuses.get(order.service)
@@ -163,7 +163,7 @@
         if found is None or found.order.target != status.target:
             return
         if found.state is not status.state:
-            self._log.warn(
+            self._log.warning(
                 'rollout_status', service=service, state=status.state
             )
         found.state = status.state
@@ -304,7 +304,7 @@
                 self._rejected.setdefault(service, set()).add(
                     found.order.target
                 )
-                self._log.warn(
+                self._log.warning(
                     'version_rejected',
                     service=service,
                     target=found.order.target,
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -32,7 +32,11 @@
 # The endpoints' topic changes seldom; a read waits this long for a change, or
 # this long where a lapsed record is about to be dropped.
 ENDPOINT_WAIT_S: Final = 1.5
-LAPSED_WAIT_S: Final = 0.3
+LAPSED_WAIT_S: Final = 0.2
+# Longest time that a removed record is held; with the wait above it stays
+# under the two seconds in which a leaving endpoint must get no more work.
+LONGEST_HOLD_S: Final = 1.4
+ENDPOINTS: Final = 'endpoints'
 STATUS_PERIOD_S: Final = 0.9
 # Tries to write a status while others write too, before the next period.
 STATUS_TRIES: Final = 4
@@ -175,11 +179,11 @@
             try:
                 batch = await reader.read(wait_s=wait_s)
             except PlatformError as error:
-                self._note_lost('endpoints', error)
+                self._note_lost(ENDPOINTS, error)
                 await pause.wait()
                 continue
             pause.reset()
-            self._note_regained('endpoints')
+            self._note_regained(ENDPOINTS)
             self._take_endpoints(batch, is_whole=reader.was_whole)
             self.has_endpoints = True
 
@@ -226,8 +230,9 @@
     def _read_lapse_limit(self) -> float | None:
         # Records that lapsed during an outage are back by then, if their
         # endpoints live; a later removal means that the endpoint is leaving.
+        now = read_clock()
         limit = self._troubled_at + LAPSE_GRACE_S
-        return limit if limit > read_clock() else None
+        return min(limit, now + LONGEST_HOLD_S) if limit > now else None
 
     async def _follow_statuses(self) -> None:
         reader = _Reader(store=self._parts.store, topic=Topic.STATUS)
@@ -339,7 +344,8 @@
         self.members = members
 
     def _note_lost(self, reader: str, error: PlatformError) -> None:
-        self._troubled_at = read_clock()
+        if reader == ENDPOINTS:
+            self._troubled_at = read_clock()
         if not self._is_store_lost.get(reader, False):
             self._is_store_lost[reader] = True
             self._parts.log.warning(
@@ -349,7 +355,8 @@
     def _note_regained(self, reader: str) -> None:
         if self._is_store_lost.get(reader, False):
             self._is_store_lost[reader] = False
-            self._troubled_at = read_clock()
+            if reader == ENDPOINTS:
+                self._troubled_at = read_clock()
             self._parts.log.warning('store_regained', reader=reader)
 
 
--- a/laurelwind/decisions.py
+++ b/laurelwind/decisions.py
@@ -49,7 +49,7 @@
         if self._take(RESERVED_LINES):
             self._write(event, fields)
 
-    def warn(self, event: str, /, **fields: Any) -> None:
+    def warning(self, event: str, /, **fields: Any) -> None:
         """Write a line about a failure, a refusal or a changed belief.
 
         :param event: what happened.
--- a/laurelwind/platform/store.py
+++ b/laurelwind/platform/store.py
@@ -139,9 +139,13 @@
             answer = await self._client.call('GET', '/log-newest', query=query)
             page = answer.read_json()
             rows = page.get('items', [])
-            records.extend(_read_row(row) for row in rows)
+            try:
+                records.extend(_read_row(row) for row in rows)
+                page_end = int(page['end_offset'])
+            except (KeyError, TypeError, ValueError) as error:
+                raise _fail('the store sent a page of another form') from error
             if next_offset is None:
-                next_offset = int(page['end_offset'])
+                next_offset = page_end
             if not page.get('has_more') or not rows:
                 records.sort(key=lambda record: record.offset)
                 return Batch(records=records, next_offset=next_offset)
@@ -214,17 +218,18 @@
             ttl_ms=MEMBER_LIFE_MS,
             generation=self._generation,
         )
-        self._generation = int(answer.read_json()['generation'])
-        return self._generation
+        found = answer.read_json().get('generation')
+        if not isinstance(found, int):
+            raise _fail('the store sent no generation')
+        self._generation = found
+        return found
 
     async def list_members(self) -> Sequence[ListedInstance]:
         """List the members; see :class:`MemberGroup`."""
         answer = await self._client.call(
             'GET', '/log-owners', query={'group': _GROUP}
         )
-        found = orjson.loads(answer.body)
-        rows = found if isinstance(found, list) else _find_rows(found)
-        return _read_members({row[2] for row in rows if row[2]})
+        return _read_members(answer.read_json())
 
     async def leave(self) -> None:
         """Leave the group; see :class:`MemberGroup`."""
@@ -235,7 +240,8 @@
         return await self._client.call('POST', path, body=orjson.dumps(body))
 
 
-def _read_members(names: set[str]) -> Sequence[ListedInstance]:
+def _read_members(found: Mapping[str, Any]) -> Sequence[ListedInstance]:
+    names = {str(row[2]) for row in found.get('parts') or () if row[2]}
     members = []
     for name in sorted(names):
         words = name.split(_SEPARATOR)
@@ -251,13 +257,6 @@
     return members
 
 
-def _find_rows(found: Mapping[str, Any]) -> Sequence[Any]:
-    for rows in found.values():
-        if isinstance(rows, list):
-            return rows
-    return ()
-
-
 def _read_row(row: Mapping[str, Any]) -> KeyedRecord:
     return KeyedRecord(
         key=row['key'],
--- a/laurelwind/transport/relay_application.py
+++ b/laurelwind/transport/relay_application.py
@@ -133,7 +133,7 @@
         except LaurelwindError as error:
             await self._refuse(exchange, request, error)
         except Exception as error:
-            self._log.warn(
+            self._log.warning(
                 'failed_inside',
                 request=request.request_id,
                 reason=repr(error),
@@ -144,7 +144,7 @@
     async def _refuse(
         self, exchange: Exchange, request: RelayRequest, error: LaurelwindError
     ) -> None:
-        self._log.warn(
+        self._log.warning(
             'refused' if error.status in {429, 503} else 'failed',
             request=request.request_id,
             path=request.path,
