Split the relay into jobs, sending and delivery; let the floor sink under load

Change: an answer is asked again only as far as the largest model's endpoints are not behind; requests that must not be repeated go over connections used within half a second, or new ones.

--- a/laurelwind/coordination/budgets.py
+++ b/laurelwind/coordination/budgets.py
@@ -94,7 +94,6 @@
         return 1 - repeats / allowed
 
     def _find(self, windows: dict[str, _Window], service: str) -> _Window:
-        found = windows.get(service)
-        if found is None:
-            found = windows[service] = _Window(span_s=self._window_s)
-        return found
+        if service not in windows:
+            windows[service] = _Window(span_s=self._window_s)
+        return windows[service]
--- a/laurelwind/coordination/placement.py
+++ b/laurelwind/coordination/placement.py
@@ -22,6 +22,8 @@
 
 # How long an endpoint's report of its load is believed.
 REPORT_LIFE_S: Final = 1.5
+# How long the wait that an answer showed is believed, in part.
+DELAY_LIFE_S: Final = 1.5
 # Pauses after failures in a row: doubled each time, up to the longest.
 FIRST_PAUSE_S: Final = 0.4
 LONGEST_PAUSE_S: Final = 5.0
@@ -57,6 +59,8 @@
     in_flight: int = 0
     work_s: float = 0
     work_at: float = 0
+    delay_s: float = 0
+    delay_at: float = 0
     report: EndpointReport | None = None
     reported_at: float = 0
     own_at_report: int = 0
@@ -74,6 +78,15 @@
         """Estimate the seconds of prompts that wait there to be read."""
         return max(self.work_s - (now - self.work_at), 0)
 
+    def estimate_delay(self, now: float) -> float:
+        """Estimate the wait from the last answers, less as they grow old."""
+        return self.delay_s * max(1 - (now - self.delay_at) / DELAY_LIFE_S, 0)
+
+    def note_delay(self, delay_s: float, now: float) -> None:
+        """Take in how long an answer waited beyond its own work."""
+        self.delay_s = (self.estimate_delay(now) + delay_s) / 2
+        self.delay_at = now
+
     def add_work(self, work_s: float, now: float) -> None:
         """Add a prompt that waits to be read."""
         self.work_s = self.estimate_work(now) + work_s
@@ -114,34 +127,27 @@
         :param endpoints: those that the request may go to.
         :param want: what the request wants.
         """
-        now = read_clock()
-        usable = [one for one in endpoints if one.name not in want.avoided]
-        awake = [one for one in usable if self._find(one).paused_until <= now]
-        candidates = awake or usable
-        if not candidates:
+        costs = self._list_costs(endpoints, want)
+        if not costs:
             return None
-        lanes = {} if want.lane is None else assign_lanes(endpoints)
-        costs = {}
-        for one in candidates:
-            costs[one.name] = self._weigh(one, now)
-            if lanes.get(one.name) is not want.lane:
-                costs[one.name] += LANE_S
-        best = min(
-            candidates, key=lambda one: (costs[one.name], random.random())
-        )
+        least = min(costs.values())
         if not want.affinity:
-            return best
-        allowed = costs[best.name] + AFFINITY_S + want.saving_s
-        near = [one for one in candidates if costs[one.name] <= allowed]
-        return max(near, key=lambda one: _rank(want.affinity, one.name))
-
-    def measure_fullness(self, endpoint: EndpointRecord) -> float:
-        """Tell how full an endpoint is; one is every slot taken.
+            best = [name for name, cost in costs.items() if cost == least]
+            return _find(endpoints, random.choice(best))
+        allowed = least + AFFINITY_S + want.saving_s
+        near = [name for name, cost in costs.items() if cost <= allowed]
+        known = max(near, key=lambda name: _rank(want.affinity, name))
+        return _find(endpoints, known)
+
+    def estimate_wait(
+        self, endpoints: Sequence[EndpointRecord], want: Want
+    ) -> float:
+        """Estimate the seconds that the best endpoint is behind.
 
-        :param endpoint: the endpoint.
+        :param endpoints: those that the request may go to.
+        :param want: what the request wants.
         """
-        busy = self._find(endpoint).estimate_busy(read_clock())
-        return busy / max(endpoint.slots, 1)
+        return min(self._list_costs(endpoints, want).values(), default=0)
 
     def note_sent(self, endpoint: EndpointRecord, work_s: float) -> None:
         """Note a request on its way.
@@ -169,6 +175,17 @@
         seen = self._find(endpoint)
         seen.in_flight = max(seen.in_flight - 1, 0)
 
+    def note_first_byte(
+        self, endpoint: EndpointRecord, waited_s: float, work_s: float
+    ) -> None:
+        """Note how long an endpoint took to begin an answer.
+
+        :param endpoint: the endpoint.
+        :param waited_s: seconds until the first byte.
+        :param work_s: seconds that reading the prompt takes.
+        """
+        self._find(endpoint).note_delay(max(waited_s - work_s, 0), read_clock())
+
     def note_report(
         self, endpoint: EndpointRecord, report: EndpointReport
     ) -> None:
@@ -212,19 +229,32 @@
             if name not in names and not self._seen[name].in_flight:
                 self._seen.pop(name)
 
+    def _list_costs(
+        self, endpoints: Sequence[EndpointRecord], want: Want
+    ) -> dict[str, float]:
+        now = read_clock()
+        usable = [one for one in endpoints if one.name not in want.avoided]
+        awake = [one for one in usable if self._find(one).paused_until <= now]
+        lanes = {} if want.lane is None else assign_lanes(endpoints)
+        costs = {}
+        for endpoint in awake or usable:
+            cost = self._weigh(endpoint, now)
+            if lanes.get(endpoint.name) is not want.lane:
+                cost += LANE_S
+            costs[endpoint.name] = cost
+        return costs
+
     def _weigh(self, endpoint: EndpointRecord, now: float) -> float:
         seen = self._find(endpoint)
         fullness = seen.estimate_busy(now) / max(endpoint.slots, 1)
-        cost = seen.estimate_work(now) + fullness * FULL_S
+        behind = max(seen.estimate_work(now), seen.estimate_delay(now))
+        cost = behind + fullness * FULL_S
         if endpoint.zone != self._zone:
             cost += ZONE_S
         return cost
 
     def _find(self, endpoint: EndpointRecord) -> _Seen:
-        seen = self._seen.get(endpoint.name)
-        if seen is None:
-            seen = self._seen[endpoint.name] = _Seen()
-        return seen
+        return self._seen.setdefault(endpoint.name, _Seen())
 
 
 def assign_lanes(endpoints: Iterable[EndpointRecord]) -> dict[str, Lane]:
@@ -233,8 +263,8 @@
     :param endpoints: the endpoints.
     """
     zones: dict[str, list[str]] = {}
-    for one in endpoints:
-        zones.setdefault(one.zone, []).append(one.name)
+    for endpoint in endpoints:
+        zones.setdefault(endpoint.zone, []).append(endpoint.name)
     lanes = {}
     for names in zones.values():
         for place, name in enumerate(sorted(names)):
@@ -250,6 +280,12 @@
     return Lane.OTHER
 
 
+def _find(
+    endpoints: Sequence[EndpointRecord], name: str
+) -> EndpointRecord | None:
+    return next((one for one in endpoints if one.name == name), None)
+
+
 def _rank(affinity: str, name: str) -> bytes:
     text = f'{affinity}/{name}'.encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- a/laurelwind/coordination/rollouts.py
+++ b/laurelwind/coordination/rollouts.py
@@ -333,10 +333,9 @@
         if outcome.pace_s is None or outcome.failed:
             return
         key = (endpoint.service, outcome.route, outcome.scale)
-        kept = self._baselines.get(key)
-        if kept is None:
-            kept = self._baselines[key] = deque(maxlen=_BASELINE_SIZE)
-        kept.append(outcome.pace_s)
+        if key not in self._baselines:
+            self._baselines[key] = deque(maxlen=_BASELINE_SIZE)
+        self._baselines[key].append(outcome.pace_s)
 
     def _is_slow(self, service: str, outcome: Outcome) -> bool:
         kept = self._baselines.get((service, outcome.route, outcome.scale), ())
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -200,7 +200,7 @@
             )
         if is_whole:
             directory.retain(
-                {record.key: record.offset for record in batch.records},
+                {found.key: found.offset for found in batch.records},
                 before=batch.next_offset,
                 lapses_until=lapses_until,
             )
--- a/laurelwind/decisions.py
+++ b/laurelwind/decisions.py
@@ -78,7 +78,7 @@
         }
         if self.left_out:
             line['lines_left_out'] = self.left_out
-        text = orjson.dumps(line, default=str) + b'\n'
+        text = orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
         if self._send(text):
             self.left_out = 0
         else:
--- a/laurelwind/platform/documents.py
+++ b/laurelwind/platform/documents.py
@@ -41,6 +41,17 @@
 )
 _STATES: Final = frozenset(('ready', 'draining'))
 _MS: Final = 1000
+# What a document raises that has another form than expected.
+_UNREADABLE: Final = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    IndexError,
+)
+# Where the operator does not say.
+_TIMEOUT_MS: Final = 30000
+_GAP_MS: Final = 1500
 
 
 class PlatformDocuments(DocumentCodec):
@@ -61,7 +72,7 @@
         found = _load(body)
         try:
             return _build_table(found)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except _UNREADABLE as error:
             raise _refuse(error) from error
 
     def decode_endpoint(self, name: str, body: bytes) -> EndpointRecord:
@@ -129,13 +140,7 @@
                 elapsed_s=float(found['elapsed_s']),
                 tallies=tallies,
             )
-        except (
-            KeyError,
-            TypeError,
-            ValueError,
-            AttributeError,
-            IndexError,
-        ) as error:
+        except _UNREADABLE as error:
             raise _refuse(error) from error
         return service, daemon, report
 
@@ -177,8 +182,9 @@
         workspaces=workspaces,
         requires_key='tenants' in found,
         limits=CallerLimits(
-            body_bytes=int(limits.get('max_body_bytes', 1 << 22)),
-            idle_s=limits.get('idle_timeout_ms', 15000) / _MS,
+            body_bytes=int(
+                limits.get('max_body_bytes', CallerLimits().body_bytes)
+            ),
         ),
     )
 
@@ -192,7 +198,7 @@
 
 
 def _build_route(row: Mapping[str, Any], costs: Mapping[str, float]) -> Route:
-    timeout_ms = row.get('timeout_ms', 30000)
+    timeout_ms = row.get('timeout_ms', _TIMEOUT_MS)
     return Route(
         name=row['name'],
         host=row['host'],
@@ -201,7 +207,7 @@
         shares=_build_shares(row),
         timeout_s=timeout_ms / _MS,
         latency_goal_s=row.get('target_latency_ms', timeout_ms) / _MS,
-        gap_goal_s=row.get('target_gap_ms', 1500) / _MS,
+        gap_goal_s=row.get('target_gap_ms', _GAP_MS) / _MS,
         priority=int(row.get('priority', 0)),
         max_attempts=max(int(row.get('max_attempts', 1)), 1),
         is_public=bool(row.get('public', False)),
--- a/laurelwind/platform/store.py
+++ b/laurelwind/platform/store.py
@@ -43,6 +43,13 @@
 _HEAD: Final = struct.Struct('>QQ')
 _LENGTH: Final = struct.Struct('>I')
 _CONNECTIONS: Final = 8
+_NO_ANSWER: Final = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    TimeoutError,
+    OSError,
+)
 
 
 @frozen(kw_only=True)
@@ -104,13 +111,7 @@
                     content=body,
                     headers={'Content-Length': str(len(body))} if body else {},
                 )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            TimeoutError,
-            OSError,
-        ) as error:
+        except _NO_ANSWER as error:
             raise _fail(f'no answer ({type(error).__name__})') from error
         if found.status != _OK and found.status not in allowed:
             raise _fail(f'{path} was answered {found.status}')
@@ -267,7 +268,7 @@
 
 def _split_records(body: bytes, offset: int) -> Sequence[KeyedRecord]:
     place = _HEAD.size
-    records = []
+    records: list[KeyedRecord] = []
     while place + _LENGTH.size <= len(body):
         length = _LENGTH.unpack_from(body, place)[0]
         place += _LENGTH.size
--- a/laurelwind/protocol/event_stream.py
+++ b/laurelwind/protocol/event_stream.py
@@ -38,7 +38,7 @@
         :param chunk: the bytes.
         """
         self._pending += chunk
-        events = []
+        events: list[Event] = []
         while True:
             end = _find_end(self._pending)
             if end < 0:
--- a/laurelwind/protocol/exchanges.py
+++ b/laurelwind/protocol/exchanges.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Sequence
+from http import HTTPStatus
 
 from attrs import field, frozen
 
@@ -72,6 +73,8 @@
     :ivar model: model to use, or empty where the caller names it.
     :ivar priority: rank among the requests of an engine, 0 to 9, or ``None``.
     :ivar last_event_id: a stream goes on behind this event, or empty.
+    :ivar is_repeatable: whether it may be sent again when its connection
+        breaks.
     """
 
     address: str
@@ -81,6 +84,7 @@
     model: str = ''
     priority: int | None = None
     last_event_id: str = ''
+    is_repeatable: bool = False
 
 
 @frozen(kw_only=True)
@@ -127,7 +131,7 @@
     @property
     def is_success(self) -> bool:
         """Whether the request succeeded."""
-        return 200 <= self.status < 300
+        return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
 
 
 class EndpointExchange(abc.ABC):
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -9,9 +9,11 @@
 from starlette.types import ASGIApp
 
 from laurelwind.coordination.budgets import RetryWindows
+from laurelwind.coordination.delivery import Delivery, DeliveryParts
 from laurelwind.coordination.placement import Placement
 from laurelwind.coordination.relay import Relay, RelayParts
 from laurelwind.coordination.rollouts import RolloutBook
+from laurelwind.coordination.sending import Sender, SenderParts
 from laurelwind.coordination.sizing import ModelPlanner
 from laurelwind.coordination.tracker import Tracker, TrackerParts
 from laurelwind.decisions import DecisionLog
@@ -99,7 +101,7 @@
             note_work=self.placement.note_work,
             log=self.log,
         )
-        self.relay = Relay(parts=self._build_relay_parts())
+        self.relay = self._build_relay()
         self.application = RelayApplication(
             relay=self.relay,
             codec=edges.headers,
@@ -140,7 +142,7 @@
         self.log.start()
         self.tracker.start(group)
         await self.hints.start(group)
-        applications = {
+        applications: dict[str, ASGIApp] = {
             self.settings.listen.callers: self.application,
             **others,
         }
@@ -169,24 +171,48 @@
         await self.hints.close()
         self.log.warning('stopped', cut=self.relay.in_flight)
 
-    def _build_relay_parts(self) -> RelayParts:
+    def _build_relay(self) -> Relay:
+        planner = ModelPlanner()
+        sender = self._build_sender()
+        return Relay(
+            parts=RelayParts(
+                tracker=self.tracker,
+                lease=self.lease,
+                placement=self.placement,
+                planner=planner,
+                sender=sender,
+                delivery=Delivery(
+                    parts=DeliveryParts(
+                        sender=sender,
+                        placement=self.placement,
+                        rollouts=self.rollouts,
+                        planner=planner,
+                        log=self.log,
+                    )
+                ),
+                log=self.log,
+            )
+        )
+
+    def _build_sender(self) -> Sender:
         bounds = self.settings.bounds
-        return RelayParts(
-            tracker=self.tracker,
-            lease=self.lease,
-            directory=self.directory,
-            rollouts=self.rollouts,
-            placement=self.placement,
-            planner=ModelPlanner(),
-            windows=RetryWindows(
-                share=bounds.retry_share,
-                extra=bounds.retry_extra,
-                window_s=bounds.retry_window_s,
-                count_members=lambda: len(self.tracker.members),
-            ),
-            gateway=self.gateway,
-            tell_work=self.hints.tell,
-            log=self.log,
+        return Sender(
+            parts=SenderParts(
+                tracker=self.tracker,
+                lease=self.lease,
+                directory=self.directory,
+                rollouts=self.rollouts,
+                placement=self.placement,
+                windows=RetryWindows(
+                    share=bounds.retry_share,
+                    extra=bounds.retry_extra,
+                    window_s=bounds.retry_window_s,
+                    count_members=lambda: len(self.tracker.members),
+                ),
+                gateway=self.gateway,
+                tell_work=self.hints.tell,
+                log=self.log,
+            )
         )
 
     def _read_body_limit(self) -> int:
--- a/laurelwind/state/rollouts.py
+++ b/laurelwind/state/rollouts.py
@@ -80,5 +80,5 @@
     """
 
     target: str
-    elapsed_s: float = 0.0
+    elapsed_s: float = 0
     tallies: Mapping[str, Tally] = field(factory=dict)
--- a/laurelwind/state/routes.py
+++ b/laurelwind/state/routes.py
@@ -3,9 +3,12 @@
 import enum
 import hashlib
 from collections.abc import Mapping, Sequence
+from typing import Final
 
 from attrs import field, frozen
 
+_HASH_BYTES: Final = 6
+
 
 class RequestKind(enum.StrEnum):
     """What may be done with a request whose outcome is unknown."""
@@ -25,7 +28,7 @@
     """
 
     name: str
-    cost: float = 0.0
+    cost: float = 0
 
 
 @frozen(kw_only=True)
@@ -138,14 +141,12 @@
 
 @frozen(kw_only=True)
 class CallerLimits:
-    """What a caller may send, and how long it may stay idle.
+    """What a caller may send.
 
     :ivar body_bytes: largest body.
-    :ivar idle_s: longest time that a connection stays open unused.
     """
 
-    body_bytes: int = 1 << 22
-    idle_s: float = 15.0
+    body_bytes: int = 4_194_304
 
 
 @frozen(kw_only=True)
@@ -172,10 +173,11 @@
 
     def __attrs_post_init__(self) -> None:
         """Index the routes by host, longest prefix first."""
-        for route in self.routes:
+        longest_first = sorted(
+            self.routes, key=lambda route: len(route.path_prefix), reverse=True
+        )
+        for route in longest_first:
             self._by_host.setdefault(route.host.lower(), []).append(route)
-        for routes in self._by_host.values():
-            routes.sort(key=lambda route: -len(route.path_prefix))
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Find the route with the longest prefix of a path.
@@ -195,5 +197,5 @@
 
     :param text: any text.
     """
-    digest = hashlib.blake2b(text.encode(), digest_size=6).digest()
-    return int.from_bytes(digest, 'big') / (1 << 48)
+    digest = hashlib.blake2b(text.encode(), digest_size=_HASH_BYTES).digest()
+    return int.from_bytes(digest, 'big') / (1 << 8 * _HASH_BYTES)
--- a/laurelwind/transport/connection.py
+++ b/laurelwind/transport/connection.py
@@ -99,9 +99,9 @@
 
     def is_quiet(self) -> bool:
         """Tell whether nothing arrived, and nothing ended, while unused."""
-        handle = self._stream.extra(SocketAttribute.raw_socket)
+        raw = self._stream.extra(SocketAttribute.raw_socket)
         poll = select.poll()
-        poll.register(handle.fileno(), select.POLLIN)
+        poll.register(raw.fileno(), select.POLLIN)
         return not poll.poll(0)
 
     async def send(self, head: bytes, body: bytes, *, method: str) -> None:
@@ -237,22 +237,20 @@
     return None
 
 
-def set_liveness_options(handle: socket.socket) -> None:
+def set_liveness_options(raw: socket.socket) -> None:
     """Make the system find a silent connection, and send without delay.
 
-    :param handle: a connected TCP socket.
+    :param raw: a connected TCP socket.
     """
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    handle.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-    )
-    handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, amount in (
         (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, _KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
     ):
-        handle.setsockopt(socket.IPPROTO_TCP, option, amount)
+        raw.setsockopt(socket.IPPROTO_TCP, option, amount)
 
 
 def _tell_broken(when: str, error: Exception) -> EndpointError:
--- a/laurelwind/transport/gateway.py
+++ b/laurelwind/transport/gateway.py
@@ -20,6 +20,9 @@
 # Longest time that a connection is kept unused where the endpoint does not
 # say; shorter than the usual idle timeouts of HTTP servers.
 IDLE_LIMIT_S: Final = 8.0
+# A connection that was used so shortly ago is still open; a request that must
+# not be repeated goes over no other, and over a new one instead.
+SURE_S: Final = 0.5
 _MAX_IDLE: Final = 32
 
 
@@ -28,11 +31,21 @@
     connection: Connection
     since: float
 
+    @property
+    def age_s(self) -> float:
+        """Seconds for which it was not used."""
+        return read_clock() - self.since
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether a request may be sent on it."""
+        return not self.is_expired and self.connection.is_quiet()
+
     @property
     def is_expired(self) -> bool:
         limit = self.connection.idle_limit_s
         allowed = IDLE_LIMIT_S if limit is None else min(limit, IDLE_LIMIT_S)
-        return read_clock() - self.since > allowed
+        return self.age_s > allowed
 
 
 class HttpGateway(EndpointGateway):
@@ -50,7 +63,7 @@
     ) -> EndpointExchange:
         """Send a request whole; see :class:`EndpointGateway`."""
         head = self._write_head(request, dispatch)
-        connection = await self._take(dispatch.address)
+        connection = await self._take(dispatch)
         try:
             await connection.send(head, request.body, method=request.method)
         except BaseException:
@@ -76,14 +89,15 @@
         for address in tuple(self._idle):
             await self.retire(address)
 
-    async def _take(self, address: str) -> Connection:
-        kept = self._idle.get(address)
+    async def _take(self, dispatch: Dispatch) -> Connection:
+        kept = self._idle.get(dispatch.address)
         while kept:
             idle = kept.pop()
-            if not idle.is_expired and idle.connection.is_quiet():
+            is_fresh = dispatch.is_repeatable or idle.age_s < SURE_S
+            if is_fresh and idle.is_usable:
                 return idle.connection
             await idle.connection.close()
-        return await Connection.open(address)
+        return await Connection.open(dispatch.address)
 
     async def _keep(self, address: str, connection: Connection) -> None:
         kept = self._idle.setdefault(address, deque())
--- a/laurelwind/transport/relay_application.py
+++ b/laurelwind/transport/relay_application.py
@@ -6,7 +6,8 @@
 import anyio
 from starlette.types import Receive, Scope, Send
 
-from laurelwind.coordination.relay import CallerAnswer, Relay
+from laurelwind.coordination.delivery import CallerAnswer
+from laurelwind.coordination.relay import Relay
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import CapacityError, ErrorKind, LaurelwindError
 from laurelwind.protocol.exchanges import HeaderCodec, HeaderPairs, RelayRequest
@@ -180,7 +181,7 @@
         target: bytes = scope['raw_path']
         query: bytes = scope.get('query_string', b'')
         if query:
-            target = target + b'?' + query
+            target = b'%s?%s' % (target, query)
         return self._codec.read_request(
             scope['method'], target, scope['headers'], body
         )
