--- a/laurelwind/coordination/rollouts.py
+++ b/laurelwind/coordination/rollouts.py
@@ -205,10 +205,10 @@
         new = [one for one in endpoints if one.version == target]
         if found.state is RolloutState.ROLLED_BACK:
             return _without(old, rejected)
-        if found.is_rejected:
-            return _without(old, rejected) or new
         if found.state is RolloutState.SUCCEEDED:
             return new or old
+        if found.is_rejected:
+            return _without(old, rejected) or new
         share = self._find_share(found)
         if new and hash_fraction(session) < share:
             return new
--- /dev/null
+++ b/tests/relay_helpers.py
@@ -0,0 +1,265 @@
+"""Fakes of what surrounds a relay, without any network."""
+
+import os
+
+import anyio
+from attrs import define, field
+
+from laurelwind.coordination.budgets import RetryWindows
+from laurelwind.coordination.delivery import (
+    CallerAnswer,
+    Delivery,
+    DeliveryParts,
+)
+from laurelwind.coordination.placement import Placement
+from laurelwind.coordination.relay import Relay, RelayParts
+from laurelwind.coordination.rollouts import RolloutBook
+from laurelwind.coordination.sending import Sender, SenderParts
+from laurelwind.coordination.sizing import ModelPlanner
+from laurelwind.decisions import DecisionLog
+from laurelwind.errors import EndpointError, ErrorKind, RunState
+from laurelwind.protocol.exchanges import (
+    AnswerHead,
+    EndpointExchange,
+    EndpointGateway,
+    PromptPart,
+    RelayRequest,
+)
+from laurelwind.state.directory import EndpointDirectory, EndpointRecord
+from laurelwind.state.leases import FreshnessLease
+from laurelwind.state.load import read_clock
+from laurelwind.state.routes import (
+    ModelSize,
+    RequestKind,
+    Route,
+    RoutingTable,
+    Service,
+    ServiceShare,
+    Workspace,
+)
+
+KEY = 'key-of-forms'
+SMALL = ModelSize(name='small', cost=0.02)
+LARGE = ModelSize(name='large', cost=0.4)
+
+
+def quiet_log():
+    return DecisionLog(descriptor=os.open(os.devnull, os.O_WRONLY))
+
+
+def record(name, **fields):
+    values = {
+        'name': name,
+        'service': 'pool',
+        'address': f'{name}:1',
+        'zone': 'a',
+        'version': 'v1',
+        'slots': 8,
+        'born_ms': 1,
+        'report': 1,
+        **fields,
+    }
+    return EndpointRecord(**values)
+
+
+def route(name, kind, **fields):
+    values = {
+        'name': name,
+        'host': 'forms.example',
+        'path_prefix': f'/{name}/',
+        'kind': kind,
+        'shares': (ServiceShare(service='pool', weight=1),),
+        'timeout_s': 2.0,
+        'latency_goal_s': 1.0,
+        'max_attempts': 3,
+        **fields,
+    }
+    return Route(**values)
+
+
+def table(version=1, **fields):
+    values = {
+        'version': version,
+        'routes': (
+            route('book', RequestKind.NON_IDEMPOTENT),
+            route('look', RequestKind.IDEMPOTENT),
+            route('draft', RequestKind.STREAMING, is_resumable=True),
+            route('talk', RequestKind.STREAMING),
+            route(
+                'sized',
+                RequestKind.STREAMING,
+                is_resumable=True,
+                models=(SMALL, LARGE),
+            ),
+        ),
+        'services': {'pool': Service(name='pool')},
+        'workspaces': {KEY: Workspace(name='forms')},
+        'requires_key': True,
+        **fields,
+    }
+    return RoutingTable(**values)
+
+
+def request(name, **fields):
+    values = {
+        'request_id': 'r1',
+        'method': 'POST',
+        'target': f'/{name}/1'.encode(),
+        'host': 'forms.example',
+        'key': KEY,
+        'parts': (PromptPart(name='doc', tokens=100),),
+        **fields,
+    }
+    return RelayRequest(**values)
+
+
+@define
+class FakeTracker:
+    table: object
+    denial_age_s: float = 1.8
+
+
+@define
+class Script:
+    """What one endpoint does with one request.
+
+    A chunk that is an exception is raised; ``None`` hangs.
+    """
+
+    head: object = field(factory=lambda: AnswerHead(status=200))
+    chunks: list = field(factory=list)
+    refuses_connection: bool = False
+
+
+class FakeExchange(EndpointExchange):
+    def __init__(self, script):
+        self._script = script
+        self._chunks = list(script.chunks)
+        self.is_closed = False
+
+    async def read_head(self):
+        return await _give(self._script.head)
+
+    async def read_chunk(self):
+        if not self._chunks:
+            return b''
+        return await _give(self._chunks.pop(0))
+
+    async def close(self):
+        self.is_closed = True
+
+
+async def _give(found):
+    if found is None:
+        await anyio.sleep(30)
+    if isinstance(found, Exception):
+        raise found
+    return found
+
+
+class FakeGateway(EndpointGateway):
+    """Plays scripts in the order of the requests that are sent."""
+
+    def __init__(self, scripts):
+        self.scripts = list(scripts)
+        self.sent = []
+        self.exchanges = []
+
+    async def send(self, request, dispatch):
+        assert all(exchange.is_closed for exchange in self.exchanges)
+        script = self.scripts.pop(0) if self.scripts else Script()
+        if script.refuses_connection:
+            raise EndpointError(
+                ErrorKind.ENDPOINT_FAILED, 'refused', run=RunState.NOT_RUN
+            )
+        self.sent.append(dispatch)
+        self.exchanges.append(FakeExchange(script))
+        return self.exchanges[-1]
+
+
+class FakeAnswer(CallerAnswer):
+    def __init__(self):
+        self.status = None
+        self.heads = 0
+        self.body = b''
+        self.is_whole = False
+
+    async def begin(self, status, headers, length):
+        self.has_begun = True
+        self.heads += 1
+        self.status = status
+
+    async def send(self, chunk):
+        self.body += chunk
+
+    async def finish(self, chunk=b''):
+        self.body += chunk
+        self.is_whole = True
+
+
+async def tell_nothing(endpoint, work_s):
+    """Tell nobody."""
+
+
+class World:
+    """A relay among fakes."""
+
+    def __init__(self, *scripts, names=('e1', 'e2', 'e3'), share=1.0):
+        self.log = quiet_log()
+        self.lease = FreshnessLease(duration_s=4.5)
+        self.lease.renew(self.lease.read_clock())
+        self.directory = EndpointDirectory()
+        for offset, name in enumerate(names):
+            self.directory.apply(name, record(name), offset=offset)
+        self.rollouts = RolloutBook(
+            daemon='d1', exposure_share=0.15, log=self.log
+        )
+        self.placement = Placement(zone='a')
+        self.tracker = FakeTracker(table())
+        self.gateway = FakeGateway(scripts)
+        self.windows = RetryWindows(
+            share=share, extra=10, window_s=10, count_members=lambda: 1
+        )
+        planner = ModelPlanner()
+        sender = Sender(
+            parts=SenderParts(
+                tracker=self.tracker,
+                lease=self.lease,
+                directory=self.directory,
+                rollouts=self.rollouts,
+                placement=self.placement,
+                windows=self.windows,
+                gateway=self.gateway,
+                tell_work=tell_nothing,
+                log=self.log,
+            )
+        )
+        delivery = Delivery(
+            parts=DeliveryParts(
+                sender=sender,
+                placement=self.placement,
+                rollouts=self.rollouts,
+                planner=planner,
+                log=self.log,
+            )
+        )
+        self.relay = Relay(
+            parts=RelayParts(
+                tracker=self.tracker,
+                lease=self.lease,
+                placement=self.placement,
+                planner=planner,
+                sender=sender,
+                delivery=delivery,
+                log=self.log,
+            )
+        )
+
+    async def serve(self, found):
+        answer = FakeAnswer()
+        await self.relay.serve(found, answer, read_clock())
+        return answer
+
+
+def broken(run=RunState.UNKNOWN):
+    return EndpointError(ErrorKind.ENDPOINT_FAILED, 'broken', run=run)
--- /dev/null
+++ b/tests/test_headers.py
@@ -0,0 +1,140 @@
+"""Headers as callers and endpoints see them."""
+
+from laurelwind.platform.headers import PLATFORM_HEADERS
+from laurelwind.protocol.exchanges import Dispatch, PromptPart
+from laurelwind.protocol.headers import NamedHeaderCodec
+
+CODEC = NamedHeaderCodec(names=PLATFORM_HEADERS)
+CALLERS = (
+    (b'host', b'forms.example:80'),
+    (b'x-request-id', b'abc'),
+    (b'x-deadline-ms', b'2500'),
+    (b'authorization', b'Bearer secret'),
+    (b'x-model', b'*'),
+    (b'x-token-usage', b'1460,80'),
+    (b'x-prefix-hash', b'5c:800,91:410'),
+    (b'session', b's1'),
+    (b'accept', b'text/event-stream'),
+)
+FORGED = (
+    (b'x-tenant-id', b'other'),
+    (b'x-expect-instance', b'i-1'),
+    (b'x-expect-version', b'3'),
+    (b'x-request-priority', b'0'),
+    (b'x-pin-ms', b'4000'),
+    (b'x-cache-hold', b'h'),
+    (b'x-kv-backup', b'10.0.0.1:1'),
+    (b'kv-from', b'10.0.0.1:1/h'),
+    (b'kv-fetch', b'10.0.0.1:1'),
+)
+FRAMING = (
+    (b'connection', b'keep-alive, X-Only-Here'),
+    (b'x-only-here', b'1'),
+    (b'keep-alive', b'timeout=5'),
+    (b'te', b'trailers'),
+    (b'transfer-encoding', b'chunked'),
+    (b'content-length', b'4'),
+    (b'expect', b'100-continue'),
+)
+DISPATCH = Dispatch(
+    address='10.0.0.2:80', endpoint='i-9', workspace='forms', deadline_s=1.25
+)
+
+
+def read(headers=CALLERS):
+    return CODEC.read_request('POST', b'/a/b?c=d', headers, b'body')
+
+
+def write(dispatch=DISPATCH, headers=CALLERS):
+    pairs = CODEC.write_request(read(headers), dispatch)
+    names = [name for name, _ in pairs]
+    assert len(names) == len(set(names))
+    return dict(pairs)
+
+
+def test_a_request_is_read():
+    found = read()
+    assert found.request_id == 'abc'
+    assert found.key == 'secret'
+    assert found.deadline_s == 2.5
+    assert found.path == '/a/b'
+    assert (found.prompt_tokens, found.output_tokens) == (1460, 80)
+    assert found.parts[1] == PromptPart(name='91', tokens=410)
+    assert found.session == 's1'
+
+
+def test_the_key_stays_here_and_the_workspace_is_ours():
+    written = write(headers=(*CALLERS, *FORGED))
+    assert b'authorization' not in written
+    assert written[b'x-tenant-id'] == b'forms'
+    assert written[b'x-expect-instance'] == b'i-9'
+    assert written[b'x-deadline-ms'] == b'1250'
+    left = {name for name, _ in FORGED} & set(written)
+    assert left == {b'x-tenant-id', b'x-expect-instance'}
+
+
+def test_headers_of_one_connection_are_not_passed_on():
+    written = write(headers=(*CALLERS, *FRAMING))
+    assert not {name for name, _ in FRAMING} & set(written)
+
+
+def test_what_a_request_says_of_itself_is_passed_on():
+    written = write()
+    for name, text in CALLERS:
+        if name not in {b'authorization', b'x-deadline-ms'}:
+            assert written[name] == text
+
+
+def test_the_model_is_named_where_callers_leave_it_open():
+    dispatch = Dispatch(
+        address='a:1',
+        endpoint='i',
+        workspace='',
+        deadline_s=1,
+        model='m0',
+        priority=2,
+        last_event_id='7',
+    )
+    written = write(dispatch)
+    assert written[b'x-model'] == b'm0'
+    assert written[b'x-request-priority'] == b'2'
+    assert written[b'last-event-id'] == b'7'
+    assert b'x-tenant-id' not in written
+
+
+def test_an_answer_is_read_and_passed_back_without_its_framing():
+    head = CODEC.read_answer(
+        200,
+        (
+            (b'X-Request-Id', b'abc'),
+            (b'X-Response-Seal', b'3e1b'),
+            (b'X-Instance-Load', b'3,1,8'),
+            (b'X-Confidence', b'42'),
+            (b'Content-Type', b'text/event-stream'),
+            (b'Transfer-Encoding', b'chunked'),
+            (b'Connection', b'close'),
+        ),
+    )
+    assert head.load.waiting == 1
+    assert head.confidence == 42
+    assert head.is_stream
+    names = {name.lower() for name, _ in head.headers}
+    assert b'x-response-seal' in names
+    assert not names & {b'transfer-encoding', b'connection', b'x-request-id'}
+
+
+def test_numbers_that_make_no_sense_are_passed_over():
+    head = CODEC.read_answer(
+        503,
+        (
+            (b'x-instance-load', b'3,x,8'),
+            (b'x-confidence', b'nan'),
+            (b'x-not-executed', b'1'),
+        ),
+    )
+    assert head.load is None
+    assert head.confidence is None
+    assert head.did_not_run
+    odd = (*CALLERS[:2], (b'x-deadline-ms', b'-5'), (b'x-token-usage', b'many'))
+    assert read(odd).deadline_s is None
+    assert read(odd).prompt_tokens == 0
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,200 @@
+"""What a relay promises callers, whatever endpoints do."""
+
+import pytest
+
+from laurelwind.errors import (
+    CallerError,
+    CapacityError,
+    EndpointError,
+    ErrorKind,
+    RunState,
+)
+from laurelwind.protocol.exchanges import AnswerHead
+from tests.relay_helpers import Script, World, broken, request
+
+pytestmark = pytest.mark.anyio
+
+SHED = Script(head=AnswerHead(status=503, did_not_run=True))
+WHOLE = Script(chunks=[b'whole'])
+
+
+def events(first, last):
+    return b''.join(
+        b'id: %d\ndata: x%d\n\n' % (number, number)
+        for number in range(first, last + 1)
+    )
+
+
+@pytest.mark.parametrize('name', ['book', 'talk'])
+async def test_what_may_have_run_is_never_sent_again(name):
+    world = World(Script(head=broken()))
+    with pytest.raises(EndpointError) as caught:
+        await world.serve(request(name))
+    assert caught.value.status == 502
+    assert len(world.gateway.sent) == 1
+
+
+@pytest.mark.parametrize('status', [408, 429, 503])
+async def test_a_promise_without_proof_is_not_passed_on(status):
+    world = World(Script(head=AnswerHead(status=status)))
+    with pytest.raises(EndpointError) as caught:
+        await world.serve(request('book'))
+    assert caught.value.status == 502
+
+
+async def test_what_did_not_run_is_sent_elsewhere():
+    world = World(SHED, WHOLE)
+    answer = await world.serve(request('book'))
+    assert answer.body == b'whole'
+    first, second = world.gateway.sent
+    assert first.endpoint != second.endpoint
+
+
+async def test_another_endpoint_at_the_address_did_not_run_it():
+    world = World(Script(head=AnswerHead(status=421)), WHOLE)
+    assert (await world.serve(request('book'))).is_whole
+
+
+async def test_a_refusal_by_all_is_true():
+    world = World(SHED, SHED, SHED)
+    with pytest.raises(CapacityError) as caught:
+        await world.serve(request('book'))
+    assert caught.value.status == 503
+    assert caught.value.run is RunState.NOT_RUN
+    assert caught.value.retry_after_s
+
+
+async def test_no_more_endpoints_than_the_route_allows():
+    world = World(*(Script(head=broken()) for _ in range(4)))
+    with pytest.raises(EndpointError):
+        await world.serve(request('look'))
+    assert len(world.gateway.sent) == 3
+
+
+async def test_a_refused_connection_is_no_attempt():
+    refused = Script(refuses_connection=True)
+    world = World(refused, refused, WHOLE)
+    assert (await world.serve(request('book'))).is_whole
+    assert len(world.gateway.sent) == 1
+
+
+async def test_an_endpoint_that_failed_is_not_asked_again():
+    world = World(*(Script(head=broken()) for _ in range(3)))
+    with pytest.raises(EndpointError):
+        await world.serve(request('look'))
+    assert len({sent.endpoint for sent in world.gateway.sent}) == 3
+
+
+async def test_a_broken_stream_goes_on_behind_its_last_whole_event():
+    torn = Script(chunks=[events(1, 3) + b'id: 4\nda', broken()])
+    world = World(torn, Script(chunks=[events(4, 6)]))
+    answer = await world.serve(request('draft'))
+    assert answer.body == events(1, 6)
+    assert answer.heads == 1
+    assert world.gateway.sent[1].last_event_id == '3'
+
+
+async def test_a_stream_that_ends_within_an_event_goes_on():
+    world = World(
+        Script(chunks=[events(1, 2) + b'id: 3\n']),
+        Script(chunks=[events(3, 3)]),
+    )
+    assert (await world.serve(request('draft'))).body == events(1, 3)
+
+
+async def test_a_stream_that_cannot_go_on_looks_cut():
+    world = World(Script(chunks=[events(1, 3), broken()]))
+    with pytest.raises(EndpointError):
+        await world.serve(request('talk'))
+    assert len(world.gateway.sent) == 1
+
+
+async def test_a_callers_own_last_event_is_kept():
+    world = World(Script(chunks=[events(8, 9)]))
+    await world.serve(request('draft', last_event_id='7'))
+    assert world.gateway.sent[0].last_event_id == '7'
+
+
+async def test_a_doubted_answer_is_asked_of_the_largest_model():
+    doubted = Script(
+        head=AnswerHead(status=200, confidence=20), chunks=[events(1, 2)]
+    )
+    world = World(doubted, Script(chunks=[events(1, 4)]))
+    answer = await world.serve(request('sized'))
+    assert [sent.model for sent in world.gateway.sent] == ['small', 'large']
+    assert answer.body == events(1, 4)
+
+
+async def test_an_answer_is_kept_where_the_largest_model_is_behind():
+    sure = Script(
+        head=AnswerHead(status=200, confidence=20), chunks=[events(1, 2)]
+    )
+    world = World(sure)
+    for name in ('e1', 'e2', 'e3'):
+        world.placement.note_work(name, 5.0)
+    await world.serve(request('sized'))
+    assert [sent.model for sent in world.gateway.sent] == ['small']
+
+
+async def test_nothing_is_asked_again_once_the_window_is_spent():
+    doubted = AnswerHead(status=200, confidence=1)
+    world = World(Script(head=doubted, chunks=[events(1, 2)]), share=0)
+    for _ in range(20):
+        world.windows.note_repeat('pool')
+    await world.serve(request('sized'))
+    assert len(world.gateway.sent) == 1
+
+
+async def test_nothing_is_served_on_knowledge_that_is_too_old():
+    world = World(WHOLE)
+    world.lease.duration_s = 0
+    with pytest.raises(CapacityError) as caught:
+        await world.serve(request('book'))
+    assert caught.value.kind is ErrorKind.NOT_READY
+    assert not world.gateway.sent
+
+
+async def test_an_unknown_key_is_denied_on_fresh_knowledge_only():
+    world = World()
+    with pytest.raises(CallerError) as caught:
+        await world.serve(request('book', key='other'))
+    assert caught.value.status == 401
+    world.tracker.denial_age_s = -1
+    with pytest.raises(CapacityError) as later:
+        await world.serve(request('book', key='other'))
+    assert later.value.status == 503
+
+
+async def test_an_unknown_route_is_denied():
+    with pytest.raises(CallerError) as caught:
+        await World().serve(request('nowhere'))
+    assert caught.value.status == 404
+
+
+async def test_a_silent_endpoint_ends_at_the_deadline():
+    world = World(Script(head=None))
+    with pytest.raises(EndpointError) as caught:
+        await world.serve(request('book', deadline_s=0.05))
+    assert caught.value.status == 504
+    assert world.gateway.exchanges[0].is_closed
+
+
+async def test_the_workspace_and_what_is_left_are_passed_on():
+    world = World(WHOLE)
+    await world.serve(request('book', deadline_s=0.5))
+    sent = world.gateway.sent[0]
+    assert sent.workspace == 'forms'
+    assert 0.3 < sent.deadline_s <= 0.5
+
+
+async def test_a_failure_of_a_repeatable_call_is_asked_again():
+    failed = Script(head=AnswerHead(status=500), chunks=[b'no'])
+    world = World(failed, WHOLE)
+    assert (await world.serve(request('look'))).body == b'whole'
+
+
+async def test_a_failure_that_may_not_be_repeated_is_passed_on():
+    failed = Script(head=AnswerHead(status=500), chunks=[b'no'])
+    answer = await World(failed).serve(request('book'))
+    assert answer.status == 500
+    assert answer.body == b'no'
