--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,317 @@
+"""The adapter: the platform's documents, its store and its questions."""
+
+import base64
+import struct
+from pathlib import Path
+
+import anyio
+import orjson
+import pytest
+
+from laurelwind.errors import ConfigurationError, PlatformError
+from laurelwind.platform.documents import PlatformDocuments
+from laurelwind.platform.store import LogGroup, LogStore, StoreClient
+from laurelwind.protocol.documents import DocumentKind
+from laurelwind.protocol.keyed import HistoryLostError, Topic
+from laurelwind.protocol.platform import ListedInstance
+from laurelwind.state.rollouts import (
+    RolloutReport,
+    RolloutState,
+    RolloutStatus,
+    Tally,
+)
+from laurelwind.state.routes import RequestKind
+from laurelwind.transport.server import HttpServer
+
+pytestmark = pytest.mark.anyio
+CODEC = PlatformDocuments()
+TABLE = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r1',
+            'host': 'ficu95.example',
+            'path_prefix': '/lohu930/',
+            'kind': 'streaming',
+            'timeout_ms': 20000,
+            'target_latency_ms': 4000,
+            'priority': 1,
+            'sizes': ['m0', 'm1'],
+            'backends': [
+                {'service': 'pool', 'weight': 90},
+                {'service': 'other', 'weight': 10},
+            ],
+            'max_attempts': 3,
+            'public': False,
+            'resumable': True,
+            'target_gap_ms': 1500,
+        },
+        {
+            'name': 'r2',
+            'host': 'ficu95.example',
+            'path_prefix': '/lohu930/2/',
+            'kind': 'non_idempotent',
+            'timeout_ms': 1200,
+            'service': 'pool',
+            'public': True,
+        },
+    ],
+    'services': [
+        {
+            'name': 'pool',
+            'max_connections': 370,
+            'engine': {
+                'slots': 64,
+                'kv_cache_tokens': 416070,
+                'models': [
+                    {'name': 'm0', 'cost': 0.024},
+                    {'name': 'm1', 'cost': 0.36},
+                ],
+            },
+        }
+    ],
+    'limits': {'max_body_bytes': 1000},
+    'tenants': [{'name': 'hule930', 'api_keys': ['k1', 'k2'], 'priority': 1}],
+    'field_of_a_later_release': 1,
+}
+
+
+def decode(found):
+    return CODEC.decode_table(orjson.dumps(found))
+
+
+def test_a_table_is_decoded():
+    table = decode(TABLE)
+    route = table.find_route('FICU95.example:80', '/lohu930/x')
+    assert route.kind is RequestKind.STREAMING
+    assert route.is_repeatable
+    assert route.timeout_s == 20
+    assert [model.cost for model in route.models] == [0.024, 0.36]
+    assert table.workspaces['k2'].name == 'hule930'
+    assert table.requires_key
+    assert table.limits.body_bytes == 1000
+    assert table.services['pool'].engine.slots == 64
+
+
+def test_the_longest_prefix_decides():
+    table = decode(TABLE)
+    assert table.find_route('ficu95.example', '/lohu930/2/x').name == 'r2'
+    assert table.find_route('ficu95.example', '/lohu930/2').name == 'r1'
+    assert table.find_route('other.example', '/lohu930/2/x') is None
+    assert table.find_route('ficu95.example', '/') is None
+
+
+def test_shares_follow_the_weights_and_stay_with_a_session():
+    route = decode(TABLE).routes[0]
+    chosen = [route.choose_service(f's{number}') for number in range(1000)]
+    assert 850 < chosen.count('pool') < 950
+    assert route.choose_service('s1') == route.choose_service('s1')
+
+
+@pytest.mark.parametrize(
+    'raw', [b'', b'[]', b'\xff', b'{"version":"x"}', b'{"version":1}']
+)
+def test_what_cannot_be_read_is_refused(raw):
+    with pytest.raises(ConfigurationError):
+        CODEC.decode_table(raw)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'service': None},
+        {'address': 'nowhere'},
+        {'slots': True},
+        {'state': 'unknown'},
+        {'sequence': '4'},
+        {'born': 1.5},
+    ],
+)
+def test_an_entry_of_another_form_names_no_endpoint(change):
+    entry = {
+        'service': 'pool',
+        'address': '10.0.0.1:80',
+        'zone': 'a',
+        'version': 'v1',
+        'slots': 4,
+        'state': 'ready',
+        'sequence': 4,
+        'born': 12,
+    }
+    assert CODEC.decode_endpoint('e1', orjson.dumps(entry)).born_ms == 12
+    with pytest.raises(ConfigurationError):
+        CODEC.decode_endpoint('e1', orjson.dumps({**entry, **change}))
+
+
+def test_statuses_and_reports_come_back_as_they_went():
+    status = RolloutStatus(target='v2', state=RolloutState.ACTIVE)
+    key, body = CODEC.encode_status('pool', status)
+    assert orjson.loads(body) == {'state': 'active', 'target': 'v2'}
+    assert CODEC.tell_kind(Topic.STATUS, key) is DocumentKind.ROLLOUT_STATUS
+    assert CODEC.tell_kind(Topic.OPERATORS, key) is DocumentKind.ROLLOUT_ORDER
+    assert CODEC.decode_status(key, body) == ('pool', status)
+    report = RolloutReport(
+        target='v2',
+        elapsed_s=3.25,
+        tallies={'r1': Tally(answers=5, failures=2, slow=1)},
+    )
+    key, body = CODEC.encode_report('pool', '10.0.0.1:80', report)
+    assert CODEC.decode_report(key, body) == ('pool', '10.0.0.1:80', report)
+
+
+class Store:
+    """Answers calls from a list, and keeps what was asked."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    async def __call__(self, scope, receive, send):
+        body = (await receive())['body']
+        self.calls.append((scope['path'], scope['query_string'], body))
+        status, text = self.answers.pop(0)
+        if status is None:
+            await anyio.sleep(30)
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': [(b'content-length', b'%d' % len(text))],
+            }
+        )
+        await send({'type': 'http.response.body', 'body': text})
+
+
+async def run(check, *answers):
+    store = Store(*answers)
+    server = HttpServer(address='127.0.0.1:0')
+    async with anyio.create_task_group() as group:
+        await server.start(group, store)
+        client = StoreClient(address=server.address)
+        await check(client, store)
+        await client.close()
+        server.cut_off()
+        group.cancel_scope.cancel()
+
+
+def framed(key, value):
+    record = bytes([len(key)]) + key + value
+    return struct.pack('>I', len(record)) + record
+
+
+async def test_records_are_read_in_order_with_their_offsets():
+    raw = struct.pack('>QQ', 12, 3) + framed(b'e1', b'{}') + framed(b'e2', b'')
+
+    async def check(client, store):
+        batch = await LogStore(client=client).read_after(
+            Topic.ENDPOINTS, 10, wait_s=1.5
+        )
+        assert [found.offset for found in batch.records] == [10, 11]
+        assert batch.records[0].body == b'{}'
+        assert batch.records[1].body is None
+        assert batch.next_offset == 12
+        assert b'wait_ms=1500' in store.calls[0][1]
+
+    await run(check, (200, raw))
+
+
+async def test_a_lost_history_is_told():
+    async def check(client, store):
+        with pytest.raises(HistoryLostError):
+            await LogStore(client=client).read_after(Topic.STATUS, 4)
+
+    await run(check, (410, b'{"first":9}'))
+
+
+async def test_the_newest_records_come_in_pages():
+    def page(key, offset, **fields):
+        value = base64.b64encode(b'{}').decode()
+        item = {'key': key, 'value': value, 'offset': offset}
+        return orjson.dumps({'items': [item], 'end_offset': 8, **fields})
+
+    async def check(client, store):
+        batch = await LogStore(client=client).read_newest(Topic.OPERATORS)
+        assert [found.key for found in batch.records] == ['b', 'a']
+        assert batch.next_offset == 8
+        assert b'after=a' in store.calls[1][1]
+
+    await run(
+        check,
+        (200, page('a', 6, has_more=True)),
+        (200, page('b', 2, has_more=False)),
+    )
+
+
+async def test_a_condition_that_does_not_hold_is_told():
+    async def check(client, store):
+        log = LogStore(client=client)
+        assert await log.write(Topic.STATUS, 'k', b'v', expected_end=4)
+        assert not await log.write(Topic.STATUS, 'k', b'v', expected_end=4)
+        assert store.calls[0][2] == framed(b'k', b'v')
+        assert b'at=4' in store.calls[0][1]
+
+    await run(check, (200, b'{}'), (412, b'{"end_offset":5}'))
+
+
+@pytest.mark.parametrize('status', [429, 503, 507])
+async def test_a_refusal_is_an_error_of_the_platform(status):
+    async def check(client, store):
+        with pytest.raises(PlatformError):
+            await LogStore(client=client).read_newest(Topic.STATUS)
+
+    await run(check, (status, b'{}'))
+
+
+async def test_pages_of_another_form_are_errors_of_the_platform():
+    async def check(client, store):
+        log = LogStore(client=client)
+        for _ in range(3):
+            with pytest.raises(PlatformError):
+                await log.read_newest(Topic.STATUS)
+
+    await run(check, (200, b'[]'), (200, b'{}'), (200, b'nonsense'))
+
+
+async def test_a_silent_connection_is_given_up(monkeypatch):
+    monkeypatch.setattr('laurelwind.platform.store.CALL_TIMEOUT_S', 0.05)
+
+    async def check(client, store):
+        log = LogStore(client=client)
+        with pytest.raises(PlatformError):
+            await log.read_newest(Topic.STATUS)
+        batch = await log.read_newest(Topic.STATUS)
+        assert batch.next_offset == 0
+
+    await run(check, (None, b''), (200, b'{"items":[],"end_offset":0}'))
+
+
+async def test_members_are_told_with_their_zones():
+    own = ListedInstance(
+        name='10.0.0.1:80',
+        zone='a',
+        caller_address='10.0.0.1:80',
+        peer_address='10.0.0.1:90',
+    )
+    rows = [['t', 0, '10.0.0.1:80|10.0.0.1:90|a', 0], ['t', 1, '', 0]]
+
+    async def check(client, store):
+        group = LogGroup(client=client, own=own)
+        assert await group.join() == 4
+        assert list(await group.list_members()) == [own]
+        asked = orjson.loads(store.calls[0][2])
+        assert asked['member'] == '10.0.0.1:80|10.0.0.1:90|a'
+
+    await run(
+        check,
+        (200, b'{"generation":4,"parts":[]}'),
+        (200, orjson.dumps({'generation': 4, 'parts': rows})),
+    )
+
+
+def test_nothing_but_the_adapter_knows_the_platforms_names():
+    names = ('x-response-seal', 'x-not-executed', 'x-token-usage', 'keyed.op')
+    package = Path(__file__).parent.parent / 'laurelwind'
+    for path in package.rglob('*.py'):
+        if path.parent.name != 'platform':
+            text = path.read_text(encoding='utf-8').lower()
+            assert not [name for name in names if name in text], path
