Write a rejection that only rejecting daemons know of; ask the store less

Change: an order is followed until its status is final; a hint that cannot go out at once is dropped; the first byte's limit grows with the work that waits; waits at the store 1.5 s and 2.5 s, statuses every 2 s until a trial begins.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -147,7 +147,9 @@
         wait_s: float | None = None
         if job.route.is_repeatable and job.attempts < job.route.max_attempts:
             share = FIRST_BYTE_SHARE if job.is_stream else PLAIN_BYTE_SHARE
-            wait_s = job.route.latency_goal_s * share
+            # Where work waits, silence is no sign of a fault, and going
+            # elsewhere would only add to the work.
+            wait_s = job.route.latency_goal_s * share + attempt.expected_s
         try:
             with anyio.fail_after(wait_s):
                 head = await attempt.exchange.read_head()
--- a/laurelwind/coordination/jobs.py
+++ b/laurelwind/coordination/jobs.py
@@ -154,6 +154,7 @@
     :ivar sent_at: when it was sent, on the monotonic clock.
     :ivar model: name of the model, or empty.
     :ivar work_s: seconds that reading the prompt takes there.
+    :ivar expected_s: seconds until its first byte, as estimated at the start.
     :ivar first_at: when its first byte came, or zero.
     :ivar events: events that came.
     """
@@ -163,6 +164,7 @@
     sent_at: float
     model: str = ''
     work_s: float = 0
+    expected_s: float = 0
     first_at: float = 0
     events: int = 0
 
--- a/laurelwind/coordination/placement.py
+++ b/laurelwind/coordination/placement.py
@@ -82,6 +82,10 @@
         """Estimate the wait from the last answers, less as they grow old."""
         return self.delay_s * max(1 - (now - self.delay_at) / DELAY_LIFE_S, 0)
 
+    def estimate_behind(self, now: float) -> float:
+        """Estimate the seconds until a new request would be begun."""
+        return max(self.estimate_work(now), self.estimate_delay(now))
+
     def note_delay(self, delay_s: float, now: float) -> None:
         """Take in how long an answer waited beyond its own work."""
         self.delay_s = (self.estimate_delay(now) + delay_s) / 2
@@ -149,6 +153,13 @@
         """
         return min(self._list_costs(endpoints, want).values(), default=0)
 
+    def estimate_behind(self, endpoint: EndpointRecord) -> float:
+        """Estimate the seconds of work that wait at an endpoint.
+
+        :param endpoint: the endpoint.
+        """
+        return self._find(endpoint).estimate_behind(read_clock())
+
     def note_sent(self, endpoint: EndpointRecord, work_s: float) -> None:
         """Note a request on its way.
 
@@ -247,8 +258,7 @@
     def _weigh(self, endpoint: EndpointRecord, now: float) -> float:
         seen = self._find(endpoint)
         fullness = seen.estimate_busy(now) / max(endpoint.slots, 1)
-        behind = max(seen.estimate_work(now), seen.estimate_delay(now))
-        cost = behind + fullness * FULL_S
+        cost = seen.estimate_behind(now) + fullness * FULL_S
         if endpoint.zone != self._zone:
             cost += ZONE_S
         return cost
--- a/laurelwind/coordination/rollouts.py
+++ b/laurelwind/coordination/rollouts.py
@@ -117,12 +117,20 @@
             return True
         return not rank and silent_s > REMIND_S
 
+    @property
+    def is_settled(self) -> bool:
+        return self.state in {RolloutState.SUCCEEDED, RolloutState.ROLLED_BACK}
+
     @property
     def is_open(self) -> bool:
-        return not self.is_rejected and self.state in {
-            None,
-            RolloutState.ACTIVE,
-        }
+        return not self.is_rejected and not self.is_settled
+
+    @property
+    def is_trying(self) -> bool:
+        if self.is_settled:
+            return False
+        begins_at = self.order.duration_s * CANARY_AT - REMIND_S
+        return self.is_rejected or self.elapsed_s > begins_at
 
 
 class RolloutBook:
@@ -152,9 +160,14 @@
         self._listeners: list[Callable[[], None]] = []
 
     @property
-    def has_open(self) -> bool:
-        """Whether a roll-out is under way."""
-        return any(found.is_open for found in self._rollouts.values())
+    def has_unsettled(self) -> bool:
+        """Whether an order has no final status yet."""
+        return any(not one.is_settled for one in self._rollouts.values())
+
+    @property
+    def is_trying(self) -> bool:
+        """Whether a version is used, or about to be, that may be bad."""
+        return any(one.is_trying for one in self._rollouts.values())
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call something as soon as a version is rejected.
@@ -284,7 +297,7 @@
         :param rank: this daemon's place among the members.
         """
         for service, found in self._rollouts.items():
-            if found.is_open and found.has_news(rank):
+            if not found.is_settled and found.has_news(rank):
                 found.reported = dict(found.own)
                 found.told_at = read_clock()
                 yield (
@@ -312,7 +325,7 @@
     def _find_wanted(
         self, found: _Rollout, turn_s: float
     ) -> RolloutState | None:
-        if found.state in {RolloutState.SUCCEEDED, RolloutState.ROLLED_BACK}:
+        if found.is_settled:
             return None
         if found.is_rejected:
             return RolloutState.ROLLED_BACK
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -149,6 +149,7 @@
         dispatch = _build_dispatch(job, endpoint)
         self._log_sent(job, endpoint, dispatch)
         parts.placement.note_sent(endpoint, job.work_s)
+        expected_s = parts.placement.estimate_behind(endpoint)
         await parts.tell_work(endpoint.name, job.work_s)
         try:
             exchange = await parts.gateway.send(job.request, dispatch)
@@ -161,6 +162,7 @@
             sent_at=read_clock(),
             model=dispatch.model,
             work_s=job.work_s,
+            expected_s=expected_s,
         )
 
     def _note_unsent(
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -28,21 +28,23 @@
 
 # A read of the operators' topic waits this long for a change, which also
 # bounds how often the lease is renewed on a day without changes.
-OPERATOR_WAIT_S: Final = 1.2
+OPERATOR_WAIT_S: Final = 1.5
 # The endpoints' topic changes seldom; a read waits this long for a change, or
 # this long where a lapsed record is about to be dropped.
-ENDPOINT_WAIT_S: Final = 1.5
+ENDPOINT_WAIT_S: Final = 2.5
 LAPSED_WAIT_S: Final = 0.2
 # Longest time that a removed record is held; with the wait above it stays
 # under the two seconds in which a leaving endpoint must get no more work.
 LONGEST_HOLD_S: Final = 1.4
 ENDPOINTS: Final = 'endpoints'
 STATUS_PERIOD_S: Final = 0.9
+# The same while no version is tried yet.
+CALM_PERIOD_S: Final = 2.0
 # Tries to write a status while others write too, before the next period.
 STATUS_TRIES: Final = 4
 MEMBER_PERIOD_S: Final = 0.8
 FIRST_PAUSE_S: Final = 0.05
-LONGEST_PAUSE_S: Final = 0.4
+LONGEST_PAUSE_S: Final = 0.6
 
 
 @frozen(kw_only=True)
@@ -240,7 +242,7 @@
         reader = _Reader(store=self._parts.store, topic=Topic.STATUS)
         pause = _Pause()
         while True:
-            if not self._parts.rollouts.has_open:
+            if not self._parts.rollouts.has_unsettled:
                 await anyio.sleep(STATUS_PERIOD_S)
                 continue
             try:
@@ -252,7 +254,9 @@
                 continue
             pause.reset()
             self._note_regained('statuses')
-            with anyio.move_on_after(STATUS_PERIOD_S):
+            is_trying = self._parts.rollouts.is_trying
+            period_s = STATUS_PERIOD_S if is_trying else CALM_PERIOD_S
+            with anyio.move_on_after(period_s):
                 await self._rejected.wait()
 
     async def _exchange_statuses(self, reader: '_Reader') -> None:
--- a/laurelwind/transport/hints.py
+++ b/laurelwind/transport/hints.py
@@ -70,7 +70,8 @@
         for peer in self._list_peers():
             try:
                 await self._socket.sendto(hint, *_split(peer))
-            except OSError as error:
+            except (OSError, anyio.BusyResourceError) as error:
+                # A hint that cannot go out at once is not worth waiting for.
                 self._log.note('hint_not_sent', peer=peer, reason=str(error))
 
     async def _receive(self, receiver: UDPSocket) -> None:
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -5,7 +5,7 @@
 import pytest
 
 from laurelwind.coordination import tracker as tracking
-from laurelwind.coordination.rollouts import RolloutBook
+from laurelwind.coordination.rollouts import Outcome, RolloutBook
 from laurelwind.coordination.tracker import Tracker, TrackerParts
 from laurelwind.errors import ErrorKind, PlatformError
 from laurelwind.platform.documents import PlatformDocuments
@@ -21,7 +21,7 @@
 from laurelwind.state.directory import EndpointDirectory
 from laurelwind.state.leases import FreshnessLease
 from tests.helpers import wait_until
-from tests.relay_helpers import quiet_log
+from tests.relay_helpers import quiet_log, record
 
 pytestmark = pytest.mark.anyio
 
@@ -279,6 +279,27 @@
     assert len(keys) == 1
 
 
+async def test_a_rejection_is_written_by_the_only_daemon_that_saw_it():
+    async def check(world, store):
+        order = {'service': 'pool', 'target': 'v2', 'duration_s': 20}
+        store.put(Topic.OPERATORS, 'rollout/pool', order)
+        await wait_until(lambda: world.rollouts.has_unsettled)
+        new = record('n1', version='v2')
+        for _ in range(3):
+            world.rollouts.note_outcome(
+                new, Outcome(route='r', endpoint='n1', failed=True)
+            )
+        await wait_until(
+            lambda: any(
+                found.body and b'rolled_back' in found.body
+                for found in store.records[Topic.STATUS]
+            ),
+            seconds=0.5,
+        )
+
+    await run(check)
+
+
 async def test_a_daemon_that_left_joins_no_more():
     async def check(world, store):
         await world.tracker.leave()
