--- a/laurelwind/platform/__main__.py
+++ b/laurelwind/platform/__main__.py
@@ -79,4 +79,5 @@
     )
 
 
-run()
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/tests/test_relay_path.py
@@ -0,0 +1,291 @@
+"""A whole relay daemon on loopback, from caller to endpoint."""
+
+import contextlib
+import signal
+import socket
+
+import anyio
+import httpcore
+import pytest
+
+from laurelwind import relay_daemon
+from laurelwind.errors import ConfigurationError
+from laurelwind.platform.__main__ import build_others
+from laurelwind.platform.documents import PlatformDocuments
+from laurelwind.platform.headers import PLATFORM_HEADERS
+from laurelwind.protocol.headers import NamedHeaderCodec
+from laurelwind.protocol.keyed import Topic
+from laurelwind.relay_daemon import (
+    RelayDaemon,
+    RelayEdges,
+    build_member,
+    run_relay,
+)
+from laurelwind.relay_settings import (
+    BoundSettings,
+    ListenSettings,
+    RelayIdentity,
+    RelaySettings,
+    load_relay_settings,
+)
+from laurelwind.transport.server import HttpServer
+from tests.helpers import wait_until
+from tests.test_tracker import FakeGroup, FakeStore, endpoint
+
+pytestmark = pytest.mark.anyio
+KEY = 'secret-key-of-forms'
+CONFIG = {
+    'version': 3,
+    'routes': [
+        {
+            'name': name,
+            'host': 'forms.example',
+            'path_prefix': f'/{name}/',
+            'kind': kind,
+            'timeout_ms': 3000,
+            'target_latency_ms': 1000,
+            'service': 'pool',
+            'max_attempts': 2,
+            'resumable': kind == 'streaming',
+        }
+        for name, kind in (
+            ('book', 'non_idempotent'),
+            ('draft', 'streaming'),
+        )
+    ],
+    'services': [{'name': 'pool'}],
+    'tenants': [{'name': 'forms', 'api_keys': [KEY]}],
+}
+
+
+def take_address():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return '127.0.0.1:{1}'.format(*probe.getsockname())
+
+
+class Endpoint:
+    """Answers like a replica, and keeps what it was asked."""
+
+    def __init__(self):
+        self.seen = []
+        self.pause_s = 0
+
+    async def __call__(self, scope, receive, send):
+        body = b''
+        while True:
+            message = await receive()
+            body += message.get('body', b'')
+            if not message.get('more_body'):
+                break
+        headers = dict(scope['headers'])
+        self.seen.append((scope['raw_path'], headers, body))
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': 200,
+                'headers': [
+                    (b'x-request-id', headers[b'x-request-id']),
+                    (b'x-response-seal', b'seal'),
+                ],
+            }
+        )
+        for number in range(1, 5):
+            event = b'id: %d\ndata: x\n\n' % number
+            await send(
+                {
+                    'type': 'http.response.body',
+                    'body': event,
+                    'more_body': True,
+                }
+            )
+            await anyio.sleep(self.pause_s)
+        await send({'type': 'http.response.body', 'body': b''})
+
+
+class World:
+    def __init__(self, address):
+        self.endpoint = Endpoint()
+        self.store = FakeStore()
+        self.settings = RelaySettings(
+            daemon=RelayIdentity(name='d1', zone='a'),
+            listen=ListenSettings(
+                callers=take_address(),
+                readiness=take_address(),
+                entries=take_address(),
+                metrics=take_address(),
+                peers=take_address(),
+            ),
+            store='127.0.0.1:1',
+        )
+        self.store.put(Topic.OPERATORS, 'config', CONFIG)
+        self.store.put(Topic.ENDPOINTS, 'e1', endpoint(1, address=address))
+        self.daemon = RelayDaemon(
+            settings=self.settings,
+            edges=RelayEdges(
+                store=self.store,
+                group=FakeGroup([build_member(self.settings)]),
+                documents=PlatformDocuments(),
+                headers=NamedHeaderCodec(names=PLATFORM_HEADERS),
+            ),
+        )
+        self.daemon.log.start = lambda: None
+        self.pool = httpcore.AsyncConnectionPool()
+
+    async def ask(self, path, *, key=KEY, body=b'hall 3', request_id='r1'):
+        return await self.pool.request(
+            'POST',
+            f'http://{self.settings.listen.callers}{path}',
+            headers={
+                'Host': 'forms.example',
+                'X-Request-Id': request_id,
+                'X-Deadline-Ms': '2500',
+                'X-Tenant-Id': 'forged',
+                'Authorization': f'Bearer {key}',
+                'Content-Length': str(len(body)),
+            },
+            content=body,
+        )
+
+    async def get(self, address, path):
+        return await self.pool.request('GET', f'http://{address}{path}')
+
+
+@contextlib.asynccontextmanager
+async def running():
+    server = HttpServer(address='127.0.0.1:0')
+    async with anyio.create_task_group() as group:
+        world = World(server.address)
+        await server.start(group, world.endpoint)
+        await world.daemon.start(group, build_others(world.daemon))
+        with anyio.fail_after(10):
+            await wait_until(lambda: world.daemon.is_ready)
+            yield world
+        await world.pool.aclose()
+        server.cut_off()
+        group.cancel_scope.cancel()
+
+
+async def test_a_request_goes_through_as_it_is():
+    async with running() as world:
+        answer = await world.ask('/book/1?hall=3')
+        assert answer.status == 200
+        headers = dict(answer.headers)
+        assert headers[b'x-response-seal'] == b'seal'
+        assert headers[b'x-request-id'] == b'r1'
+        assert answer.content.count(b'id: ') == 4
+        path, seen, body = world.endpoint.seen[0]
+        assert (path, body) == (b'/book/1', b'hall 3')
+        assert seen[b'x-tenant-id'] == b'forms'
+        assert seen[b'x-expect-instance'] == b'e1'
+        assert b'authorization' not in seen
+
+
+async def test_a_stream_goes_through_event_by_event():
+    async with running() as world:
+        answer = await world.ask('/draft/1')
+        assert answer.content.endswith(b'id: 4\ndata: x\n\n')
+        metrics = await world.get(world.settings.listen.metrics, '/metrics')
+        assert b'laurelwind_first_event_seconds_count 1.0' in metrics.content
+
+
+async def test_unknown_keys_and_paths_are_denied():
+    async with running() as world:
+        assert (await world.ask('/book/1', key='other')).status == 401
+        assert (await world.ask('/other/1')).status == 404
+        assert not world.endpoint.seen
+
+
+async def test_the_platform_is_told_who_is_ready_and_where_to_connect():
+    async with running() as world:
+        listen = world.settings.listen
+        assert (await world.get(listen.readiness, '/readiness')).status == 200
+        found = await world.get(listen.entries, '/resolve?zone=a')
+        assert listen.callers.encode() in found.content
+        assert (await world.get(listen.entries, '/other')).status == 404
+
+
+async def test_an_outage_of_the_store_ends_readiness_and_service():
+    async with running() as world:
+        world.daemon.lease.duration_s = 0.1
+        world.store.is_down = True
+        await wait_until(lambda: not world.daemon.is_ready)
+        listen = world.settings.listen
+        assert (await world.get(listen.readiness, '/readiness')).status == 503
+        refused = await world.ask('/book/1')
+        assert refused.status == 503
+        assert b'retry-after' in dict(refused.headers)
+        assert not world.endpoint.seen
+
+
+async def test_a_stop_finishes_what_has_begun_and_refuses_what_comes_late(
+    monkeypatch,
+):
+    monkeypatch.setattr(relay_daemon, 'REFUSE_S', 0.1)
+    monkeypatch.setattr(relay_daemon, 'LEAVE_S', 0.6)
+    answers = []
+
+    async with running() as world:
+        world.endpoint.pause_s = 0.1
+
+        async def draft():
+            answers.append(await world.ask('/draft/1'))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(draft)
+            await wait_until(lambda: world.endpoint.seen)
+            group.start_soon(world.daemon.close)
+            await wait_until(lambda: world.daemon.application.is_closed)
+            late = await world.ask('/book/1', request_id='r2')
+        assert late.status == 503
+        assert dict(late.headers)[b'connection'] == b'close'
+        assert answers[0].content.count(b'id: ') == 4
+        assert len(world.endpoint.seen) == 1
+
+
+async def test_signals_reload_the_bounds_and_stop_the_daemon(monkeypatch):
+    monkeypatch.setattr(relay_daemon, 'REFUSE_S', 0.01)
+    monkeypatch.setattr(relay_daemon, 'LEAVE_S', 0.02)
+    world = World('127.0.0.1:1')
+    changed = RelaySettings(
+        daemon=world.settings.daemon,
+        listen=world.settings.listen,
+        store=world.settings.store,
+        bounds=BoundSettings(revocation_s=2.0),
+    )
+    loads = []
+
+    def load():
+        loads.append(True)
+        if len(loads) == 1:
+            raise ConfigurationError('configuration_invalid', 'torn')
+        return changed
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(run_relay, world.daemon, {}, load)
+        with anyio.fail_after(10):
+            await wait_until(lambda: world.daemon.is_ready)
+            signal.raise_signal(signal.SIGHUP)
+            await wait_until(lambda: len(loads) == 1)
+            assert world.daemon.settings.bounds.revocation_s == 5.0
+            signal.raise_signal(signal.SIGHUP)
+            await wait_until(lambda: len(loads) == 2)
+            assert world.daemon.lease.duration_s == pytest.approx(1.8)
+            signal.raise_signal(signal.SIGTERM)
+
+
+def test_settings_name_every_bad_field(tmp_path):
+    path = tmp_path / 'relay.toml'
+    path.write_text(
+        'store = "nowhere"\n[daemon]\nname = "d"\nzone = "a"\n[listen]\n'
+        'callers = "1.2.3.4:1"\nreadiness = "1.2.3.4:2"\n'
+        'entries = "x"\nmetrics = "1.2.3.4:4"\npeers = "1.2.3.4:5"\n'
+        '[bounds]\nstop_s = 0\n',
+        encoding='utf-8',
+    )
+    with pytest.raises(ConfigurationError) as caught:
+        load_relay_settings(path)
+    paths = {fault.path for fault in caught.value.faults}
+    assert paths == {'store', 'listen.entries', 'bounds.stop_s'}
+    with pytest.raises(ConfigurationError):
+        load_relay_settings(tmp_path / 'missing.toml')
