--- a/laurelwind/platform/__main__.py
+++ b/laurelwind/platform/__main__.py
@@ -56,7 +56,7 @@
             is_ready=lambda: daemon.is_ready
         ),
         listen.entries: RegistryApplication(
-            list_addresses=lambda _: daemon.list_entries(),
+            list_addresses=daemon.list_entries,
             life_s=min(ADDRESSES_LIFE_S, daemon.settings.bounds.entries_life_s),
         ),
         listen.metrics: prometheus_client.make_asgi_app(
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -43,6 +43,8 @@
 # Seconds after which a stopping daemon takes no more requests: what comes
 # then could not be finished in time.
 REFUSE_S: Final = 2.9
+# Daemons that a zone must have for its callers to be sent to them only.
+LEAST_NEAR: Final = 2
 _POLL_S: Final = 0.05
 _SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
@@ -125,14 +127,21 @@
         """Whether callers may be sent here."""
         return self.tracker.is_ready and not self.application.is_leaving
 
-    def list_entries(self) -> list[str]:
-        """List the callers' addresses of the daemons that take callers."""
+    def list_entries(self, zone: str) -> list[str]:
+        """List the callers' addresses of the daemons that take callers.
+
+        :param zone: the caller's availability zone, whose daemons go alone
+            where one of them may be lost.
+        """
         own = self.settings.listen.callers
-        return [
-            member.caller_address
+        taking = [
+            member
             for member in self.tracker.members
             if self.is_ready or member.caller_address != own
         ]
+        near = [member for member in taking if member.zone == zone]
+        chosen = near if len(near) >= LEAST_NEAR else taking
+        return [member.caller_address for member in chosen]
 
     def _list_zone_peers(self) -> list[str]:
         own = self.settings.listen.peers
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -7,6 +7,7 @@
 import anyio
 import httpcore
 import pytest
+from attrs import evolve
 
 from laurelwind import relay_daemon
 from laurelwind.errors import ConfigurationError
@@ -205,6 +206,21 @@
         assert (await world.get(listen.entries, '/other')).status == 404
 
 
+async def test_callers_are_sent_to_their_zone_while_it_can_lose_a_daemon():
+    async with running() as world:
+        own = build_member(world.settings)
+        near = evolve(own, name='n', caller_address='10.0.0.2:80')
+        far = evolve(own, name='f', caller_address='10.0.0.3:80', zone='b')
+        world.daemon.tracker.members = (own, near, far)
+        callers = world.settings.listen.callers
+        listed = world.daemon.list_entries
+        assert listed('a') == [callers, '10.0.0.2:80']
+        assert len(listed('b')) == 3
+        world.daemon.application.is_leaving = True
+        assert callers not in listed('a')
+        assert len(listed('a')) == 2
+
+
 async def test_an_outage_of_the_store_ends_readiness_and_service():
     async with running() as world:
         world.daemon.lease.duration_s = 0.1
