--- a/laurelwind/coordination/placement.py
+++ b/laurelwind/coordination/placement.py
@@ -31,7 +31,7 @@
 # Costs of a choice, in seconds of waiting.  A full endpoint costs as much as
 # a second of waiting work; another zone and another lane cost a part of it.
 FULL_S: Final = 1.0
-ZONE_S: Final = 0.2
+ZONE_S: Final = 0.35
 LANE_S: Final = 0.5
 # Seconds by which the endpoint that knows a prompt may be worse than the best
 # one, besides the time that reading the prompt anew would take.
