--- a/laurelwind/coordination/jobs.py
+++ b/laurelwind/coordination/jobs.py
@@ -16,6 +16,8 @@
 READ_TOKENS_PER_S: Final = 20000.0
 # Work from which a prompt holds up the answers beside it noticeably.
 LONG_WORK_S: Final = 0.5
+# Events that a stream must have for its pace to be compared with others'.
+PACED_EVENTS: Final = 8
 _LOWEST_RANK: Final = 9
 _MS_PER_S: Final = 1000
 
@@ -174,9 +176,14 @@
     events: int = 0
 
     @property
-    def pace_s(self) -> float:
-        """Seconds for each event, or for the whole of a plain answer."""
+    def pace_s(self) -> float | None:
+        """Seconds for each event, or for the whole of a plain answer.
+
+        A few events say more of the prompts beside them than of the version.
+        """
         now = read_clock()
-        if self.events > 1:
-            return (now - self.first_at) / (self.events - 1)
-        return now - self.sent_at
+        if not self.events:
+            return now - self.sent_at
+        if self.events < PACED_EVENTS:
+            return None
+        return (now - self.first_at) / (self.events - 1)
--- a/laurelwind/coordination/sizing.py
+++ b/laurelwind/coordination/sizing.py
@@ -7,11 +7,12 @@
 from laurelwind.state.routes import ModelSize, Route
 
 # An answer whose model is less confident than this is asked again of the
-# largest model, while the caller has received none of it.
-CONFIDENCE_FLOOR: Final = 60.0
-# Part of a request's latency goal that the largest model's endpoints may be
-# behind before no answer is asked again; the floor sinks in proportion.
-BEHIND_SHARE: Final = 0.6
+# largest model, while the caller has received none of it: where its endpoints
+# are free, where they are behind by a part of the latency goal, and where they
+# are behind by all of it.  In between the floor sinks in proportion.
+CALM_FLOOR: Final = 60.0
+BUSY_FLOOR: Final = 42.0
+BUSY_SHARE: Final = 0.25
 
 
 class ModelPlanner:
@@ -39,6 +40,17 @@
         """
         if confidence is None:
             return True
-        limit_s = job.route.latency_goal_s * BEHIND_SHARE
-        left = max(1 - larger_wait_s / limit_s, 0)
-        return confidence >= CONFIDENCE_FLOOR * left
+        behind = larger_wait_s / job.route.latency_goal_s
+        return confidence >= find_floor(behind)
+
+
+def find_floor(behind: float) -> float:
+    """Give the confidence below which a larger model is asked.
+
+    :param behind: how far its endpoints are behind, in latency goals.
+    """
+    if behind < BUSY_SHARE:
+        part = behind / BUSY_SHARE
+        return CALM_FLOOR + (BUSY_FLOOR - CALM_FLOOR) * part
+    part = min((behind - BUSY_SHARE) / (1 - BUSY_SHARE), 1)
+    return BUSY_FLOOR * (1 - part)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -198,3 +198,18 @@
     answer = await World(failed).serve(request('book'))
     assert answer.status == 500
     assert answer.body == b'no'
+
+
+@pytest.mark.parametrize(('count', 'is_paced'), [(3, False), (12, True)])
+async def test_a_stream_of_few_events_says_nothing_of_its_pace(
+    count, is_paced, monkeypatch
+):
+    world = World(Script(chunks=[events(1, count)]))
+    outcomes = []
+    monkeypatch.setattr(
+        world.rollouts,
+        'note_outcome',
+        lambda _, outcome: outcomes.append(outcome),
+    )
+    await world.serve(request('draft'))
+    assert (outcomes[0].pace_s is not None) == is_paced
