--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -93,10 +93,17 @@
     def _admit(self, request: RelayRequest, arrived_at: float) -> Job:
         parts = self._parts
         table = parts.tracker.table
-        if table is None or not parts.lease.is_valid:
+        if table is None:
             raise CapacityError(
                 ErrorKind.NOT_READY,
-                'the routing table in force is not known yet',
+                'no routing table has been read yet',
+                retry_after_s=COME_BACK_S,
+            )
+        if not parts.lease.is_valid:
+            raise CapacityError(
+                ErrorKind.NOT_READY,
+                'the routing table was last known to be the newest '
+                f'{parts.lease.age_s:.1f} s ago',
                 retry_after_s=COME_BACK_S,
             )
         route = table.find_route(request.host, request.path)
--- a/laurelwind/platform/documents.py
+++ b/laurelwind/platform/documents.py
@@ -19,7 +19,6 @@
 )
 from laurelwind.state.routes import (
     CallerLimits,
-    EngineTraits,
     ModelSize,
     RequestKind,
     Route,
@@ -232,18 +231,7 @@
 
 
 def _build_service(row: Mapping[str, Any]) -> Service:
-    engine = row.get('engine')
-    traits = None
-    if engine:
-        traits = EngineTraits(
-            slots=int(engine['slots']),
-            memory_tokens=int(engine['kv_cache_tokens']),
-        )
-    return Service(
-        name=row['name'],
-        max_connections=int(row.get('max_connections', 100)),
-        engine=traits,
-    )
+    return Service(name=row['name'], has_engines=bool(row.get('engine')))
 
 
 def _load(body: bytes) -> dict[str, Any]:
--- a/laurelwind/protocol/exchanges.py
+++ b/laurelwind/protocol/exchanges.py
@@ -113,7 +113,6 @@
     :ivar length: declared length of the body, or ``None``.
     :ivar load: the endpoint's load, or ``None``.
     :ivar confidence: the model's opinion of its answer, 0 to 100, or ``None``.
-    :ivar retry_after_s: when the endpoint asks to come back, or ``None``.
     :ivar has_body: whether a body may follow.
     """
 
@@ -125,7 +124,6 @@
     length: int | None = None
     load: EndpointReport | None = None
     confidence: float | None = None
-    retry_after_s: float | None = None
     has_body: bool = True
 
     @property
--- a/laurelwind/protocol/headers.py
+++ b/laurelwind/protocol/headers.py
@@ -162,7 +162,6 @@
             length=_read_length(found.get(b'content-length')),
             load=_read_load(found.get(names.load)),
             confidence=_read_number(found.get(names.confidence)),
-            retry_after_s=_read_number(found.get(b'retry-after')),
             has_body=status not in _NO_BODY,
         )
 
--- a/laurelwind/state/directory.py
+++ b/laurelwind/state/directory.py
@@ -36,11 +36,6 @@
     born_ms: int = 0
     report: int = 0
 
-    @property
-    def identity(self) -> tuple[str, int]:
-        """What tells two lives of an endpoint apart."""
-        return (self.name, self.born_ms)
-
     @property
     def progress(self) -> tuple[int, int]:
         """Grows with each report; a late report of the past is lower."""
@@ -86,16 +81,6 @@
         """List every endpoint that is known."""
         return set(self._entries)
 
-    def find(self, name: str) -> EndpointRecord | None:
-        """Find an endpoint that takes new work.
-
-        :param name: name of the endpoint.
-        """
-        entry = self._entries.get(name)
-        if entry is None or entry.record.is_draining:
-            return None
-        return entry.record
-
     def apply(
         self,
         name: str,
--- a/laurelwind/state/routes.py
+++ b/laurelwind/state/routes.py
@@ -113,30 +113,16 @@
     priority: int | None = None
 
 
-@frozen(kw_only=True)
-class EngineTraits:
-    """What is known of a service's model engines.
-
-    :ivar slots: requests that one engine runs at once.
-    :ivar memory_tokens: tokens that fit into one engine's memory.
-    """
-
-    slots: int
-    memory_tokens: int
-
-
 @frozen(kw_only=True)
 class Service:
     """A pool of endpoints.
 
     :ivar name: its name.
-    :ivar max_connections: connections that one endpoint accepts from all.
-    :ivar engine: traits of its engines, or ``None`` for a plain service.
+    :ivar has_engines: whether its endpoints are model engines.
     """
 
     name: str
-    max_connections: int = 100
-    engine: EngineTraits | None = None
+    has_engines: bool = False
 
 
 @frozen(kw_only=True)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -90,7 +90,7 @@
     assert table.workspaces['k2'].name == 'hule930'
     assert table.requires_key
     assert table.limits.body_bytes == 1000
-    assert table.services['pool'].engine.slots == 64
+    assert table.services['pool'].has_engines
 
 
 def test_the_longest_prefix_decides():
