Avoid endpoints whose events come slowly; pass an endpoint's own failure on

Change: a pace over three times the others' median costs seconds; the whole failure is kept and passed on when nothing better comes.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -6,7 +6,7 @@
 import anyio
 from attrs import frozen
 
-from laurelwind.coordination.jobs import Attempt, Job
+from laurelwind.coordination.jobs import Attempt, Job, WholeAnswer
 from laurelwind.coordination.placement import Placement
 from laurelwind.coordination.rollouts import Outcome, RolloutBook
 from laurelwind.coordination.sending import Sender
@@ -181,6 +181,7 @@
             job.may_have_run = True
             job.avoided.add(attempt.endpoint.name)
             if self._parts.sender.has_room(job):
+                job.kept = WholeAnswer(head=head, body=body)
                 return False
         if len(body) < WHOLE_BYTES:
             await answer.begin(head.status, head.headers, len(body))
@@ -206,10 +207,12 @@
             events = splitter.feed(chunk)
             if not events:
                 continue
+            self._parts.placement.note_events(
+                attempt.endpoint, attempt.note_events(len(events))
+            )
             if not answer.has_begun:
                 await answer.begin(head.status, head.headers, None)
             await answer.send(b''.join(event.raw for event in events))
-            attempt.events += len(events)
             job.note_events(len(events), events[-1].event_id)
         if splitter.has_rest or not job.events:
             raise EndpointError(
--- a/laurelwind/coordination/jobs.py
+++ b/laurelwind/coordination/jobs.py
@@ -3,10 +3,14 @@
 from collections.abc import Sequence
 from typing import Final
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from laurelwind.coordination.placement import Lane
-from laurelwind.protocol.exchanges import EndpointExchange, RelayRequest
+from laurelwind.protocol.exchanges import (
+    AnswerHead,
+    EndpointExchange,
+    RelayRequest,
+)
 from laurelwind.state.directory import EndpointRecord
 from laurelwind.state.load import read_clock
 from laurelwind.state.routes import ModelSize, RequestKind, Route, Workspace
@@ -22,6 +26,18 @@
 _MS_PER_S: Final = 1000
 
 
+@frozen(kw_only=True)
+class WholeAnswer:
+    """An endpoint's answer that was read to its end.
+
+    :ivar head: its head.
+    :ivar body: its body.
+    """
+
+    head: AnswerHead
+    body: bytes
+
+
 @define(kw_only=True)
 class Job:
     """One request on its way.
@@ -37,6 +53,8 @@
     :ivar attempts: endpoints that it was sent to.
     :ivar may_have_run: whether an endpoint may have run it.
     :ivar avoided: names of endpoints that failed it.
+    :ivar kept: a failure that an endpoint answered whole, for when nothing
+        better comes.
     :ivar last_event_id: the caller has a stream's events up to this one.
     :ivar events: events that were passed on.
     :ivar first_at: when the first of them was.
@@ -55,6 +73,7 @@
     attempts: int = 0
     may_have_run: bool = False
     avoided: set[str] = field(factory=set)
+    kept: WholeAnswer | None = None
     last_event_id: str = ''
     events: int = 0
     first_at: float = 0
@@ -173,8 +192,20 @@
     work_s: float = 0
     expected_s: float = 0
     first_at: float = 0
+    event_at: float = 0
     events: int = 0
 
+    def note_events(self, count: int) -> float | None:
+        """Note events that came, and give the seconds that each one took.
+
+        :param count: how many.
+        """
+        now = read_clock()
+        pace_s = (now - self.event_at) / count if self.events else None
+        self.event_at = now
+        self.events += count
+        return pace_s
+
     @property
     def pace_s(self) -> float | None:
         """Seconds for each event, or for the whole of a plain answer.
--- a/laurelwind/coordination/placement.py
+++ b/laurelwind/coordination/placement.py
@@ -11,6 +11,7 @@
 import enum
 import hashlib
 import random
+import statistics
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
@@ -24,6 +25,14 @@
 REPORT_LIFE_S: Final = 1.5
 # How long the wait that an answer showed is believed, in part.
 DELAY_LIFE_S: Final = 1.5
+# How long an endpoint's pace is believed after its last event, how much each
+# event counts, and what a pace that is a multiple of the others' median costs:
+# nothing up to the first multiple, then in proportion.
+PACE_LIFE_S: Final = 2.0
+PACE_WEIGHT: Final = 0.1
+SLOW_RATIO: Final = 3.0
+SLOW_S: Final = 0.4
+MOST_SLOW_S: Final = 2.0
 # Pauses after failures in a row: doubled each time, up to the longest.
 FIRST_PAUSE_S: Final = 0.4
 LONGEST_PAUSE_S: Final = 5.0
@@ -64,6 +73,8 @@
     report: EndpointReport | None = None
     reported_at: float = 0
     own_at_report: int = 0
+    pace_s: float = 0
+    pace_at: float = 0
     failures: int = 0
     paused_until: float = 0
 
@@ -74,6 +85,16 @@
         others = self.report.running + self.report.waiting - self.own_at_report
         return max(others, 0) + self.in_flight
 
+    def read_pace(self, now: float) -> float:
+        """Seconds that an event took lately, or zero where none is known."""
+        return self.pace_s if now - self.pace_at < PACE_LIFE_S else 0
+
+    def note_pace(self, pace_s: float, now: float) -> None:
+        """Take in the seconds that an event took."""
+        known = self.read_pace(now) or pace_s
+        self.pace_s = known + (pace_s - known) * PACE_WEIGHT
+        self.pace_at = now
+
     def estimate_work(self, now: float) -> float:
         """Estimate the seconds of prompts that wait there to be read."""
         return max(self.work_s - (now - self.work_at), 0)
@@ -197,6 +218,17 @@
         """
         self._find(endpoint).note_delay(max(waited_s - work_s, 0), read_clock())
 
+    def note_events(
+        self, endpoint: EndpointRecord, pace_s: float | None
+    ) -> None:
+        """Note how fast a stream's events come.
+
+        :param endpoint: the endpoint.
+        :param pace_s: seconds that an event took, or ``None`` for a first.
+        """
+        if pace_s is not None:
+            self._find(endpoint).note_pace(pace_s, read_clock())
+
     def note_report(
         self, endpoint: EndpointRecord, report: EndpointReport
     ) -> None:
@@ -247,14 +279,23 @@
         usable = [one for one in endpoints if one.name not in want.avoided]
         awake = [one for one in usable if self._find(one).paused_until <= now]
         lanes = {} if want.lane is None else assign_lanes(endpoints)
+        usual_s = self._find_usual_pace(endpoints, now)
         costs = {}
         for endpoint in awake or usable:
             cost = self._weigh(endpoint, now)
+            cost += _charge_pace(self._find(endpoint).read_pace(now), usual_s)
             if lanes.get(endpoint.name) is not want.lane:
                 cost += LANE_S
             costs[endpoint.name] = cost
         return costs
 
+    def _find_usual_pace(
+        self, endpoints: Sequence[EndpointRecord], now: float
+    ) -> float:
+        paces = [self._find(one).read_pace(now) for one in endpoints]
+        known = [pace for pace in paces if pace]
+        return statistics.median(known) if len(known) > 2 else 0
+
     def _weigh(self, endpoint: EndpointRecord, now: float) -> float:
         seen = self._find(endpoint)
         fullness = seen.estimate_busy(now) / max(endpoint.slots, 1)
@@ -290,6 +331,13 @@
     return Lane.OTHER
 
 
+def _charge_pace(pace_s: float, usual_s: float) -> float:
+    if not pace_s or not usual_s:
+        return 0
+    over = max(pace_s / usual_s - SLOW_RATIO, 0)
+    return min(over * SLOW_S, MOST_SLOW_S)
+
+
 def _find(
     endpoints: Sequence[EndpointRecord], name: str
 ) -> EndpointRecord | None:
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -79,6 +79,19 @@
             self.in_flight -= 1
 
     async def _serve(self, job: Job, answer: CallerAnswer) -> None:
+        try:
+            await self._serve_in_time(job, answer)
+        except LaurelwindError:
+            if job.kept is None or answer.has_begun:
+                raise
+            # What an endpoint said itself tells more than our own failure.
+            kept = job.kept
+            await answer.begin(
+                kept.head.status, kept.head.headers, len(kept.body)
+            )
+            await answer.finish(kept.body)
+
+    async def _serve_in_time(self, job: Job, answer: CallerAnswer) -> None:
         with anyio.move_on_after(job.left_s):
             await self._attempt_until_answered(job, answer)
             return
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -135,3 +135,25 @@
     found.note_work('e0', 2.0)
     now[0] += 1.5
     assert found.estimate_wait(ENDPOINTS[:1], Want()) == 0.5
+
+
+def test_an_endpoint_whose_events_come_slowly_is_avoided(monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(placement, 'read_clock', lambda: now[0])
+    found = Placement(zone='a')
+    for one in ENDPOINTS:
+        for _ in range(10):
+            found.note_events(one, 0.4 if one.name == 'e0' else 0.05)
+    for _ in range(20):
+        assert choose(found).name != 'e0'
+    now[0] += placement.PACE_LIFE_S
+    names = {choose(found).name for _ in range(60)}
+    assert 'e0' in names
+
+
+def test_paces_that_differ_as_usual_cost_nothing():
+    found = Placement(zone='a')
+    for number, one in enumerate(ENDPOINTS):
+        found.note_events(one, 0.03 + 0.005 * number)
+    assert found.estimate_wait(ENDPOINTS, Want()) == 0
+    assert {choose(found).zone for _ in range(20)} == {'a'}
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -193,6 +193,15 @@
     assert (await world.serve(request('look'))).body == b'whole'
 
 
+async def test_an_endpoints_own_failure_goes_before_ours():
+    failed = Script(head=AnswerHead(status=500), chunks=[b'no'])
+    world = World(failed, Script(head=broken()), names=('e1', 'e2'))
+    answer = await world.serve(request('look'))
+    assert (answer.status, answer.body) == (500, b'no')
+    alone = World(failed, names=('e1',))
+    assert (await alone.serve(request('look'))).status == 500
+
+
 async def test_a_failure_that_may_not_be_repeated_is_passed_on():
     failed = Script(head=AnswerHead(status=500), chunks=[b'no'])
     answer = await World(failed).serve(request('book'))
