Read changes of many endpoints together

Change: 0.6 s of pause after a read that found changes; good counts are told only until a version is tried.

--- a/laurelwind/coordination/rollouts.py
+++ b/laurelwind/coordination/rollouts.py
@@ -113,7 +113,8 @@
         if own.bad > told.bad:
             return True
         silent_s = read_clock() - self.told_at
-        if own.answers >= told.answers + TOLD_ANSWERS and silent_s > TOLD_S:
+        has_more = own.answers >= told.answers + TOLD_ANSWERS
+        if has_more and not self.is_tried and silent_s > TOLD_S:
             return True
         return not rank and silent_s > REMIND_S
 
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -33,6 +33,9 @@
 # this long where a lapsed record is about to be dropped.
 ENDPOINT_WAIT_S: Final = 2.5
 LAPSED_WAIT_S: Final = 0.2
+# Pause after a read that found changes, so that many endpoints that change one
+# after the other do not wake every daemon of the fleet for each of them.
+ENDPOINT_PAUSE_S: Final = 0.6
 # Longest time that a removed record is held; with the wait above it stays
 # under the two seconds in which a leaving endpoint must get no more work.
 LONGEST_HOLD_S: Final = 1.4
@@ -190,6 +193,8 @@
             self._note_regained(ENDPOINTS)
             self._take_endpoints(batch, is_whole=reader.was_whole)
             self.has_endpoints = True
+            if batch.records and not self._parts.directory.has_lapsed:
+                await anyio.sleep(ENDPOINT_PAUSE_S)
 
     def _take_endpoints(self, batch: Batch, *, is_whole: bool) -> None:
         directory = self._parts.directory
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -149,6 +149,7 @@
     monkeypatch.setattr(tracking, 'STATUS_PERIOD_S', 0.02)
     monkeypatch.setattr(tracking, 'MEMBER_PERIOD_S', 0.02)
     monkeypatch.setattr(tracking, 'LONGEST_PAUSE_S', 0.05)
+    monkeypatch.setattr(tracking, 'ENDPOINT_PAUSE_S', 0.01)
 
 
 async def run(check, *, store=None):
@@ -256,6 +257,31 @@
     await run(check)
 
 
+async def test_endpoints_that_change_one_by_one_cost_few_reads(monkeypatch):
+    monkeypatch.setattr(tracking, 'ENDPOINT_PAUSE_S', 0.2)
+    store = FakeStore()
+    reads = []
+    read_after = store.read_after
+
+    async def count(topic, offset, *, wait_s=0):
+        if topic is Topic.ENDPOINTS:
+            reads.append(offset)
+        return await read_after(topic, offset, wait_s=wait_s)
+
+    store.read_after = count
+
+    async def check(world, store):
+        await wait_until(lambda: world.tracker.has_endpoints)
+        reads.clear()
+        for number in range(40):
+            store.put(Topic.ENDPOINTS, f'e{number:02}', endpoint(1))
+            await anyio.sleep(0.005)
+        await wait_until(lambda: len(world.names) == 40)
+        assert len(reads) < 20
+
+    await run(check, store=store)
+
+
 async def test_a_status_is_written_by_one_and_only_once():
     store = FakeStore()
     store.put(
