--- a/laurelwind/coordination/placement.py
+++ b/laurelwind/coordination/placement.py
@@ -37,6 +37,12 @@
 FIRST_PAUSE_S: Final = 0.4
 LONGEST_PAUSE_S: Final = 5.0
 _MAX_DOUBLINGS: Final = 4
+# An endpoint that fails some of its requests and serves others: how much each
+# outcome counts, how long it is remembered, and the seconds that are lost by a
+# request that fails.
+JUDGED_WEIGHT: Final = 0.25
+JUDGED_LIFE_S: Final = 6.0
+FAILED_S: Final = 2.0
 # Costs of a choice, in seconds of waiting.  A full endpoint costs as much as
 # a second of waiting work; another zone and another lane cost a part of it.
 FULL_S: Final = 1.0
@@ -77,6 +83,8 @@
     pace_at: float = 0
     failures: int = 0
     paused_until: float = 0
+    failed_share: float = 0
+    judged_at: float = 0
 
     def estimate_busy(self, now: float) -> float:
         """Estimate the requests that run or wait there."""
@@ -85,6 +93,17 @@
         others = self.report.running + self.report.waiting - self.own_at_report
         return max(others, 0) + self.in_flight
 
+    def read_failed_share(self, now: float) -> float:
+        """Share of the last requests that failed, less as they grow old."""
+        left = max(1 - (now - self.judged_at) / JUDGED_LIFE_S, 0)
+        return self.failed_share * left
+
+    def note_outcome(self, has_failed: bool, now: float) -> None:
+        """Take in whether a request failed."""
+        share = self.read_failed_share(now)
+        self.failed_share = share + (has_failed - share) * JUDGED_WEIGHT
+        self.judged_at = now
+
     def read_pace(self, now: float) -> float:
         """Seconds that an event took lately, or zero where none is known."""
         return self.pace_s if now - self.pace_at < PACE_LIFE_S else 0
@@ -250,6 +269,7 @@
         seen = self._find(endpoint)
         seen.failures = 0
         seen.paused_until = 0
+        seen.note_outcome(False, read_clock())
 
     def note_failure(self, endpoint: EndpointRecord) -> float:
         """Note a failure, and give the seconds for which it is avoided.
@@ -261,6 +281,7 @@
         pause_s = min(FIRST_PAUSE_S * (1 << doublings), LONGEST_PAUSE_S)
         seen.failures += 1
         seen.paused_until = read_clock() + pause_s
+        seen.note_outcome(True, read_clock())
         return pause_s
 
     def forget(self, names: set[str]) -> None:
@@ -300,6 +321,7 @@
         seen = self._find(endpoint)
         fullness = seen.estimate_busy(now) / max(endpoint.slots, 1)
         cost = seen.estimate_behind(now) + fullness * FULL_S
+        cost += seen.read_failed_share(now) * FAILED_S
         if endpoint.zone != self._zone:
             cost += ZONE_S
         return cost
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -157,3 +157,20 @@
         found.note_events(one, 0.03 + 0.005 * number)
     assert found.estimate_wait(ENDPOINTS, Want()) == 0
     assert {choose(found).zone for _ in range(20)} == {'a'}
+
+
+def test_an_endpoint_that_hangs_now_and_then_is_avoided(monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(placement, 'read_clock', lambda: now[0])
+    found = Placement(zone='a')
+    for one in ENDPOINTS:
+        for _ in range(6):
+            found.note_success(one)
+            if one.name == 'e0':
+                found.note_failure(one)
+    found.note_success(ENDPOINTS[0])
+    now[0] += 0.5
+    for _ in range(20):
+        assert choose(found).name != 'e0'
+    now[0] += placement.JUDGED_LIFE_S
+    assert 'e0' in {choose(found).name for _ in range(60)}
