--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -176,8 +176,11 @@
         answer: CallerAnswer,
     ) -> bool:
         body = await _read_whole(attempt)
-        self.note_answer(job, attempt, failed=not head.is_success)
-        if head.status >= _SERVER_ERROR and job.route.is_repeatable:
+        has_failed = head.status >= _SERVER_ERROR
+        self.note_answer(job, attempt, failed=has_failed)
+        if has_failed:
+            self._parts.placement.note_error(attempt.endpoint)
+        if has_failed and job.route.is_repeatable:
             job.may_have_run = True
             job.avoided.add(attempt.endpoint.name)
             if self._parts.sender.has_room(job):
--- a/laurelwind/coordination/placement.py
+++ b/laurelwind/coordination/placement.py
@@ -41,6 +41,8 @@
 # outcome counts, how long it is remembered, and the seconds that are lost by a
 # request that fails.
 JUDGED_WEIGHT: Final = 0.25
+# The same for an answer of 5xx, which is often the request's own fault.
+ERROR_WEIGHT: Final = 0.1
 JUDGED_LIFE_S: Final = 6.0
 FAILED_S: Final = 2.0
 # Costs of a choice, in seconds of waiting.  A full endpoint costs as much as
@@ -98,10 +100,12 @@
         left = max(1 - (now - self.judged_at) / JUDGED_LIFE_S, 0)
         return self.failed_share * left
 
-    def note_outcome(self, has_failed: bool, now: float) -> None:
-        """Take in whether a request failed."""
+    def note_outcome(
+        self, failed: float, now: float, weight: float = JUDGED_WEIGHT
+    ) -> None:
+        """Take in whether a request failed: one, or served: zero."""
         share = self.read_failed_share(now)
-        self.failed_share = share + (has_failed - share) * JUDGED_WEIGHT
+        self.failed_share = share + (failed - share) * weight
         self.judged_at = now
 
     def read_pace(self, now: float) -> float:
@@ -269,7 +273,14 @@
         seen = self._find(endpoint)
         seen.failures = 0
         seen.paused_until = 0
-        seen.note_outcome(False, read_clock())
+        seen.note_outcome(0, read_clock())
+
+    def note_error(self, endpoint: EndpointRecord) -> None:
+        """Note that an endpoint answered with a failure of its own.
+
+        :param endpoint: the endpoint.
+        """
+        self._find(endpoint).note_outcome(1, read_clock(), ERROR_WEIGHT)
 
     def note_failure(self, endpoint: EndpointRecord) -> float:
         """Note a failure, and give the seconds for which it is avoided.
@@ -281,7 +292,7 @@
         pause_s = min(FIRST_PAUSE_S * (1 << doublings), LONGEST_PAUSE_S)
         seen.failures += 1
         seen.paused_until = read_clock() + pause_s
-        seen.note_outcome(True, read_clock())
+        seen.note_outcome(1, read_clock())
         return pause_s
 
     def forget(self, names: set[str]) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -222,3 +222,13 @@
     )
     await world.serve(request('draft'))
     assert (outcomes[0].pace_s is not None) == is_paced
+
+
+async def test_an_endpoint_that_answers_with_failures_is_avoided():
+    failed = Script(head=AnswerHead(status=500), chunks=[b'no'])
+    world = World(failed, WHOLE, WHOLE, WHOLE, names=('e1', 'e2'))
+    await world.serve(request('book'))
+    bad = world.gateway.sent[0].endpoint
+    for _ in range(3):
+        await world.serve(request('book'))
+    assert bad not in {sent.endpoint for sent in world.gateway.sent[1:]}
