--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -8,9 +8,10 @@
 
 from laurelwind.coordination.jobs import Attempt, Job, WholeAnswer
 from laurelwind.coordination.placement import Placement
-from laurelwind.coordination.rollouts import Outcome, RolloutBook
+from laurelwind.coordination.rollouts import RolloutBook
 from laurelwind.coordination.sending import Sender
 from laurelwind.coordination.sizing import ModelPlanner
+from laurelwind.coordination.verdicts import Outcome
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
     EndpointError,
--- a/laurelwind/coordination/placement.py
+++ b/laurelwind/coordination/placement.py
@@ -15,21 +15,15 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
-from attrs import define, frozen
+from attrs import frozen
 
+from laurelwind.coordination.views import ERROR_WEIGHT, EndpointView
 from laurelwind.protocol.exchanges import EndpointReport
 from laurelwind.state.directory import EndpointRecord
 from laurelwind.state.load import read_clock
 
-# How long an endpoint's report of its load is believed.
-REPORT_LIFE_S: Final = 1.5
-# How long the wait that an answer showed is believed, in part.
-DELAY_LIFE_S: Final = 1.5
-# How long an endpoint's pace is believed after its last event, how much each
-# event counts, and what a pace that is a multiple of the others' median costs:
-# nothing up to the first multiple, then in proportion.
-PACE_LIFE_S: Final = 2.0
-PACE_WEIGHT: Final = 0.1
+# What a pace that is a multiple of the others' median costs: nothing up to the
+# first multiple, then in proportion.
 SLOW_RATIO: Final = 3.0
 SLOW_S: Final = 0.4
 MOST_SLOW_S: Final = 2.0
@@ -37,13 +31,7 @@
 FIRST_PAUSE_S: Final = 0.4
 LONGEST_PAUSE_S: Final = 5.0
 _MAX_DOUBLINGS: Final = 4
-# An endpoint that fails some of its requests and serves others: how much each
-# outcome counts, how long it is remembered, and the seconds that are lost by a
-# request that fails.
-JUDGED_WEIGHT: Final = 0.25
-# The same for an answer of 5xx, which is often the request's own fault.
-ERROR_WEIGHT: Final = 0.1
-JUDGED_LIFE_S: Final = 6.0
+# Seconds that are lost by a request that fails.
 FAILED_S: Final = 2.0
 # Costs of a choice, in seconds of waiting.  A full endpoint costs as much as
 # a second of waiting work; another zone and another lane cost a part of it.
@@ -69,78 +57,6 @@
 }
 
 
-@define(kw_only=True)
-class _Seen:
-    """One endpoint as this daemon sees it."""
-
-    in_flight: int = 0
-    work_s: float = 0
-    work_at: float = 0
-    delay_s: float = 0
-    delay_at: float = 0
-    report: EndpointReport | None = None
-    reported_at: float = 0
-    own_at_report: int = 0
-    pace_s: float = 0
-    pace_at: float = 0
-    failures: int = 0
-    paused_until: float = 0
-    failed_share: float = 0
-    judged_at: float = 0
-
-    def estimate_busy(self, now: float) -> float:
-        """Estimate the requests that run or wait there."""
-        if self.report is None or now - self.reported_at > REPORT_LIFE_S:
-            return self.in_flight
-        others = self.report.running + self.report.waiting - self.own_at_report
-        return max(others, 0) + self.in_flight
-
-    def read_failed_share(self, now: float) -> float:
-        """Share of the last requests that failed, less as they grow old."""
-        left = max(1 - (now - self.judged_at) / JUDGED_LIFE_S, 0)
-        return self.failed_share * left
-
-    def note_outcome(
-        self, failed: float, now: float, weight: float = JUDGED_WEIGHT
-    ) -> None:
-        """Take in whether a request failed: one, or served: zero."""
-        share = self.read_failed_share(now)
-        self.failed_share = share + (failed - share) * weight
-        self.judged_at = now
-
-    def read_pace(self, now: float) -> float:
-        """Seconds that an event took lately, or zero where none is known."""
-        return self.pace_s if now - self.pace_at < PACE_LIFE_S else 0
-
-    def note_pace(self, pace_s: float, now: float) -> None:
-        """Take in the seconds that an event took."""
-        known = self.read_pace(now) or pace_s
-        self.pace_s = known + (pace_s - known) * PACE_WEIGHT
-        self.pace_at = now
-
-    def estimate_work(self, now: float) -> float:
-        """Estimate the seconds of prompts that wait there to be read."""
-        return max(self.work_s - (now - self.work_at), 0)
-
-    def estimate_delay(self, now: float) -> float:
-        """Estimate the wait from the last answers, less as they grow old."""
-        return self.delay_s * max(1 - (now - self.delay_at) / DELAY_LIFE_S, 0)
-
-    def estimate_behind(self, now: float) -> float:
-        """Estimate the seconds until a new request would be begun."""
-        return max(self.estimate_work(now), self.estimate_delay(now))
-
-    def note_delay(self, delay_s: float, now: float) -> None:
-        """Take in how long an answer waited beyond its own work."""
-        self.delay_s = (self.estimate_delay(now) + delay_s) / 2
-        self.delay_at = now
-
-    def add_work(self, work_s: float, now: float) -> None:
-        """Add a prompt that waits to be read."""
-        self.work_s = self.estimate_work(now) + work_s
-        self.work_at = now
-
-
 @frozen(kw_only=True)
 class Want:
     """What a request wants of an endpoint.
@@ -165,7 +81,7 @@
 
     def __init__(self, *, zone: str) -> None:
         self._zone = zone
-        self._seen: dict[str, _Seen] = {}
+        self._seen: dict[str, EndpointView] = {}
 
     def choose(
         self, endpoints: Sequence[EndpointRecord], want: Want
@@ -220,7 +136,9 @@
         :param name: name of the endpoint.
         :param work_s: seconds that reading its prompt takes.
         """
-        self._seen.setdefault(name, _Seen()).add_work(work_s, read_clock())
+        self._seen.setdefault(name, EndpointView()).add_work(
+            work_s, read_clock()
+        )
 
     def note_ended(self, endpoint: EndpointRecord) -> None:
         """Note that a request has ended.
@@ -337,8 +255,8 @@
             cost += ZONE_S
         return cost
 
-    def _find(self, endpoint: EndpointRecord) -> _Seen:
-        return self._seen.setdefault(endpoint.name, _Seen())
+    def _find(self, endpoint: EndpointRecord) -> EndpointView:
+        return self._seen.setdefault(endpoint.name, EndpointView())
 
 
 def assign_lanes(endpoints: Iterable[EndpointRecord]) -> dict[str, Lane]:
--- /dev/null
+++ b/laurelwind/coordination/reading.py
@@ -0,0 +1,53 @@
+"""Reads topics of the store on, and waits after failures."""
+
+import random
+from typing import Final
+
+import anyio
+
+from laurelwind.protocol.keyed import Batch, HistoryLostError, KeyedStore, Topic
+
+FIRST_PAUSE_S: Final = 0.05
+LONGEST_PAUSE_S: Final = 0.6
+
+
+class Pause:
+    """Waits longer after each failure in a row."""
+
+    def __init__(self) -> None:
+        self._seconds = FIRST_PAUSE_S
+
+    def reset(self) -> None:
+        """Begin anew after a success."""
+        self._seconds = FIRST_PAUSE_S
+
+    async def wait(self) -> None:
+        """Wait."""
+        await anyio.sleep(self._seconds * random.uniform(0.5, 1))
+        self._seconds = min(self._seconds * 2, LONGEST_PAUSE_S)
+
+
+class TopicReader:
+    """Reads a topic on, from its newest records where history is lost."""
+
+    def __init__(self, *, store: KeyedStore, topic: Topic) -> None:
+        self._store = store
+        self._topic = topic
+        self._offset: int | None = None
+        self.was_whole = False
+
+    async def read(self, *, wait_s: float = 0) -> Batch:
+        """Read what is new."""
+        self.was_whole = self._offset is None
+        if self._offset is None:
+            batch = await self._store.read_newest(self._topic)
+        else:
+            try:
+                batch = await self._store.read_after(
+                    self._topic, self._offset, wait_s=wait_s
+                )
+            except HistoryLostError:
+                self.was_whole = True
+                batch = await self._store.read_newest(self._topic)
+        self._offset = batch.next_offset
+        return batch
--- a/laurelwind/coordination/rollouts.py
+++ b/laurelwind/coordination/rollouts.py
@@ -1,12 +1,11 @@
 """Roll-outs: which version a request gets, and what becomes of a version."""
 
-import statistics
-from collections import deque
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Final
 
-from attrs import define, field, frozen
+from attrs import define, field
 
+from laurelwind.coordination.verdicts import Baselines, Outcome, is_bad
 from laurelwind.decisions import DecisionLog
 from laurelwind.state.directory import EndpointRecord
 from laurelwind.state.load import read_clock
@@ -19,26 +18,7 @@
 )
 from laurelwind.state.routes import hash_fraction
 
-# Failures that are enough against a version, and the least part of its answers
-# that they must be.  A version that fails a fifth of its requests is found by
-# its first dozen or so.
-FAILURES: Final = 3
-BAD_SHARE: Final = 0.2
-# Against a version whose failures are rarer: this many.
-MANY_FAILURES: Final = 8
-# Slow answers say less, since load and cold caches slow answers down as well.
-SLOW_ANSWERS: Final = 6
-SLOW_SHARE: Final = 0.3
-# In each case bad answers must be this much oftener than the old version's.
-BAD_RATIO: Final = 4.0
-# An answer is slow when it takes this many times the other version's median.
-# Answers of the other version are judged alike, so that what slows both down
-# speaks against neither.
-SLOW_RATIO: Final = 5.0
-SLOW_FLOOR_S: Final = 0.02
 ALL_ROUTES: Final = '*'
-_BASELINE_SIZE: Final = 64
-_BASELINE_LEAST: Final = 8
 # Parts of an order's time limit.  A session may not change its version in the
 # first half; a version is tried on some sessions, then used by all.
 CANARY_AT: Final = 0.51
@@ -66,24 +46,6 @@
 TURN_S: Final = 0.6
 
 
-@frozen(kw_only=True)
-class Outcome:
-    """What one answer says of the version that gave it.
-
-    :ivar route: name of the route.
-    :ivar endpoint: name of the endpoint.
-    :ivar scale: what answers are compared with each other, such as a model.
-    :ivar failed: whether it failed.
-    :ivar pace_s: how long it took by the unit of its scale, or ``None``.
-    """
-
-    route: str
-    endpoint: str
-    scale: str = ''
-    failed: bool = False
-    pace_s: float | None = None
-
-
 @define(kw_only=True)
 class _Rollout:
     """One order and all that is known of it."""
@@ -156,7 +118,7 @@
         self._rollouts: dict[str, _Rollout] = {}
         self._statuses: dict[str, RolloutStatus] = {}
         self._rejected: dict[str, set[str]] = {}
-        self._baselines: dict[tuple[str, str, str], deque[float]] = {}
+        self._baselines = Baselines()
         self._read_at = read_clock()
         self._listeners: list[Callable[[], None]] = []
 
@@ -274,10 +236,10 @@
         found = self._rollouts.get(endpoint.service)
         is_new = found is not None and endpoint.version == found.order.target
         if not is_new:
-            self._note_baseline(endpoint, outcome)
+            self._baselines.note(endpoint.service, outcome)
         if found is None or not found.is_open:
             return
-        is_slow = self._is_slow(endpoint.service, outcome)
+        is_slow = self._baselines.is_slow(endpoint.service, outcome)
         tally = Tally(
             answers=1,
             failures=int(outcome.failed),
@@ -349,7 +311,7 @@
         if not found.is_open:
             return
         for route, tally in _pool(found).items():
-            if self._is_bad(found, tally):
+            if is_bad(tally, found.old_tally):
                 found.is_rejected = True
                 self._rejected.setdefault(service, set()).add(
                     found.order.target
@@ -368,39 +330,6 @@
                     listener()
                 return
 
-    def _is_bad(self, found: _Rollout, tally: Tally) -> bool:
-        old = found.old_tally
-        if _exceeds(tally.failures, tally, old.failures, old):
-            if tally.failures >= MANY_FAILURES:
-                return True
-            if tally.failures >= max(FAILURES, BAD_SHARE * tally.answers):
-                return True
-        if not _exceeds(tally.slow, tally, old.slow, old):
-            return False
-        return tally.slow >= max(SLOW_ANSWERS, SLOW_SHARE * tally.answers)
-
-    def _note_baseline(
-        self, endpoint: EndpointRecord, outcome: Outcome
-    ) -> None:
-        if outcome.pace_s is None or outcome.failed:
-            return
-        key = (endpoint.service, outcome.route, outcome.scale)
-        if key not in self._baselines:
-            self._baselines[key] = deque(maxlen=_BASELINE_SIZE)
-        self._baselines[key].append(outcome.pace_s)
-
-    def _is_slow(self, service: str, outcome: Outcome) -> bool:
-        kept = self._baselines.get((service, outcome.route, outcome.scale), ())
-        if len(kept) < _BASELINE_LEAST or outcome.pace_s is None:
-            return False
-        usual = max(statistics.median(kept), SLOW_FLOOR_S)
-        return outcome.pace_s > usual * SLOW_RATIO
-
-
-def _exceeds(bad: int, tally: Tally, old_bad: int, old: Tally) -> bool:
-    usual = old_bad / old.answers if old.answers else 0
-    return bad > BAD_RATIO * usual * tally.answers
-
 
 def _pool(found: _Rollout) -> Mapping[str, Tally]:
     pooled: dict[str, Tally] = {}
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -1,6 +1,5 @@
 """Follows the store, so that the daemon knows what is in force."""
 
-import random
 from collections.abc import Callable, Sequence
 from typing import Final
 
@@ -8,13 +7,13 @@
 from anyio.abc import TaskGroup
 from attrs import frozen
 
+from laurelwind.coordination.reading import Pause, TopicReader
 from laurelwind.coordination.rollouts import RolloutBook
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ConfigurationError, PlatformError
 from laurelwind.protocol.documents import DocumentCodec, DocumentKind
 from laurelwind.protocol.keyed import (
     Batch,
-    HistoryLostError,
     KeyedRecord,
     KeyedStore,
     MemberGroup,
@@ -46,8 +45,6 @@
 # Tries to write a status while others write too, before the next period.
 STATUS_TRIES: Final = 4
 MEMBER_PERIOD_S: Final = 0.8
-FIRST_PAUSE_S: Final = 0.05
-LONGEST_PAUSE_S: Final = 0.6
 
 
 @frozen(kw_only=True)
@@ -132,8 +129,8 @@
             self._parts.log.warning('group_not_left', reason=error.message)
 
     async def _follow_operators(self) -> None:
-        reader = _Reader(store=self._parts.store, topic=Topic.OPERATORS)
-        pause = _Pause()
+        reader = TopicReader(store=self._parts.store, topic=Topic.OPERATORS)
+        pause = Pause()
         while True:
             begun_at = self._parts.lease.read_clock()
             try:
@@ -178,8 +175,8 @@
         )
 
     async def _follow_endpoints(self) -> None:
-        reader = _Reader(store=self._parts.store, topic=Topic.ENDPOINTS)
-        pause = _Pause()
+        reader = TopicReader(store=self._parts.store, topic=Topic.ENDPOINTS)
+        pause = Pause()
         while True:
             has_lapsed = self._parts.directory.has_lapsed
             wait_s = LAPSED_WAIT_S if has_lapsed else ENDPOINT_WAIT_S
@@ -244,8 +241,8 @@
         return min(limit, now + LONGEST_HOLD_S) if limit > now else None
 
     async def _follow_statuses(self) -> None:
-        reader = _Reader(store=self._parts.store, topic=Topic.STATUS)
-        pause = _Pause()
+        reader = TopicReader(store=self._parts.store, topic=Topic.STATUS)
+        pause = Pause()
         while True:
             if not self._parts.rollouts.has_unsettled:
                 await anyio.sleep(STATUS_PERIOD_S)
@@ -264,7 +261,7 @@
             with anyio.move_on_after(period_s):
                 await self._rejected.wait()
 
-    async def _exchange_statuses(self, reader: '_Reader') -> None:
+    async def _exchange_statuses(self, reader: TopicReader) -> None:
         for _ in range(STATUS_TRIES):
             batch = await reader.read()
             for record in batch.records:
@@ -327,7 +324,7 @@
 
     async def _follow_members(self) -> None:
         known = -1
-        pause = _Pause()
+        pause = Pause()
         while not self._has_left:
             try:
                 generation = await self._parts.group.join()
@@ -375,45 +372,3 @@
             if reader == ENDPOINTS:
                 self._troubled_at = read_clock()
             self._parts.log.warning('store_regained', reader=reader)
-
-
-class _Pause:
-    """Waits longer after each failure in a row."""
-
-    def __init__(self) -> None:
-        self._seconds = FIRST_PAUSE_S
-
-    def reset(self) -> None:
-        """Begin anew after a success."""
-        self._seconds = FIRST_PAUSE_S
-
-    async def wait(self) -> None:
-        """Wait."""
-        await anyio.sleep(self._seconds * random.uniform(0.5, 1))
-        self._seconds = min(self._seconds * 2, LONGEST_PAUSE_S)
-
-
-class _Reader:
-    """Reads a topic on, from its newest records where history is lost."""
-
-    def __init__(self, *, store: KeyedStore, topic: Topic) -> None:
-        self._store = store
-        self._topic = topic
-        self._offset: int | None = None
-        self.was_whole = False
-
-    async def read(self, *, wait_s: float = 0) -> Batch:
-        """Read what is new."""
-        self.was_whole = self._offset is None
-        if self._offset is None:
-            batch = await self._store.read_newest(self._topic)
-        else:
-            try:
-                batch = await self._store.read_after(
-                    self._topic, self._offset, wait_s=wait_s
-                )
-            except HistoryLostError:
-                self.was_whole = True
-                batch = await self._store.read_newest(self._topic)
-        self._offset = batch.next_offset
-        return batch
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -1,19 +1,19 @@
 """The settings of a relay daemon, from one TOML file."""
 
-import tomllib
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Final
 
 from attrs import field, frozen
 
-from laurelwind.errors import ConfigurationError, ErrorKind, Fault
-from laurelwind.state.conversion import structure_strictly
+from laurelwind.errors import Fault
+from laurelwind.settings import (
+    EXPECTED_ADDRESS,
+    EXPECTED_POSITIVE,
+    check_settings,
+    read_settings_file,
+)
 from laurelwind.state.validation import is_address
 
-_EXPECTED_ADDRESS: Final = 'expected an IP number and a port'
-_EXPECTED_POSITIVE: Final = 'expected a number above zero'
-
 
 @frozen(kw_only=True)
 class RelayIdentity:
@@ -91,21 +91,7 @@
     :param path: where the TOML file is.
     :raises ConfigurationError: naming every bad field with its path.
     """
-    try:
-        tables = tomllib.loads(path.read_text(encoding='utf-8'))
-    except (OSError, tomllib.TOMLDecodeError) as error:
-        raise ConfigurationError(
-            ErrorKind.CONFIGURATION_INVALID, f'{path} cannot be read: {error}'
-        ) from error
-    settings = structure_strictly(tables, RelaySettings)
-    faults = tuple(_find_faults(settings))
-    if faults:
-        raise ConfigurationError(
-            ErrorKind.CONFIGURATION_INVALID,
-            f'{len(faults)} fields are wrong',
-            faults=faults,
-        )
-    return settings
+    return check_settings(read_settings_file(path), RelaySettings, _find_faults)
 
 
 def _find_faults(settings: RelaySettings) -> Iterator[Fault]:
@@ -119,7 +105,7 @@
     }
     for path, address in addresses.items():
         if not is_address(address):
-            yield Fault(path=path, expected=_EXPECTED_ADDRESS)
+            yield Fault(path=path, expected=EXPECTED_ADDRESS)
     bounds = settings.bounds
     amounts = {
         'bounds.revocation_s': bounds.revocation_s,
@@ -130,4 +116,4 @@
     }
     for path, amount in amounts.items():
         if amount <= 0:
-            yield Fault(path=path, expected=_EXPECTED_POSITIVE)
+            yield Fault(path=path, expected=EXPECTED_POSITIVE)
--- a/laurelwind/settings.py
+++ b/laurelwind/settings.py
@@ -1,19 +1,19 @@
 """The settings of one daemon, from one TOML file."""
 
 import tomllib
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from pathlib import Path
 from typing import Final
 
 from attrs import field, frozen
 
 from laurelwind.errors import ConfigurationError, ErrorKind, Fault
-from laurelwind.state.conversion import structure_strictly
+from laurelwind.state.conversion import Shape, structure_strictly
 from laurelwind.state.validation import is_address, is_hash
 
 _SECRET_LENGTH: Final = 16
-_EXPECTED_ADDRESS: Final = 'expected an IP number and a port'
-_EXPECTED_POSITIVE: Final = 'expected a number above zero'
+EXPECTED_ADDRESS: Final = 'expected an IP number and a port'
+EXPECTED_POSITIVE: Final = 'expected a number above zero'
 
 
 @frozen(kw_only=True)
@@ -128,20 +128,43 @@
     :param path: where the TOML file is.
     :raises ConfigurationError: naming every bad field with its path.
     """
+    return parse_settings(read_settings_file(path))
+
+
+def parse_settings(text: str) -> Settings:
+    """Parse and check the text of a settings file.
+
+    :param text: TOML.
+    :raises ConfigurationError: naming every bad field with its path.
+    """
+    return check_settings(text, Settings, _find_faults)
+
+
+def read_settings_file(path: Path) -> str:
+    """Read a settings file.
+
+    :param path: where it is.
+    :raises ConfigurationError: when it cannot be read.
+    """
     try:
-        text = path.read_text(encoding='utf-8')
+        return path.read_text(encoding='utf-8')
     except OSError as error:
         raise ConfigurationError(
             ErrorKind.CONFIGURATION_INVALID,
             f'{path} cannot be read: {error.strerror}',
         ) from None
-    return parse_settings(text)
 
 
-def parse_settings(text: str) -> Settings:
-    """Parse and check the text of a settings file.
+def check_settings(
+    text: str,
+    shape: type[Shape],
+    find_faults: Callable[[Shape], Iterable[Fault]],
+) -> Shape:
+    """Parse settings of any shape, and check them.
 
     :param text: TOML.
+    :param shape: the attrs class wanted.
+    :param find_faults: finds what is wrong with the amounts.
     :raises ConfigurationError: naming every bad field with its path.
     """
     try:
@@ -151,8 +174,8 @@
             ErrorKind.CONFIGURATION_INVALID,
             f'not TOML: {error}',
         ) from None
-    settings = structure_strictly(tables, Settings)
-    faults = tuple(_find_faults(settings))
+    settings = structure_strictly(tables, shape)
+    faults = tuple(find_faults(settings))
     if faults:
         raise ConfigurationError(
             ErrorKind.CONFIGURATION_INVALID,
@@ -187,7 +210,7 @@
     }
     for path, address in addresses.items():
         if not is_address(address):
-            yield Fault(path=path, expected=_EXPECTED_ADDRESS)
+            yield Fault(path=path, expected=EXPECTED_ADDRESS)
     for path, text in {
         'daemon.name': daemon.name,
         'daemon.zone': daemon.zone,
@@ -226,4 +249,4 @@
     }
     for path, amount in amounts.items():
         if amount <= 0:
-            yield Fault(path=path, expected=_EXPECTED_POSITIVE)
+            yield Fault(path=path, expected=EXPECTED_POSITIVE)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,7 +6,7 @@
 
 import random
 
-from laurelwind.coordination import placement
+from laurelwind.coordination import placement, views
 from laurelwind.coordination.placement import (
     Lane,
     Placement,
@@ -146,7 +146,7 @@
             found.note_events(one, 0.4 if one.name == 'e0' else 0.05)
     for _ in range(20):
         assert choose(found).name != 'e0'
-    now[0] += placement.PACE_LIFE_S
+    now[0] += views.PACE_LIFE_S
     names = {choose(found).name for _ in range(60)}
     assert 'e0' in names
 
@@ -172,5 +172,5 @@
     now[0] += 0.5
     for _ in range(20):
         assert choose(found).name != 'e0'
-    now[0] += placement.JUDGED_LIFE_S
+    now[0] += views.JUDGED_LIFE_S
     assert 'e0' in {choose(found).name for _ in range(60)}
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -3,7 +3,8 @@
 import pytest
 
 from laurelwind.coordination import rollouts
-from laurelwind.coordination.rollouts import Outcome, RolloutBook
+from laurelwind.coordination.rollouts import RolloutBook
+from laurelwind.coordination.verdicts import Outcome
 from laurelwind.state.rollouts import (
     RolloutOrder,
     RolloutReport,
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -4,9 +4,11 @@
 import orjson
 import pytest
 
+from laurelwind.coordination import reading
 from laurelwind.coordination import tracker as tracking
-from laurelwind.coordination.rollouts import Outcome, RolloutBook
+from laurelwind.coordination.rollouts import RolloutBook
 from laurelwind.coordination.tracker import Tracker, TrackerParts
+from laurelwind.coordination.verdicts import Outcome
 from laurelwind.errors import ErrorKind, PlatformError
 from laurelwind.platform.documents import PlatformDocuments
 from laurelwind.protocol.keyed import (
@@ -148,7 +150,7 @@
 def _short_periods(monkeypatch):
     monkeypatch.setattr(tracking, 'STATUS_PERIOD_S', 0.02)
     monkeypatch.setattr(tracking, 'MEMBER_PERIOD_S', 0.02)
-    monkeypatch.setattr(tracking, 'LONGEST_PAUSE_S', 0.05)
+    monkeypatch.setattr(reading, 'LONGEST_PAUSE_S', 0.05)
     monkeypatch.setattr(tracking, 'ENDPOINT_PAUSE_S', 0.01)
 
 
