--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -1,6 +1,5 @@
 """Passes an endpoint's answer on to the caller."""
 
-import abc
 from typing import Final
 
 import anyio
@@ -20,7 +19,7 @@
     RunState,
 )
 from laurelwind.protocol.event_stream import EventSplitter
-from laurelwind.protocol.exchanges import AnswerHead, HeaderPairs
+from laurelwind.protocol.exchanges import AnswerHead, CallerAnswer
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.state.load import read_clock
 
@@ -42,37 +41,6 @@
 _SERVER_ERROR: Final = 500
 
 
-class CallerAnswer(abc.ABC):
-    """The answer to one caller."""
-
-    has_begun: bool = False
-
-    @abc.abstractmethod
-    async def begin(
-        self, status: int, headers: HeaderPairs, length: int | None
-    ) -> None:
-        """Send the head.
-
-        :param status: HTTP status code.
-        :param headers: headers besides the framing.
-        :param length: length of the body, or ``None`` where it streams.
-        """
-
-    @abc.abstractmethod
-    async def send(self, chunk: bytes) -> None:
-        """Send a part of the body.
-
-        :param chunk: its bytes.
-        """
-
-    @abc.abstractmethod
-    async def finish(self, chunk: bytes = b'') -> None:
-        """Send the last part of the body.
-
-        :param chunk: its bytes.
-        """
-
-
 class AnswerDoubtedError(Exception):
     """The model doubts its own answer, and a larger one may do better."""
 
--- a/laurelwind/coordination/reading.py
+++ b/laurelwind/coordination/reading.py
@@ -5,7 +5,10 @@
 
 import anyio
 
+from laurelwind.decisions import DecisionLog
+from laurelwind.errors import PlatformError
 from laurelwind.protocol.keyed import Batch, HistoryLostError, KeyedStore, Topic
+from laurelwind.state.load import read_clock
 
 FIRST_PAUSE_S: Final = 0.05
 LONGEST_PAUSE_S: Final = 0.6
@@ -51,3 +54,43 @@
                 batch = await self._store.read_newest(self._topic)
         self._offset = batch.next_offset
         return batch
+
+
+class ReaderHealth:
+    """Knows which readers of the store fail, and since when.
+
+    :param log: where decisions are written.
+    """
+
+    def __init__(self, *, log: DecisionLog) -> None:
+        self._log = log
+        self._lost: set[str] = set()
+        self._troubled_at: dict[str, float] = {}
+
+    def find_trouble(self, reader: str) -> float:
+        """Give the last moment at which a reader had failed.
+
+        :param reader: name of the reader.
+        """
+        return self._troubled_at.get(reader, float('-inf'))
+
+    def note_lost(self, reader: str, error: PlatformError) -> None:
+        """Note that a reader failed.
+
+        :param reader: name of the reader.
+        :param error: why.
+        """
+        self._troubled_at[reader] = read_clock()
+        if reader not in self._lost:
+            self._lost.add(reader)
+            self._log.warning('store_lost', reader=reader, reason=error.message)
+
+    def note_regained(self, reader: str) -> None:
+        """Note that a reader succeeded.
+
+        :param reader: name of the reader.
+        """
+        if reader in self._lost:
+            self._lost.remove(reader)
+            self._troubled_at[reader] = read_clock()
+            self._log.warning('store_regained', reader=reader)
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -3,11 +3,7 @@
 import anyio
 from attrs import frozen
 
-from laurelwind.coordination.delivery import (
-    AnswerDoubtedError,
-    CallerAnswer,
-    Delivery,
-)
+from laurelwind.coordination.delivery import AnswerDoubtedError, Delivery
 from laurelwind.coordination.jobs import Attempt, Job
 from laurelwind.coordination.placement import Placement
 from laurelwind.coordination.sending import COME_BACK_S, Sender
@@ -23,7 +19,7 @@
     LaurelwindError,
     RunState,
 )
-from laurelwind.protocol.exchanges import RelayRequest
+from laurelwind.protocol.exchanges import CallerAnswer, RelayRequest
 from laurelwind.state.leases import FreshnessLease
 
 
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -7,8 +7,9 @@
 from anyio.abc import TaskGroup
 from attrs import frozen
 
-from laurelwind.coordination.reading import Pause, TopicReader
+from laurelwind.coordination.reading import Pause, ReaderHealth, TopicReader
 from laurelwind.coordination.rollouts import RolloutBook
+from laurelwind.coordination.statuses import StatusExchange, StatusParts
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ConfigurationError, PlatformError
 from laurelwind.protocol.documents import DocumentCodec, DocumentKind
@@ -39,11 +40,6 @@
 # under the two seconds in which a leaving endpoint must get no more work.
 LONGEST_HOLD_S: Final = 1.4
 ENDPOINTS: Final = 'endpoints'
-STATUS_PERIOD_S: Final = 0.9
-# The same while no version is tried yet.
-CALM_PERIOD_S: Final = 2.0
-# Tries to write a status while others write too, before the next period.
-STATUS_TRIES: Final = 4
 MEMBER_PERIOD_S: Final = 0.8
 
 
@@ -85,11 +81,19 @@
         self._own = own
         self._parts = parts
         self._listeners: list[Callable[[], None]] = []
-        self._troubled_at = float('-inf')
-        self._is_store_lost: dict[str, bool] = {}
+        self._health = ReaderHealth(log=parts.log)
         self._has_left = False
-        self._rejected = anyio.Event()
-        parts.rollouts.add_listener(self._note_rejection)
+        self._statuses = StatusExchange(
+            own=own,
+            parts=StatusParts(
+                store=parts.store,
+                documents=parts.documents,
+                rollouts=parts.rollouts,
+                log=parts.log,
+                list_members=lambda: self.members,
+            ),
+            health=self._health,
+        )
         self.table: RoutingTable | None = None
         self.members: tuple[ListedInstance, ...] = (own,)
         self.has_endpoints = False
@@ -117,7 +121,7 @@
         """
         group.start_soon(self._follow_operators)
         group.start_soon(self._follow_endpoints)
-        group.start_soon(self._follow_statuses)
+        self._statuses.start(group)
         group.start_soon(self._follow_members)
 
     async def leave(self) -> None:
@@ -136,11 +140,11 @@
             try:
                 batch = await reader.read(wait_s=OPERATOR_WAIT_S)
             except PlatformError as error:
-                self._note_lost('operators', error)
+                self._health.note_lost('operators', error)
                 await pause.wait()
                 continue
             pause.reset()
-            self._note_regained('operators')
+            self._health.note_regained('operators')
             for record in batch.records:
                 self._take_operator_record(record)
             self._parts.lease.renew(begun_at)
@@ -183,11 +187,11 @@
             try:
                 batch = await reader.read(wait_s=wait_s)
             except PlatformError as error:
-                self._note_lost(ENDPOINTS, error)
+                self._health.note_lost(ENDPOINTS, error)
                 await pause.wait()
                 continue
             pause.reset()
-            self._note_regained(ENDPOINTS)
+            self._health.note_regained(ENDPOINTS)
             self._take_endpoints(batch, is_whole=reader.was_whole)
             self.has_endpoints = True
             if batch.records and not self._parts.directory.has_lapsed:
@@ -237,91 +241,9 @@
         # Records that lapsed during an outage are back by then, if their
         # endpoints live; a later removal means that the endpoint is leaving.
         now = read_clock()
-        limit = self._troubled_at + LAPSE_GRACE_S
+        limit = self._health.find_trouble(ENDPOINTS) + LAPSE_GRACE_S
         return min(limit, now + LONGEST_HOLD_S) if limit > now else None
 
-    async def _follow_statuses(self) -> None:
-        reader = TopicReader(store=self._parts.store, topic=Topic.STATUS)
-        pause = Pause()
-        while True:
-            if not self._parts.rollouts.has_unsettled:
-                await anyio.sleep(STATUS_PERIOD_S)
-                continue
-            try:
-                self._rejected = anyio.Event()
-                await self._exchange_statuses(reader)
-            except PlatformError as error:
-                self._note_lost('statuses', error)
-                await pause.wait()
-                continue
-            pause.reset()
-            self._note_regained('statuses')
-            is_trying = self._parts.rollouts.is_trying
-            period_s = STATUS_PERIOD_S if is_trying else CALM_PERIOD_S
-            with anyio.move_on_after(period_s):
-                await self._rejected.wait()
-
-    async def _exchange_statuses(self, reader: TopicReader) -> None:
-        for _ in range(STATUS_TRIES):
-            batch = await reader.read()
-            for record in batch.records:
-                self._take_status_record(record)
-            self._parts.rollouts.note_read()
-            if await self._write_statuses(batch.next_offset):
-                break
-        await self._write_reports()
-
-    def _take_status_record(self, record: KeyedRecord) -> None:
-        if record.body is None:
-            return
-        documents = self._parts.documents
-        rollouts = self._parts.rollouts
-        kind = documents.tell_kind(Topic.STATUS, record.key)
-        try:
-            if kind is DocumentKind.ROLLOUT_STATUS:
-                rollouts.take_status(
-                    *documents.decode_status(record.key, record.body)
-                )
-            elif kind is DocumentKind.ROLLOUT_REPORT:
-                rollouts.take_report(
-                    *documents.decode_report(record.key, record.body)
-                )
-        except ConfigurationError as error:
-            self._parts.log.warning(
-                'document_unreadable', key=record.key, reason=error.message
-            )
-
-    async def _write_reports(self) -> None:
-        documents = self._parts.documents
-        rollouts = self._parts.rollouts
-        for service, report in rollouts.list_reports(self._find_rank()):
-            key, body = documents.encode_report(service, self._own.name, report)
-            await self._parts.store.write(Topic.STATUS, key, body)
-
-    async def _write_statuses(self, end: int) -> bool:
-        """Write what is due; false where others wrote meanwhile."""
-        rollouts = self._parts.rollouts
-        for service, status in rollouts.list_statuses(self._find_rank()):
-            key, body = self._parts.documents.encode_status(service, status)
-            is_written = await self._parts.store.write(
-                Topic.STATUS, key, body, expected_end=end
-            )
-            self._parts.log.warning(
-                'rollout_status_written',
-                service=service,
-                target=status.target,
-                state=status.state,
-                is_written=is_written,
-            )
-            if not is_written:
-                return False
-            end += 1
-            rollouts.take_status(service, status)
-        return True
-
-    def _find_rank(self) -> int:
-        return self.members.index(self._own)
-
     async def _follow_members(self) -> None:
         known = -1
         pause = Pause()
@@ -333,11 +255,11 @@
                     self._take_members(found, generation)
                     known = generation
             except PlatformError as error:
-                self._note_lost('members', error)
+                self._health.note_lost('members', error)
                 await pause.wait()
                 continue
             pause.reset()
-            self._note_regained('members')
+            self._health.note_regained('members')
             await anyio.sleep(MEMBER_PERIOD_S)
 
     def _take_members(
@@ -353,22 +275,3 @@
                 members=[member.name for member in members],
             )
         self.members = members
-
-    def _note_rejection(self) -> None:
-        self._rejected.set()
-
-    def _note_lost(self, reader: str, error: PlatformError) -> None:
-        if reader == ENDPOINTS:
-            self._troubled_at = read_clock()
-        if not self._is_store_lost.get(reader, False):
-            self._is_store_lost[reader] = True
-            self._parts.log.warning(
-                'store_lost', reader=reader, reason=error.message
-            )
-
-    def _note_regained(self, reader: str) -> None:
-        if self._is_store_lost.get(reader, False):
-            self._is_store_lost[reader] = False
-            if reader == ENDPOINTS:
-                self._troubled_at = read_clock()
-            self._parts.log.warning('store_regained', reader=reader)
--- a/laurelwind/protocol/exchanges.py
+++ b/laurelwind/protocol/exchanges.py
@@ -170,6 +170,37 @@
         """
 
 
+class CallerAnswer(abc.ABC):
+    """The answer to one caller."""
+
+    has_begun: bool = False
+
+    @abc.abstractmethod
+    async def begin(
+        self, status: int, headers: HeaderPairs, length: int | None
+    ) -> None:
+        """Send the head.
+
+        :param status: HTTP status code.
+        :param headers: headers besides the framing.
+        :param length: length of the body, or ``None`` where it streams.
+        """
+
+    @abc.abstractmethod
+    async def send(self, chunk: bytes) -> None:
+        """Send a part of the body.
+
+        :param chunk: its bytes.
+        """
+
+    @abc.abstractmethod
+    async def finish(self, chunk: bytes = b'') -> None:
+        """Send the last part of the body.
+
+        :param chunk: its bytes.
+        """
+
+
 class HeaderCodec(abc.ABC):
     """Translates headers from and to the names that the outside uses."""
 
--- a/laurelwind/transport/relay_application.py
+++ b/laurelwind/transport/relay_application.py
@@ -6,11 +6,15 @@
 import anyio
 from starlette.types import Receive, Scope, Send
 
-from laurelwind.coordination.delivery import CallerAnswer
 from laurelwind.coordination.relay import Relay
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import CapacityError, ErrorKind, LaurelwindError
-from laurelwind.protocol.exchanges import HeaderCodec, HeaderPairs, RelayRequest
+from laurelwind.protocol.exchanges import (
+    CallerAnswer,
+    HeaderCodec,
+    HeaderPairs,
+    RelayRequest,
+)
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.state.load import read_clock
 from laurelwind.transport.exchange import Exchange
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -6,11 +6,7 @@
 from attrs import define, field
 
 from laurelwind.coordination.budgets import RetryWindows
-from laurelwind.coordination.delivery import (
-    CallerAnswer,
-    Delivery,
-    DeliveryParts,
-)
+from laurelwind.coordination.delivery import Delivery, DeliveryParts
 from laurelwind.coordination.placement import Placement
 from laurelwind.coordination.relay import Relay, RelayParts
 from laurelwind.coordination.rollouts import RolloutBook
@@ -20,6 +16,7 @@
 from laurelwind.errors import EndpointError, ErrorKind, RunState
 from laurelwind.protocol.exchanges import (
     AnswerHead,
+    CallerAnswer,
     EndpointExchange,
     EndpointGateway,
     PromptPart,
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -4,7 +4,7 @@
 import orjson
 import pytest
 
-from laurelwind.coordination import reading
+from laurelwind.coordination import reading, statuses
 from laurelwind.coordination import tracker as tracking
 from laurelwind.coordination.rollouts import RolloutBook
 from laurelwind.coordination.tracker import Tracker, TrackerParts
@@ -148,7 +148,7 @@
 
 @pytest.fixture(autouse=True)
 def _short_periods(monkeypatch):
-    monkeypatch.setattr(tracking, 'STATUS_PERIOD_S', 0.02)
+    monkeypatch.setattr(statuses, 'STATUS_PERIOD_S', 0.02)
     monkeypatch.setattr(tracking, 'MEMBER_PERIOD_S', 0.02)
     monkeypatch.setattr(reading, 'LONGEST_PAUSE_S', 0.05)
     monkeypatch.setattr(tracking, 'ENDPOINT_PAUSE_S', 0.01)
