Confirm by a read before a route or key is denied

Change: one read without a wait, for all denials of the next 1.8 s together; a key that was added meanwhile is found.

--- a/laurelwind/cli/explain.py
+++ b/laurelwind/cli/explain.py
@@ -71,7 +71,8 @@
         for name, found in line.items()
         if name not in _SHOWN_FIRST
     )
-    return f'{after:+9.3f} s {line["daemon"]} {line["event"]} {fields}'
+    words = (format(after, '+9.3f'), 's', line['daemon'], line['event'], fields)
+    return ' '.join(words)
 
 
 class ExplainCommand(BaseCommand):
--- a/laurelwind/coordination/reading.py
+++ b/laurelwind/coordination/reading.py
@@ -39,6 +39,15 @@
         self._offset: int | None = None
         self.was_whole = False
 
+    async def peek(self) -> Batch:
+        """Read what is new without passing it.
+
+        :raises HistoryLostError: when it is not known from where.
+        """
+        if self._offset is None:
+            raise HistoryLostError
+        return await self._store.read_after(self._topic, self._offset)
+
     async def read(self, *, wait_s: float = 0) -> Batch:
         """Read what is new."""
         self.was_whole = self._offset is None
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -21,6 +21,7 @@
 )
 from laurelwind.protocol.exchanges import CallerAnswer, RelayRequest
 from laurelwind.state.leases import FreshnessLease
+from laurelwind.state.routes import Route, Workspace
 
 
 @frozen(kw_only=True)
@@ -70,7 +71,7 @@
         """
         self.in_flight += 1
         try:
-            await self._serve(self._admit(request, arrived_at), answer)
+            await self._serve(await self._admit(request, arrived_at), answer)
         finally:
             self.in_flight -= 1
 
@@ -99,54 +100,70 @@
             ErrorKind.NO_ENDPOINT, 'no endpoint was free in time'
         )
 
-    def _admit(self, request: RelayRequest, arrived_at: float) -> Job:
-        parts = self._parts
-        table = parts.tracker.table
+    async def _admit(self, request: RelayRequest, arrived_at: float) -> Job:
+        found = self._look_up(request)
+        if isinstance(found, ErrorKind):
+            # Only knowledge that is certainly the newest may say that
+            # something does not exist.
+            if not await self._parts.tracker.confirm():
+                raise CapacityError(
+                    ErrorKind.NOT_READY,
+                    'the routing table may have changed',
+                    retry_after_s=COME_BACK_S,
+                )
+            found = self._look_up(request)
+        if isinstance(found, ErrorKind):
+            raise CallerError(found, 'no such route or key is in force')
+        return self._build_job(request, found, arrived_at)
+
+    def _look_up(
+        self, request: RelayRequest
+    ) -> tuple[Route, Workspace | None] | ErrorKind:
+        table = self._parts.tracker.table
         if table is None:
             raise CapacityError(
                 ErrorKind.NOT_READY,
                 'no routing table has been read yet',
                 retry_after_s=COME_BACK_S,
             )
-        if not parts.lease.is_valid:
+        if not self._parts.lease.is_valid:
+            age = round(self._parts.lease.age_s, 1)
             raise CapacityError(
                 ErrorKind.NOT_READY,
-                'the routing table was last known to be the newest '
-                f'{parts.lease.age_s:.1f} s ago',
+                f'the routing table was known to be the newest {age} s ago',
                 retry_after_s=COME_BACK_S,
             )
         route = table.find_route(request.host, request.path)
         if route is None:
-            raise self._explain_unknown(ErrorKind.ROUTE_UNKNOWN)
+            return ErrorKind.ROUTE_UNKNOWN
+        if route.is_public:
+            return route, None
         workspace = table.workspaces.get(request.key)
-        if workspace is None and table.requires_key and not route.is_public:
-            raise self._explain_unknown(ErrorKind.KEY_UNKNOWN)
+        if workspace is None and table.requires_key:
+            return ErrorKind.KEY_UNKNOWN
+        return route, workspace
+
+    def _build_job(
+        self,
+        request: RelayRequest,
+        found: tuple[Route, Workspace | None],
+        arrived_at: float,
+    ) -> Job:
+        route, workspace = found
         timeout_s = route.timeout_s
         if request.deadline_s is not None:
             timeout_s = min(timeout_s, request.deadline_s)
         return Job(
             request=request,
             route=route,
-            workspace=None if route.is_public else workspace,
+            workspace=workspace,
             service=route.choose_service(request.session or request.request_id),
             arrived_at=arrived_at,
             deadline_at=arrived_at + timeout_s,
-            models=parts.planner.plan(route),
+            models=self._parts.planner.plan(route),
             last_event_id=request.last_event_id,
         )
 
-    def _explain_unknown(self, kind: ErrorKind) -> LaurelwindError:
-        # Only knowledge that is certainly the newest may say that something
-        # does not exist; older knowledge may not have seen it yet.
-        parts = self._parts
-        if parts.lease.age_s > parts.tracker.denial_age_s:
-            return CapacityError(
-                ErrorKind.NOT_READY,
-                'the routing table may have changed',
-                retry_after_s=COME_BACK_S,
-            )
-        return CallerError(kind, 'no route or no key of this kind is in force')
-
     async def _attempt_until_answered(
         self, job: Job, answer: CallerAnswer
     ) -> None:
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -15,6 +15,7 @@
 from laurelwind.protocol.documents import DocumentCodec, DocumentKind
 from laurelwind.protocol.keyed import (
     Batch,
+    HistoryLostError,
     KeyedRecord,
     KeyedStore,
     MemberGroup,
@@ -33,6 +34,8 @@
 # this long where a lapsed record is about to be dropped.
 ENDPOINT_WAIT_S: Final = 2.5
 LAPSED_WAIT_S: Final = 0.2
+# Longest time that a denial waits for the newest table.
+CONFIRM_S: Final = 0.5
 # Pause after a read that found changes, so that many endpoints that change one
 # after the other do not wake every daemon of the fleet for each of them.
 ENDPOINT_PAUSE_S: Final = 0.6
@@ -83,6 +86,8 @@
         self._listeners: list[Callable[[], None]] = []
         self._health = ReaderHealth(log=parts.log)
         self._has_left = False
+        self._confirming = anyio.Lock()
+        self._operators = TopicReader(store=parts.store, topic=Topic.OPERATORS)
         self._statuses = StatusExchange(
             own=own,
             parts=StatusParts(
@@ -124,6 +129,31 @@
         self._statuses.start(group)
         group.start_soon(self._follow_members)
 
+    async def confirm(self) -> bool:
+        """Make sure that the table is the newest, reading it if need be.
+
+        At most one read goes out in each time that an answer holds.
+        """
+        lease = self._parts.lease
+        async with self._confirming:
+            if lease.age_s <= self.denial_age_s:
+                return True
+            begun_at = lease.read_clock()
+            with anyio.move_on_after(CONFIRM_S):
+                return await self._confirm(begun_at)
+            return False
+
+    async def _confirm(self, begun_at: float) -> bool:
+        try:
+            batch = await self._operators.peek()
+        except (PlatformError, HistoryLostError) as error:
+            self._parts.log.note('not_confirmed', reason=str(error))
+            return False
+        for record in batch.records:
+            self._take_operator_record(record)
+        self._parts.lease.renew(begun_at)
+        return True
+
     async def leave(self) -> None:
         """Tell the others that this daemon takes no more callers."""
         self._has_left = True
@@ -133,12 +163,11 @@
             self._parts.log.warning('group_not_left', reason=error.message)
 
     async def _follow_operators(self) -> None:
-        reader = TopicReader(store=self._parts.store, topic=Topic.OPERATORS)
         pause = Pause()
         while True:
             begun_at = self._parts.lease.read_clock()
             try:
-                batch = await reader.read(wait_s=OPERATOR_WAIT_S)
+                batch = await self._operators.read(wait_s=OPERATOR_WAIT_S)
             except PlatformError as error:
                 self._health.note_lost('operators', error)
                 await pause.wait()
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -114,7 +114,12 @@
 @define
 class FakeTracker:
     table: object
-    denial_age_s: float = 1.8
+    is_newest: bool = True
+    next_table: object = None
+
+    async def confirm(self):
+        self.table = self.next_table or self.table
+        return self.is_newest
 
 
 @define
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,7 +10,8 @@
     RunState,
 )
 from laurelwind.protocol.exchanges import AnswerHead
-from tests.relay_helpers import Script, World, broken, request
+from laurelwind.state.routes import Workspace
+from tests.relay_helpers import Script, World, broken, request, table
 
 pytestmark = pytest.mark.anyio
 
@@ -159,12 +160,21 @@
     with pytest.raises(CallerError) as caught:
         await world.serve(request('book', key='other'))
     assert caught.value.status == 401
-    world.tracker.denial_age_s = -1
+    world.tracker.is_newest = False
     with pytest.raises(CapacityError) as later:
         await world.serve(request('book', key='other'))
     assert later.value.status == 503
 
 
+async def test_a_key_that_was_just_added_is_found_before_it_is_denied():
+    world = World(WHOLE)
+    world.tracker.next_table = table(
+        2, workspaces={'new-key': Workspace(name='benches')}
+    )
+    assert (await world.serve(request('book', key='new-key'))).is_whole
+    assert world.gateway.sent[0].workspace == 'benches'
+
+
 async def test_an_unknown_route_is_denied():
     with pytest.raises(CallerError) as caught:
         await World().serve(request('nowhere'))
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -328,6 +328,21 @@
     await run(check)
 
 
+async def test_a_denial_is_confirmed_by_one_read_for_many():
+    async def check(world, store):
+        store.put(Topic.OPERATORS, 'config', config(1))
+        await wait_until(lambda: world.tracker.is_ready)
+        assert await world.tracker.confirm()
+        world.tracker.denial_age_s = -1
+        store.put(Topic.OPERATORS, 'config', config(2))
+        assert await world.tracker.confirm()
+        assert world.version == 2
+        store.is_down = True
+        assert not await world.tracker.confirm()
+
+    await run(check)
+
+
 async def test_a_daemon_that_left_joins_no_more():
     async def check(world, store):
         await world.tracker.leave()
