--- a/laurelwind/platform/store.py
+++ b/laurelwind/platform/store.py
@@ -27,7 +27,12 @@
     Topic.ENDPOINTS: 'keyed.servers',
     Topic.STATUS: 'keyed.status',
 }
-_MEMBER_TOPICS: Final = tuple(f'laurelwind.members.{part}' for part in range(4))
+# Topics of the members' group.  A member is listed once it holds a partition;
+# with the platform's 24 partitions a topic, this many serve 384 members.
+_MEMBER_TOPIC_COUNT: Final = 16
+_MEMBER_TOPICS: Final = tuple(
+    f'laurelwind.members.{part}' for part in range(_MEMBER_TOPIC_COUNT)
+)
 # A member's name holds its addresses for callers and peers, and its zone.
 _SEPARATOR: Final = '|'
 _MEMBER_WORDS: Final = 3
