Let no lease be renewed over a table that cannot be read

Found on reading: an undecodable table left the one before in force while each read renewed the lease, so keys that it takes away would have lived on. Change: the lease is renewed only while the newest table could be read; a test fails before.

--- a/laurelwind/coordination/rollouts.py
+++ b/laurelwind/coordination/rollouts.py
@@ -54,7 +54,6 @@
     seen_at: float
     state: RolloutState | None = None
     own: dict[str, Tally] = field(factory=dict)
-    bad_endpoints: set[str] = field(factory=set)
     reports: dict[str, RolloutReport] = field(factory=dict)
     reported: dict[str, Tally] = field(factory=dict)
     old_tally: Tally = field(factory=Tally)
@@ -251,7 +250,6 @@
         before = found.own.get(outcome.route, Tally())
         found.own[outcome.route] = before.add(tally)
         if tally.bad:
-            found.bad_endpoints.add(outcome.endpoint)
             self._judge(endpoint.service, found)
 
     def list_reports(self, rank: int) -> Iterator[tuple[str, RolloutReport]]:
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -22,7 +22,11 @@
     Topic,
 )
 from laurelwind.protocol.platform import ListedInstance
-from laurelwind.state.directory import LAPSE_GRACE_S, EndpointDirectory
+from laurelwind.state.directory import (
+    LAPSE_GRACE_S,
+    EndpointDirectory,
+    EndpointRecord,
+)
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.state.load import read_clock
 from laurelwind.state.routes import RoutingTable
@@ -86,6 +90,7 @@
         self._listeners: list[Callable[[], None]] = []
         self._health = ReaderHealth(log=parts.log)
         self._has_left = False
+        self._is_table_unreadable = False
         self._confirming = anyio.Lock()
         self._operators = TopicReader(store=parts.store, topic=Topic.OPERATORS)
         self._statuses = StatusExchange(
@@ -149,10 +154,7 @@
         except (PlatformError, HistoryLostError) as error:
             self._parts.log.note('not_confirmed', reason=str(error))
             return False
-        for record in batch.records:
-            self._take_operator_record(record)
-        self._parts.lease.renew(begun_at)
-        return True
+        return self._take_operator_batch(batch, begun_at)
 
     async def leave(self) -> None:
         """Tell the others that this daemon takes no more callers."""
@@ -174,9 +176,17 @@
                 continue
             pause.reset()
             self._health.note_regained('operators')
-            for record in batch.records:
-                self._take_operator_record(record)
-            self._parts.lease.renew(begun_at)
+            self._take_operator_batch(batch, begun_at)
+
+    def _take_operator_batch(self, batch: Batch, begun_at: float) -> bool:
+        for record in batch.records:
+            self._take_operator_record(record)
+        # The table in force is older than one that cannot be read, and must
+        # not pass for the newest.
+        if self._is_table_unreadable:
+            return False
+        self._parts.lease.renew(begun_at)
+        return True
 
     def _take_operator_record(self, record: KeyedRecord) -> None:
         if record.body is None:
@@ -190,11 +200,14 @@
                 order = documents.decode_order(record.body)
                 self._parts.rollouts.take_order(order)
         except ConfigurationError as error:
+            if kind is DocumentKind.ROUTING_TABLE:
+                self._is_table_unreadable = True
             self._parts.log.warning(
                 'document_unreadable', key=record.key, reason=error.message
             )
 
     def _take_table(self, table: RoutingTable, record: KeyedRecord) -> None:
+        self._is_table_unreadable = False
         if self.table is not None and table.version <= self.table.version:
             return
         before = None if self.table is None else self.table.version
@@ -253,7 +266,7 @@
             for listener in self._listeners:
                 listener()
 
-    def _decode_endpoint(self, record: KeyedRecord):  # type: ignore[no-untyped-def]
+    def _decode_endpoint(self, record: KeyedRecord) -> EndpointRecord | None:
         if record.body is None:
             return None
         try:
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -186,6 +186,19 @@
     await run(check)
 
 
+async def test_a_table_that_cannot_be_read_ends_the_lease():
+    async def check(world, store):
+        store.put(Topic.OPERATORS, 'config', config(1))
+        await wait_until(lambda: world.tracker.is_ready)
+        store.put(Topic.OPERATORS, 'config', {'version': 2, 'routes': [{}]})
+        await wait_until(lambda: not world.lease.is_valid)
+        assert world.version == 1
+        store.put(Topic.OPERATORS, 'config', config(3))
+        await wait_until(lambda: world.tracker.is_ready)
+
+    await run(check)
+
+
 async def test_a_lost_history_is_made_up_from_the_newest_records():
     async def check(world, store):
         store.put(Topic.OPERATORS, 'config', config(1))
