--- a/laurelwind/cli/application.py
+++ b/laurelwind/cli/application.py
@@ -11,6 +11,7 @@
     ShowCommand,
 )
 from laurelwind.cli.demo import DemoCommand
+from laurelwind.cli.explain import ExplainCommand
 from laurelwind.cli.overview import (
     EntriesCommand,
     PeersCommand,
@@ -44,6 +45,7 @@
         EntriesCommand,
         PeersCommand,
         TraceCommand,
+        ExplainCommand,
         DemoCommand,
     ):
         application.add(command())
--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -20,6 +20,7 @@
 )
 from laurelwind.protocol.event_stream import EventSplitter
 from laurelwind.protocol.exchanges import AnswerHead, HeaderPairs
+from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.state.load import read_clock
 
 # Answers up to this size are read whole before anything is passed on, so
@@ -83,6 +84,7 @@
     :ivar placement: remembers how endpoints did.
     :ivar rollouts: counts what versions did.
     :ivar planner: decides which answers are kept.
+    :ivar metrics: where latencies are counted.
     :ivar log: where decisions are written.
     """
 
@@ -90,6 +92,7 @@
     placement: Placement
     rollouts: RolloutBook
     planner: ModelPlanner
+    metrics: RelayMetrics
     log: DecisionLog
 
 
@@ -257,6 +260,12 @@
             ) from None
 
     def _log_answered(self, job: Job, attempt: Attempt, status: int) -> None:
+        metrics = self._parts.metrics
+        metrics.answers.labels(job.route.name).observe(job.elapsed_s)
+        metrics.attempts.observe(job.attempts)
+        if job.events:
+            metrics.first_events.observe(job.first_at - job.arrived_at)
+            metrics.gaps.observe(job.longest_gap_s)
         self._parts.log.note(
             'answered',
             request=job.request.request_id,
--- a/laurelwind/coordination/jobs.py
+++ b/laurelwind/coordination/jobs.py
@@ -64,10 +64,15 @@
         """Seconds until its final answer is due."""
         return self.deadline_at - read_clock()
 
+    @property
+    def elapsed_s(self) -> float:
+        """Seconds since it arrived."""
+        return read_clock() - self.arrived_at
+
     @property
     def elapsed_ms(self) -> int:
         """Milliseconds since it arrived."""
-        return round((read_clock() - self.arrived_at) * _MS_PER_S)
+        return round(self.elapsed_s * _MS_PER_S)
 
     @property
     def first_ms(self) -> int | None:
--- a/laurelwind/decisions.py
+++ b/laurelwind/decisions.py
@@ -2,7 +2,7 @@
 
 import os
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 import orjson
@@ -24,11 +24,17 @@
 
     :param daemon: name of the daemon, on every line.
     :param descriptor: where lines go.
+    :param count: counts each decision, whether its line goes out or not.
     """
 
     def __init__(
-        self, *, daemon: str = '', descriptor: int = _STANDARD_OUTPUT
+        self,
+        *,
+        daemon: str = '',
+        descriptor: int = _STANDARD_OUTPUT,
+        count: Callable[[str], None] | None = None,
     ) -> None:
+        self._count = count
         self._daemon = daemon
         self._descriptor = descriptor
         self._tokens = BURST_LINES
@@ -46,8 +52,7 @@
         :param event: what was decided.
         :param fields: its inputs, their age, and the outcome; never a key.
         """
-        if self._take(RESERVED_LINES):
-            self._write(event, fields)
+        self._write(event, fields, RESERVED_LINES)
 
     def warning(self, event: str, /, **fields: Any) -> None:
         """Write a line about a failure, a refusal or a changed belief.
@@ -55,8 +60,7 @@
         :param event: what happened.
         :param fields: its inputs, their age, and the outcome; never a key.
         """
-        if self._take(0):
-            self._write(event, fields)
+        self._write(event, fields, 0)
 
     def _take(self, reserved: float) -> bool:
         now = time.monotonic()
@@ -69,7 +73,13 @@
         self._tokens -= 1
         return True
 
-    def _write(self, event: str, fields: Mapping[str, Any]) -> None:
+    def _write(
+        self, event: str, fields: Mapping[str, Any], reserved: float
+    ) -> None:
+        if self._count is not None:
+            self._count(event)
+        if not self._take(reserved):
+            return
         line: dict[str, Any] = {
             'time': round(time.time(), 3),
             'daemon': self._daemon,
--- a/laurelwind/platform/__main__.py
+++ b/laurelwind/platform/__main__.py
@@ -59,7 +59,9 @@
             list_addresses=lambda _: daemon.list_entries(),
             life_s=min(ADDRESSES_LIFE_S, daemon.settings.bounds.entries_life_s),
         ),
-        listen.metrics: prometheus_client.make_asgi_app(),
+        listen.metrics: prometheus_client.make_asgi_app(
+            registry=daemon.metrics.registry
+        ),
     }
 
 
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -23,6 +23,7 @@
 from laurelwind.protocol.exchanges import HeaderCodec
 from laurelwind.protocol.keyed import KeyedStore, MemberGroup
 from laurelwind.protocol.platform import ListedInstance
+from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.relay_settings import RelaySettings
 from laurelwind.state.directory import EndpointDirectory
 from laurelwind.state.leases import FreshnessLease
@@ -72,7 +73,11 @@
     def __init__(self, *, settings: RelaySettings, edges: RelayEdges) -> None:
         bounds = settings.bounds
         self.settings = settings
-        self.log = DecisionLog(daemon=settings.daemon.name)
+        self.metrics = RelayMetrics()
+        self.log = DecisionLog(
+            daemon=settings.daemon.name,
+            count=lambda event: self.metrics.decisions.labels(event).inc(),
+        )
         self.lease = FreshnessLease(
             duration_s=bounds.revocation_s * LEASE_SHARE
         )
@@ -109,8 +114,10 @@
             relay=self.relay,
             codec=edges.headers,
             log=self.log,
+            metrics=self.metrics,
             read_body_limit=self._read_body_limit,
         )
+        self._watch()
         self._servers: list[HttpServer] = []
 
     @property
@@ -207,6 +214,7 @@
                         placement=self.placement,
                         rollouts=self.rollouts,
                         planner=planner,
+                        metrics=self.metrics,
                         log=self.log,
                     )
                 ),
@@ -235,6 +243,34 @@
             )
         )
 
+    def _watch(self) -> None:
+        watch = self.metrics.watch
+        watch(
+            'laurelwind_in_flight',
+            'Requests being served now.',
+            lambda: self.relay.in_flight,
+        )
+        watch(
+            'laurelwind_table_age_seconds',
+            'Seconds since the routing table was known to be the newest.',
+            lambda: self.lease.age_s,
+        )
+        watch(
+            'laurelwind_members',
+            'Daemons that are alive.',
+            lambda: len(self.tracker.members),
+        )
+        watch(
+            'laurelwind_endpoints_ready',
+            'Endpoints that take new work.',
+            lambda: sum(self.directory.count_ready().values()),
+        )
+        watch(
+            'laurelwind_log_lines_left_out',
+            'Log lines left out since the last one that went out.',
+            lambda: self.log.left_out,
+        )
+
     def _read_body_limit(self) -> int:
         table = self.tracker.table
         return (CallerLimits() if table is None else table.limits).body_bytes
--- /dev/null
+++ b/laurelwind/relay_metrics.py
@@ -0,0 +1,61 @@
+"""Counters and histograms of one relay daemon."""
+
+from collections.abc import Callable
+from typing import Final
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+_SECONDS: Final = (0.01, 0.03, 0.1, 0.2, 0.5, 1, 1.5, 2, 3, 5, 10, 20)
+
+
+class RelayMetrics:
+    """Everything that one relay daemon counts; labels are bounded."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.decisions = Counter(
+            'laurelwind_decisions',
+            'Decisions by event, whether their log line went out or not.',
+            ('event',),
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            'laurelwind_refusals',
+            'Requests refused or failed, by kind of error.',
+            ('kind',),
+            registry=self.registry,
+        )
+        self.answers = Histogram(
+            'laurelwind_answer_seconds',
+            'Seconds until the whole answer was passed on, by route.',
+            ('route',),
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.first_events = Histogram(
+            'laurelwind_first_event_seconds',
+            'Seconds until the first event of a stream was passed on.',
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.gaps = Histogram(
+            'laurelwind_longest_gap_seconds',
+            'Longest pause between two events of a stream.',
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.attempts = Histogram(
+            'laurelwind_attempts',
+            'Endpoints that an answered request was sent to.',
+            buckets=(1, 2, 3, 4),
+            registry=self.registry,
+        )
+
+    def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Show a number that is read when metrics are asked for.
+
+        :param name: name of the gauge.
+        :param text: what it means.
+        :param read: gives the number.
+        """
+        Gauge(name, text, registry=self.registry).set_function(read)
--- a/laurelwind/transport/relay_application.py
+++ b/laurelwind/transport/relay_application.py
@@ -11,6 +11,7 @@
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import CapacityError, ErrorKind, LaurelwindError
 from laurelwind.protocol.exchanges import HeaderCodec, HeaderPairs, RelayRequest
+from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.state.load import read_clock
 from laurelwind.transport.exchange import Exchange
 
@@ -59,6 +60,7 @@
     :param relay: serves the requests.
     :param codec: reads their headers.
     :param log: where decisions are written.
+    :param metrics: where refusals are counted.
     :param read_body_limit: gives the largest body in bytes.
     """
 
@@ -68,11 +70,13 @@
         relay: Relay,
         codec: HeaderCodec,
         log: DecisionLog,
+        metrics: RelayMetrics,
         read_body_limit: Callable[[], int],
     ) -> None:
         self._relay = relay
         self._codec = codec
         self._log = log
+        self._metrics = metrics
         self._read_body_limit = read_body_limit
         self.is_leaving = False
         self.is_closed = False
@@ -145,6 +149,7 @@
     async def _refuse(
         self, exchange: Exchange, request: RelayRequest, error: LaurelwindError
     ) -> None:
+        self._metrics.refusals.labels(error.kind).inc()
         self._log.warning(
             'refused' if error.status in {429, 503} else 'failed',
             request=request.request_id,
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -25,6 +25,7 @@
     PromptPart,
     RelayRequest,
 )
+from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.state.directory import EndpointDirectory, EndpointRecord
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.state.load import read_clock
@@ -240,6 +241,7 @@
                 placement=self.placement,
                 rollouts=self.rollouts,
                 planner=planner,
+                metrics=RelayMetrics(),
                 log=self.log,
             )
         )
