Let few daemons of a large zone read the store, and the others read from them

Ruled out: longer waits for everybody. A read proves only that the table was the newest when it began, so waits near the lease's end would stop daemons.

The age of a copy travels with it and is taken from the moment at which the question was asked, so that no delay makes a daemon believe it knows more than it does.

What is left are the readers themselves, joins, and the statuses of roll-outs, which all still read.

--- a/laurelwind/coordination/reading.py
+++ b/laurelwind/coordination/reading.py
@@ -1,13 +1,16 @@
 """Reads topics of the store on, and waits after failures."""
 
 import random
+from collections.abc import Callable
 from typing import Final
 
 import anyio
 
+from laurelwind.coordination.copies import TopicCopy
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import PlatformError
 from laurelwind.protocol.keyed import Batch, HistoryLostError, KeyedStore, Topic
+from laurelwind.state.leases import NEVER, read_boot_clock
 from laurelwind.state.load import read_clock
 
 FIRST_PAUSE_S: Final = 0.05
@@ -31,13 +34,29 @@
 
 
 class TopicReader:
-    """Reads a topic on, from its newest records where history is lost."""
+    """Reads a topic on, from its newest records where history is lost.
 
-    def __init__(self, *, store: KeyedStore, topic: Topic) -> None:
+    :param store: where it reads.
+    :param topic: what it reads.
+    :param copy: what it has read, for others, or ``None``.
+    :param clock: gives seconds, also while the machine is suspended.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: KeyedStore,
+        topic: Topic,
+        copy: TopicCopy | None = None,
+        clock: Callable[[], float] = read_boot_clock,
+    ) -> None:
         self._store = store
         self._topic = topic
+        self._copy = copy
+        self._clock = clock
         self._offset: int | None = None
         self.was_whole = False
+        self.as_of = NEVER
 
     async def peek(self) -> Batch:
         """Read what is new without passing it.
@@ -50,20 +69,26 @@
 
     async def read(self, *, wait_s: float = 0) -> Batch:
         """Read what is new."""
-        self.was_whole = self._offset is None
-        if self._offset is None:
-            batch = await self._store.read_newest(self._topic)
-        else:
-            try:
-                batch = await self._store.read_after(
-                    self._topic, self._offset, wait_s=wait_s
-                )
-            except HistoryLostError:
-                self.was_whole = True
-                batch = await self._store.read_newest(self._topic)
+        begun_at = self._clock()
+        batch = await self._read(wait_s)
         self._offset = batch.next_offset
+        self.as_of = begun_at - batch.lag_s
+        if self._copy is not None:
+            self._copy.take(batch, is_whole=self.was_whole, as_of=self.as_of)
         return batch
 
+    async def _read(self, wait_s: float) -> Batch:
+        self.was_whole = self._offset is None
+        if self._offset is None:
+            return await self._store.read_newest(self._topic)
+        try:
+            return await self._store.read_after(
+                self._topic, self._offset, wait_s=wait_s
+            )
+        except HistoryLostError:
+            self.was_whole = True
+            return await self._store.read_newest(self._topic)
+
 
 class ReaderHealth:
     """Knows which readers of the store fail, and since when.
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 from attrs import frozen
 
+from laurelwind.coordination.copies import TopicCopies, TopicCopy
 from laurelwind.coordination.reading import Pause, ReaderHealth, TopicReader
 from laurelwind.coordination.rollouts import RolloutBook
 from laurelwind.coordination.statuses import StatusExchange, StatusParts
@@ -92,7 +93,11 @@
         self._has_left = False
         self._is_table_unreadable = False
         self._confirming = anyio.Lock()
-        self._operators = TopicReader(store=parts.store, topic=Topic.OPERATORS)
+        self.copies: TopicCopies = {
+            topic: TopicCopy(clock=parts.lease.read_clock)
+            for topic in (Topic.OPERATORS, Topic.ENDPOINTS)
+        }
+        self._operators = self._build_reader(Topic.OPERATORS)
         self._statuses = StatusExchange(
             own=own,
             parts=StatusParts(
@@ -167,7 +172,6 @@
     async def _follow_operators(self) -> None:
         pause = Pause()
         while True:
-            begun_at = self._parts.lease.read_clock()
             try:
                 batch = await self._operators.read(wait_s=OPERATOR_WAIT_S)
             except PlatformError as error:
@@ -176,16 +180,24 @@
                 continue
             pause.reset()
             self._health.note_regained('operators')
-            self._take_operator_batch(batch, begun_at)
+            self._take_operator_batch(batch, self._operators.as_of)
 
-    def _take_operator_batch(self, batch: Batch, begun_at: float) -> bool:
+    def _build_reader(self, topic: Topic) -> TopicReader:
+        return TopicReader(
+            store=self._parts.store,
+            topic=topic,
+            copy=self.copies[topic],
+            clock=self._parts.lease.read_clock,
+        )
+
+    def _take_operator_batch(self, batch: Batch, as_of: float) -> bool:
         for record in batch.records:
             self._take_operator_record(record)
         # The table in force is older than one that cannot be read, and must
         # not pass for the newest.
         if self._is_table_unreadable:
             return False
-        self._parts.lease.renew(begun_at)
+        self._parts.lease.renew(as_of)
         return True
 
     def _take_operator_record(self, record: KeyedRecord) -> None:
@@ -221,7 +233,7 @@
         )
 
     async def _follow_endpoints(self) -> None:
-        reader = TopicReader(store=self._parts.store, topic=Topic.ENDPOINTS)
+        reader = self._build_reader(Topic.ENDPOINTS)
         pause = Pause()
         while True:
             has_lapsed = self._parts.directory.has_lapsed
@@ -236,7 +248,8 @@
             self._health.note_regained(ENDPOINTS)
             self._take_endpoints(batch, is_whole=reader.was_whole)
             self.has_endpoints = True
-            if batch.records and not self._parts.directory.has_lapsed:
+            is_woken = bool(batch.records) and not batch.is_copy
+            if is_woken and not self._parts.directory.has_lapsed:
                 await anyio.sleep(ENDPOINT_PAUSE_S)
 
     def _take_endpoints(self, batch: Batch, *, is_whole: bool) -> None:
--- a/laurelwind/protocol/keyed.py
+++ b/laurelwind/protocol/keyed.py
@@ -37,10 +37,15 @@
 
     :ivar records: the records.
     :ivar next_offset: where to read on.
+    :ivar lag_s: seconds before the call was begun at which the records were
+        certainly complete; negative where the call was held open since.
+    :ivar is_copy: whether another daemon gave them, not the store.
     """
 
     records: Sequence[KeyedRecord]
     next_offset: int
+    lag_s: float = 0
+    is_copy: bool = False
 
 
 class HistoryLostError(Exception):
@@ -93,6 +98,24 @@
         """
 
 
+class PeerTopics(abc.ABC):
+    """Topics as other daemons hold them."""
+
+    @abc.abstractmethod
+    async def read_after(
+        self, peer: str, topic: Topic, offset: int, *, wait_s: float
+    ) -> Batch:
+        """Read records from an offset on.
+
+        :param peer: ``host:port`` of the daemon to ask.
+        :param topic: what the records are about.
+        :param offset: where to begin.
+        :param wait_s: how long to wait for a first record.
+        :raises HistoryLostError: when it cannot tell every change since then.
+        :raises PlatformError: when it does not answer.
+        """
+
+
 class MemberGroup(abc.ABC):
     """The daemons that are alive, as the store sees them."""
 
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -11,6 +11,7 @@
 
 from laurelwind.coordination.budgets import RetryWindows
 from laurelwind.coordination.delivery import Delivery, DeliveryParts
+from laurelwind.coordination.following import FollowingStore
 from laurelwind.coordination.placement import Placement
 from laurelwind.coordination.relay import Relay, RelayParts
 from laurelwind.coordination.rollouts import RolloutBook
@@ -32,6 +33,7 @@
 from laurelwind.transport.hints import WorkHints
 from laurelwind.transport.relay_application import RelayApplication
 from laurelwind.transport.server import HttpServer
+from laurelwind.transport.topics import HttpPeerTopics, TopicApplication
 
 # Part of the bound that is left for sending what was checked in time.
 LEASE_SHARE: Final = 0.9
@@ -89,10 +91,18 @@
             exposure_share=bounds.exposure_share,
             log=self.log,
         )
+        own = build_member(settings)
+        self._peers = HttpPeerTopics()
         self.tracker = Tracker(
-            own=build_member(settings),
+            own=own,
             parts=TrackerParts(
-                store=edges.store,
+                store=FollowingStore(
+                    own=own,
+                    store=edges.store,
+                    peers=self._peers,
+                    list_members=lambda: self.tracker.members,
+                    log=self.log,
+                ),
                 group=edges.group,
                 documents=edges.documents,
                 lease=self.lease,
@@ -163,6 +173,9 @@
         await self.hints.start(group)
         applications: dict[str, ASGIApp] = {
             self.settings.listen.callers: self.application,
+            self.settings.listen.peers: TopicApplication(
+                copies=self.tracker.copies
+            ),
             **others,
         }
         for address, application in applications.items():
@@ -187,6 +200,7 @@
         for server in self._servers:
             server.cut_off()
         await self.gateway.close()
+        await self._peers.close()
         await self.hints.close()
         self.log.warning('stopped', cut=self.relay.in_flight)
 
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -37,7 +37,7 @@
     :ivar readiness: for the question whether it is ready.
     :ivar entries: for the question which daemons to use.
     :ivar metrics: for metrics.
-    :ivar peers: for hints from other daemons, by datagram.
+    :ivar peers: for other daemons: hints by datagram, topics over HTTP.
     """
 
     callers: str
