Read statuses of roll-outs from other daemons too, one reader in thirty-one

Change: statuses are passed on as the other topics are; copies of them may be older, but younger than the age at which a version is no longer tried, and a reader of a copy reads twice as often, so that evidence is not later than it was. After a condition that failed the store itself is asked. A daemon that cannot tell one topic is asked for the others on.

--- a/laurelwind/coordination/copies.py
+++ b/laurelwind/coordination/copies.py
@@ -14,8 +14,9 @@
 )
 from laurelwind.state.leases import NEVER, read_boot_clock
 
-# Age from which a copy is of no use to others: together with one read of the
-# store it stays under the two seconds in which changes must be in force.
+# Age from which a copy is of no use to others, where nothing else is said:
+# together with one read of the store it stays under the two seconds in which
+# changes must be in force.
 MOST_AGE_S: Final = 1.6
 
 
@@ -23,10 +24,17 @@
     """The newest record of each key of a topic, and how old that is.
 
     :param clock: gives seconds, also while the machine is suspended.
+    :param most_age_s: age from which it is of no use to others.
     """
 
-    def __init__(self, *, clock: Callable[[], float] = read_boot_clock) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float] = read_boot_clock,
+        most_age_s: float = MOST_AGE_S,
+    ) -> None:
         self._clock = clock
+        self._most_age_s = most_age_s
         self._records: dict[str, KeyedRecord] = {}
         self._first_offset = 0
         self._next_offset = 0
@@ -66,9 +74,11 @@
         """
         begun_at = self._clock()
         if self._next_offset <= offset:
-            with anyio.move_on_after(min(wait_s, MOST_AGE_S - self.age_s)):
+            with anyio.move_on_after(
+                min(wait_s, self._most_age_s - self.age_s)
+            ):
                 await self._changed.wait()
-        if self.age_s > MOST_AGE_S:
+        if self.age_s > self._most_age_s:
             raise PlatformError(
                 ErrorKind.LOG_UNAVAILABLE, 'the copy is too old'
             )
--- a/laurelwind/coordination/following.py
+++ b/laurelwind/coordination/following.py
@@ -26,10 +26,10 @@
 # Daemons that a zone must have for any of them to follow another; with fewer
 # the reads saved would not outweigh the way of a change through two daemons.
 LEAST_ZONE: Final = 6
-# Daemons that read from one other: about 20 small answers a second there.
-FOLLOWERS: Final = 15
+# Daemons that read from one other: about 50 small answers a second there.
+FOLLOWERS: Final = 30
 # Longest wait of a read of the store whose result others wait for.
-SOURCE_WAIT_S: Final = 0.5
+SOURCE_WAIT_S: Final = 0.6
 # Longest wait of a read at another daemon; a daemon that froze meanwhile is
 # noticed this much, and the time limit of the call, later.
 FOLLOW_WAIT_S: Final = 1.2
@@ -79,20 +79,29 @@
         self._peers = peers
         self._list_members = list_members
         self._log = log
-        self._distrusted: dict[str, float] = {}
+        self._distrusted: dict[tuple[str, Topic], float] = {}
 
     async def read_newest(self, topic: Topic) -> Batch:
         """Read the newest record of each key; see :class:`KeyedStore`."""
         return await self._store.read_newest(topic)
 
     async def read_after(
-        self, topic: Topic, offset: int, *, wait_s: float = 0
+        self,
+        topic: Topic,
+        offset: int,
+        *,
+        wait_s: float = 0,
+        is_strict: bool = False,
     ) -> Batch:
         """Read records from an offset on; see :class:`KeyedStore`."""
         source = find_source(self._own, self._list_members())
         if source == self._own:
             wait_s = min(wait_s, SOURCE_WAIT_S)
-        elif source is not None and wait_s and self._is_trusted(source):
+        elif (
+            source is not None
+            and not is_strict
+            and self._is_trusted(source, topic)
+        ):
             batch = await self._ask(source, topic, offset, wait_s)
             if batch is not None:
                 return batch
@@ -113,8 +122,8 @@
             topic, key, body, expected_end=expected_end
         )
 
-    def _is_trusted(self, source: ListedInstance) -> bool:
-        return self._distrusted.get(source.name, 0) <= read_clock()
+    def _is_trusted(self, source: ListedInstance, topic: Topic) -> bool:
+        return self._distrusted.get((source.name, topic), 0) <= read_clock()
 
     async def _ask(
         self, source: ListedInstance, topic: Topic, offset: int, wait_s: float
@@ -127,7 +136,8 @@
                 wait_s=min(wait_s, FOLLOW_WAIT_S),
             )
         except (PlatformError, HistoryLostError) as error:
-            self._distrusted[source.name] = read_clock() + DISTRUST_S
+            until = read_clock() + DISTRUST_S
+            self._distrusted[(source.name, topic)] = until
             self._log.warning(
                 'source_distrusted',
                 source=source.name,
--- a/laurelwind/coordination/reading.py
+++ b/laurelwind/coordination/reading.py
@@ -65,25 +65,38 @@
         """
         if self._offset is None:
             raise HistoryLostError
-        return await self._store.read_after(self._topic, self._offset)
+        return await self._store.read_after(
+            self._topic, self._offset, is_strict=True
+        )
 
-    async def read(self, *, wait_s: float = 0) -> Batch:
-        """Read what is new."""
+    async def read(
+        self, *, wait_s: float = 0, is_strict: bool = False
+    ) -> Batch:
+        """Read what is new.
+
+        :param wait_s: how long to wait for a first record.
+        :param is_strict: whether everything is wanted that was written before.
+        """
         begun_at = self._clock()
-        batch = await self._read(wait_s)
+        batch = await self._read(wait_s, is_strict=is_strict)
         self._offset = batch.next_offset
         self.as_of = begun_at - batch.lag_s
         if self._copy is not None:
             self._copy.take(batch, is_whole=self.was_whole, as_of=self.as_of)
         return batch
 
-    async def _read(self, wait_s: float) -> Batch:
+    @property
+    def age_s(self) -> float:
+        """Seconds since what was read was certainly complete."""
+        return self._clock() - self.as_of
+
+    async def _read(self, wait_s: float, *, is_strict: bool) -> Batch:
         self.was_whole = self._offset is None
         if self._offset is None:
             return await self._store.read_newest(self._topic)
         try:
             return await self._store.read_after(
-                self._topic, self._offset, wait_s=wait_s
+                self._topic, self._offset, wait_s=wait_s, is_strict=is_strict
             )
         except HistoryLostError:
             self.was_whole = True
--- a/laurelwind/coordination/rollouts.py
+++ b/laurelwind/coordination/rollouts.py
@@ -142,9 +142,9 @@
         """
         self._listeners.append(listener)
 
-    def note_read(self) -> None:
+    def note_read(self, age_s: float = 0) -> None:
         """Note that every status and report that there is has been read."""
-        self._read_at = read_clock()
+        self._read_at = max(self._read_at, read_clock() - age_s)
 
     def take_order(self, order: RolloutOrder) -> None:
         """Take in an operator's order.
--- a/laurelwind/coordination/statuses.py
+++ b/laurelwind/coordination/statuses.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 from attrs import frozen
 
+from laurelwind.coordination.copies import TopicCopy
 from laurelwind.coordination.reading import Pause, ReaderHealth, TopicReader
 from laurelwind.coordination.rollouts import RolloutBook
 from laurelwind.decisions import DecisionLog
@@ -20,6 +21,9 @@
 CALM_PERIOD_S: Final = 2.0
 # Tries to write a status while others write too, before the next period.
 STATUS_TRIES: Final = 4
+# A daemon that reads statuses from another one reads more often, since what
+# it reads is late by up to the other's period already.
+COPY_PERIOD_SHARE: Final = 0.5
 STATUSES: Final = 'statuses'
 
 
@@ -32,6 +36,7 @@
     :ivar rollouts: the roll-outs.
     :ivar log: where decisions are written.
     :ivar list_members: gives the daemons that are alive, by name.
+    :ivar copy: holds what is read, for other daemons.
     """
 
     store: KeyedStore
@@ -39,6 +44,7 @@
     rollouts: RolloutBook
     log: DecisionLog
     list_members: Callable[[], Sequence[ListedInstance]]
+    copy: TopicCopy
 
 
 class StatusExchange:
@@ -66,7 +72,9 @@
         group.start_soon(self._follow)
 
     async def _follow(self) -> None:
-        reader = TopicReader(store=self._parts.store, topic=Topic.STATUS)
+        reader = TopicReader(
+            store=self._parts.store, topic=Topic.STATUS, copy=self._parts.copy
+        )
         pause = Pause()
         while True:
             if not self._parts.rollouts.has_unsettled:
@@ -74,27 +82,36 @@
                 continue
             try:
                 self._rejected = anyio.Event()
-                await self._exchange_statuses(reader)
+                is_copy = await self._exchange_statuses(reader)
             except PlatformError as error:
                 self._health.note_lost(STATUSES, error)
                 await pause.wait()
                 continue
             pause.reset()
             self._health.note_regained(STATUSES)
-            is_trying = self._parts.rollouts.is_trying
-            period_s = STATUS_PERIOD_S if is_trying else CALM_PERIOD_S
-            with anyio.move_on_after(period_s):
+            with anyio.move_on_after(self._find_period(is_copy=is_copy)):
                 await self._rejected.wait()
 
-    async def _exchange_statuses(self, reader: TopicReader) -> None:
-        for _ in range(STATUS_TRIES):
-            batch = await reader.read()
+    def _find_period(self, *, is_copy: bool) -> float:
+        is_trying = self._parts.rollouts.is_trying
+        period_s = STATUS_PERIOD_S if is_trying else CALM_PERIOD_S
+        return period_s * COPY_PERIOD_SHARE if is_copy else period_s
+
+    async def _exchange_statuses(self, reader: TopicReader) -> bool:
+        """Read and write once; true where another daemon was read."""
+        is_copy = False
+        for number in range(STATUS_TRIES):
+            # What another daemon holds may end before the topic does, and
+            # then a condition fails.
+            batch = await reader.read(is_strict=number > 0)
+            is_copy = is_copy or batch.is_copy
             for record in batch.records:
                 self._take_status_record(record)
-            self._parts.rollouts.note_read()
+            self._parts.rollouts.note_read(reader.age_s)
             if await self._write_statuses(batch.next_offset):
                 break
         await self._write_reports()
+        return is_copy
 
     def _take_status_record(self, record: KeyedRecord) -> None:
         if record.body is None:
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -47,6 +47,9 @@
 # Longest time that a removed record is held; with the wait above it stays
 # under the two seconds in which a leaving endpoint must get no more work.
 LONGEST_HOLD_S: Final = 1.4
+# Statuses are read rarely while nothing is tried; a copy of them stays younger
+# than the three seconds after which versions are not tried any more.
+STATUS_AGE_S: Final = 2.6
 ENDPOINTS: Final = 'endpoints'
 MEMBER_PERIOD_S: Final = 0.8
 
@@ -94,8 +97,9 @@
         self._is_table_unreadable = False
         self._confirming = anyio.Lock()
         self.copies: TopicCopies = {
-            topic: TopicCopy(clock=parts.lease.read_clock)
-            for topic in (Topic.OPERATORS, Topic.ENDPOINTS)
+            Topic.OPERATORS: TopicCopy(clock=parts.lease.read_clock),
+            Topic.ENDPOINTS: TopicCopy(clock=parts.lease.read_clock),
+            Topic.STATUS: TopicCopy(most_age_s=STATUS_AGE_S),
         }
         self._operators = self._build_reader(Topic.OPERATORS)
         self._statuses = StatusExchange(
@@ -106,6 +110,7 @@
                 rollouts=parts.rollouts,
                 log=parts.log,
                 list_members=lambda: self.members,
+                copy=self.copies[Topic.STATUS],
             ),
             health=self._health,
         )
--- a/laurelwind/platform/store.py
+++ b/laurelwind/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import struct
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final
 from urllib.parse import urlencode
 
@@ -77,9 +77,16 @@
     """Calls the store; one for each process.
 
     :param address: ``host:port`` of the store.
+    :param count: counts a call's path and what came of it, or ``None``.
     """
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        count: Callable[[str, str], None] | None = None,
+    ) -> None:
+        self._count = count
         self._base = f'http://{address}'
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=_CONNECTIONS, keepalive_expiry=None
@@ -117,11 +124,17 @@
                     headers={'Content-Length': str(len(body))} if body else {},
                 )
         except _NO_ANSWER as error:
+            self._note(path, type(error).__name__)
             raise _fail(f'no answer ({type(error).__name__})') from error
+        self._note(path, str(found.status))
         if found.status != _OK and found.status not in allowed:
             raise _fail(f'{path} was answered {found.status}')
         return _Answer(status=found.status, body=found.content)
 
+    def _note(self, path: str, outcome: str) -> None:
+        if self._count is not None:
+            self._count(path.removeprefix('/'), outcome)
+
     async def close(self) -> None:
         """Close every connection."""
         await self._pool.aclose()
@@ -158,7 +171,12 @@
             query['after'] = rows[-1]['key']
 
     async def read_after(
-        self, topic: Topic, offset: int, *, wait_s: float = 0
+        self,
+        topic: Topic,
+        offset: int,
+        *,
+        wait_s: float = 0,
+        is_strict: bool = False,
     ) -> Batch:
         """Read records from an offset on; see :class:`KeyedStore`."""
         query: dict[str, object] = {
--- a/laurelwind/protocol/keyed.py
+++ b/laurelwind/protocol/keyed.py
@@ -68,13 +68,20 @@
 
     @abc.abstractmethod
     async def read_after(
-        self, topic: Topic, offset: int, *, wait_s: float = 0
+        self,
+        topic: Topic,
+        offset: int,
+        *,
+        wait_s: float = 0,
+        is_strict: bool = False,
     ) -> Batch:
         """Read records from an offset on.
 
         :param topic: what the records are about.
         :param offset: where to begin.
         :param wait_s: how long to wait for a first record.
+        :param is_strict: whether everything is wanted that was written before
+            the call; otherwise ``lag_s`` may be positive.
         :raises HistoryLostError: when records from there on are gone.
         :raises PlatformError: when the store does not answer.
         """
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -4,9 +4,11 @@
 each of which must know within two seconds what changed.
 """
 
+import contextlib
 import math
 
 import anyio
+import httpcore
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -26,6 +28,9 @@
     Topic,
 )
 from laurelwind.protocol.platform import ListedInstance
+from laurelwind.state.leases import read_boot_clock
+from laurelwind.transport.server import HttpServer
+from laurelwind.transport.topics import HttpPeerTopics, TopicApplication
 from tests.relay_helpers import quiet_log
 
 pytestmark = pytest.mark.anyio
@@ -58,7 +63,7 @@
         rows = [found for found in newest.values() if found.body is not None]
         return Batch(records=rows, next_offset=len(self.records))
 
-    async def read_after(self, topic, offset, *, wait_s=0):
+    async def read_after(self, topic, offset, *, wait_s=0, is_strict=False):
         self.reads += 1
         self.waits.append(wait_s)
         await anyio.sleep(0)
@@ -284,3 +289,89 @@
     for text in (b'', b'[]', b'{"records":[[1]],"next_offset":1,"lag_ms":0}'):
         with pytest.raises(PlatformError):
             decode_batch(text)
+
+
+async def test_what_must_be_the_newest_is_asked_of_the_store():
+    clock, peers, members = Clock(), DirectPeers(), fleet(8)
+    source = Reader(members[0], members, CountingStore(), peers, clock)
+    follower = Reader(members[1], members, CountingStore(), peers, clock)
+    await source.reader.read()
+    await follower.reader.read()
+    follower.store.put('table', b'1')
+    assert not (await follower.reader.read(wait_s=0.01)).records
+    assert (await follower.reader.read(is_strict=True)).records
+    assert (await follower.reader.peek()).next_offset == 1
+
+
+async def test_a_topic_that_is_read_rarely_is_still_of_use():
+    clock = Clock()
+    copy = TopicCopy(clock=clock, most_age_s=2.6)
+    copy.take(Batch(records=(), next_offset=0), is_whole=True, as_of=clock.now)
+    clock.now += 2.5
+    batch = await copy.read_after(0, wait_s=0)
+    assert batch.lag_s == pytest.approx(2.5)
+    clock.now += 0.2
+    with pytest.raises(PlatformError):
+        await copy.read_after(0, wait_s=0)
+
+
+@contextlib.asynccontextmanager
+async def serving(copies):
+    server = HttpServer(address='127.0.0.1:0')
+    peers = HttpPeerTopics()
+    async with anyio.create_task_group() as group:
+        await server.start(group, TopicApplication(copies=copies))
+        yield server.address, peers
+        await peers.close()
+        server.cut_off()
+        group.cancel_scope.cancel()
+
+
+async def test_copies_are_read_over_http():
+    copies = {topic: TopicCopy() for topic in Topic}
+    records = (
+        KeyedRecord(key='k', body=b'\x00\xff', offset=4),
+        KeyedRecord(key='gone', body=None, offset=5),
+    )
+    now = read_boot_clock()
+    copies[Topic.ENDPOINTS].take(
+        Batch(records=(), next_offset=4), is_whole=True, as_of=now
+    )
+    copies[Topic.ENDPOINTS].take(
+        Batch(records=records, next_offset=6), is_whole=False, as_of=now
+    )
+    async with serving(copies) as (address, peers):
+        batch = await peers.read_after(address, Topic.ENDPOINTS, 4, wait_s=1)
+        assert batch.records == records
+        assert batch.next_offset == 6
+        assert batch.is_copy
+        assert batch.lag_s >= 0
+        with pytest.raises(HistoryLostError):
+            await peers.read_after(address, Topic.ENDPOINTS, 3, wait_s=1)
+        with pytest.raises(PlatformError):
+            # Nothing has been read of this topic yet.
+            await peers.read_after(address, Topic.STATUS, 0, wait_s=1)
+
+
+async def test_a_daemon_that_froze_is_noticed_in_time():
+    """It takes connections, and answers nothing."""
+    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    peers = HttpPeerTopics()
+    with anyio.fail_after(10), pytest.raises(PlatformError):
+        await peers.read_after(
+            f'127.0.0.1:{port}', Topic.OPERATORS, 0, wait_s=0.05
+        )
+    await peers.close()
+    await listener.aclose()
+
+
+async def test_questions_of_another_form_are_refused():
+    copies = {topic: TopicCopy() for topic in Topic}
+    async with (
+        serving(copies) as (address, _),
+        httpcore.AsyncConnectionPool() as pool,
+    ):
+        for path in ('/topics/other?from=1', '/topics/status', '/'):
+            found = await pool.request('GET', f'http://{address}{path}')
+            assert found.status == 400
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -47,7 +47,7 @@
         rows.sort(key=lambda found: found.offset)
         return Batch(records=rows, next_offset=len(self.records[topic]))
 
-    async def read_after(self, topic, offset, *, wait_s=0):
+    async def read_after(self, topic, offset, *, wait_s=0, is_strict=False):
         self._check()
         if offset < self.first[topic]:
             raise HistoryLostError
@@ -278,10 +278,10 @@
     reads = []
     read_after = store.read_after
 
-    async def count(topic, offset, *, wait_s=0):
+    async def count(topic, offset, **limits):
         if topic is Topic.ENDPOINTS:
             reads.append(offset)
-        return await read_after(topic, offset, wait_s=wait_s)
+        return await read_after(topic, offset, **limits)
 
     store.read_after = count
 
