Spread the return of refused callers; count store calls and loop lag

Cause: every refusal named 0.8 s, so a crowd refused at one moment came back as a crowd.

Change: Retry-After is drawn between 0.5 and 1.1 s. StoreClient counts its calls; LoopLag measures how late a timer fires and keeps the longest of ten seconds. The program's run under signals moves out of relay_daemon.py.

--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -6,7 +6,7 @@
 from laurelwind.coordination.delivery import AnswerDoubtedError, Delivery
 from laurelwind.coordination.jobs import Attempt, Job
 from laurelwind.coordination.placement import Placement
-from laurelwind.coordination.sending import COME_BACK_S, Sender
+from laurelwind.coordination.sending import Sender, draw_return
 from laurelwind.coordination.sizing import ModelPlanner
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
@@ -109,7 +109,7 @@
                 raise CapacityError(
                     ErrorKind.NOT_READY,
                     'the routing table may have changed',
-                    retry_after_s=COME_BACK_S,
+                    retry_after_s=draw_return(),
                 )
             found = self._look_up(request)
         if isinstance(found, ErrorKind):
@@ -124,14 +124,14 @@
             raise CapacityError(
                 ErrorKind.NOT_READY,
                 'no routing table has been read yet',
-                retry_after_s=COME_BACK_S,
+                retry_after_s=draw_return(),
             )
         if not self._parts.lease.is_valid:
             age = round(self._parts.lease.age_s, 1)
             raise CapacityError(
                 ErrorKind.NOT_READY,
                 f'the routing table was known to be the newest {age} s ago',
-                retry_after_s=COME_BACK_S,
+                retry_after_s=draw_return(),
             )
         route = table.find_route(request.host, request.path)
         if route is None:
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -1,5 +1,6 @@
 """Sends a request to an endpoint that suits it."""
 
+import random
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
@@ -25,8 +26,11 @@
 
 # Least seconds that a request must have left to be sent once more.
 LEAST_LEFT_S: Final = 0.05
-# Seconds after which callers may come back when nothing can serve them.
-COME_BACK_S: Final = 0.8
+# Seconds after which callers may come back when nothing can serve them: long
+# enough for an endpoint to finish something, short beside their goals.  They
+# are spread, so that callers that were refused together do not return so.
+LEAST_RETURN_S: Final = 0.5
+MOST_RETURN_S: Final = 1.1
 _MS_PER_S: Final = 1000
 
 
@@ -110,7 +114,7 @@
         raise CapacityError(
             ErrorKind.NO_ENDPOINT,
             'every endpoint that was asked is full',
-            retry_after_s=COME_BACK_S,
+            retry_after_s=draw_return(),
         ) from error
 
     def _list_ready(self, job: Job) -> Sequence[EndpointRecord]:
@@ -134,7 +138,7 @@
         raise CapacityError(
             ErrorKind.NO_ENDPOINT,
             'no endpoint can take the request now',
-            retry_after_s=COME_BACK_S,
+            retry_after_s=draw_return(),
         )
 
     async def _send_to(self, job: Job, endpoint: EndpointRecord) -> Attempt:
@@ -205,6 +209,11 @@
         )
 
 
+def draw_return() -> float:
+    """Draw the seconds after which a caller that is refused may come back."""
+    return random.uniform(LEAST_RETURN_S, MOST_RETURN_S)
+
+
 def _build_dispatch(job: Job, endpoint: EndpointRecord) -> Dispatch:
     return Dispatch(
         address=endpoint.address,
@@ -238,5 +247,5 @@
     return CapacityError(
         ErrorKind.NOT_READY,
         'the routing table in force is not known',
-        retry_after_s=COME_BACK_S,
+        retry_after_s=draw_return(),
     )
--- a/laurelwind/platform/__main__.py
+++ b/laurelwind/platform/__main__.py
@@ -18,8 +18,9 @@
     RelayDaemon,
     RelayEdges,
     build_member,
-    run_relay,
 )
+from laurelwind.relay_metrics import RelayMetrics
+from laurelwind.relay_program import run_relay
 from laurelwind.relay_settings import RelaySettings, load_relay_settings
 
 _SETTINGS_VARIABLE: Final = 'LAURELWIND_CONFIG'
@@ -28,14 +29,16 @@
 ADDRESSES_LIFE_S: Final = 1.0
 
 
-def build_daemon(settings: RelaySettings, client: StoreClient) -> RelayDaemon:
+def build_daemon(settings: RelaySettings) -> RelayDaemon:
     """Build a daemon whose surroundings are the platform.
 
     :param settings: everything that it is told before it starts.
-    :param client: calls the platform's store.
     """
+    metrics = RelayMetrics()
+    client = StoreClient(address=settings.store, count=metrics.count_store_call)
     return RelayDaemon(
         settings=settings,
+        metrics=metrics,
         edges=RelayEdges(
             store=LogStore(client=client),
             group=LogGroup(client=client, own=build_member(settings)),
@@ -69,8 +72,7 @@
     """Run a daemon until it is told to stop."""
     path = Path(os.environ[_SETTINGS_VARIABLE])
     settings = load_relay_settings(path)
-    client = StoreClient(address=settings.store)
-    daemon = build_daemon(settings, client)
+    daemon = build_daemon(settings)
     anyio.run(
         run_relay,
         daemon,
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -1,6 +1,5 @@
 """The relay daemon: puts its layers together, starts and stops them."""
 
-import signal
 from collections.abc import Callable
 from typing import Final
 
@@ -12,6 +11,7 @@
 from laurelwind.coordination.budgets import RetryWindows
 from laurelwind.coordination.delivery import Delivery, DeliveryParts
 from laurelwind.coordination.following import FollowingStore
+from laurelwind.coordination.lag import LoopLag
 from laurelwind.coordination.placement import Placement
 from laurelwind.coordination.relay import Relay, RelayParts
 from laurelwind.coordination.rollouts import RolloutBook
@@ -48,7 +48,6 @@
 # Daemons that a zone must have for its callers to be sent to them only.
 LEAST_NEAR: Final = 2
 _POLL_S: Final = 0.05
-_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 @frozen(kw_only=True)
@@ -72,12 +71,20 @@
 
     :param settings: everything that it is told before it starts.
     :param edges: what its surroundings are met by.
+    :param metrics: where it counts.
     """
 
-    def __init__(self, *, settings: RelaySettings, edges: RelayEdges) -> None:
+    def __init__(
+        self,
+        *,
+        settings: RelaySettings,
+        edges: RelayEdges,
+        metrics: RelayMetrics,
+    ) -> None:
         bounds = settings.bounds
         self.settings = settings
-        self.metrics = RelayMetrics()
+        self.metrics = metrics
+        self._lag = LoopLag()
         self.log = DecisionLog(
             daemon=settings.daemon.name,
             count=lambda event: self.metrics.decisions.labels(event).inc(),
@@ -169,6 +176,7 @@
         :param others: further applications by address.
         """
         self.log.start()
+        self._lag.start(group)
         self.tracker.start(group)
         await self.hints.start(group)
         applications: dict[str, ASGIApp] = {
@@ -278,6 +286,11 @@
             'Seconds since the routing table was known to be the newest.',
             lambda: self.lease.age_s,
         )
+        watch(
+            'laurelwind_loop_lag_seconds',
+            'Longest time in the last ten seconds by which a timer was late.',
+            lambda: self._lag.longest_s,
+        )
         watch(
             'laurelwind_members',
             'Daemons that are alive.',
@@ -313,25 +326,3 @@
         caller_address=settings.listen.callers,
         peer_address=settings.listen.peers,
     )
-
-
-async def run_relay(
-    daemon: RelayDaemon,
-    others: dict[str, ASGIApp],
-    load_settings: Callable[[], RelaySettings],
-) -> None:
-    """Run a daemon until it is told to stop.
-
-    :param daemon: the daemon.
-    :param others: further applications by address.
-    :param load_settings: loads the settings again.
-    """
-    async with anyio.create_task_group() as group:
-        with anyio.open_signal_receiver(*_SIGNALS) as found:
-            await daemon.start(group, others)
-            async for number in found:
-                if number is not signal.SIGHUP:
-                    break
-                daemon.reload(load_settings)
-            await daemon.close()
-        group.cancel_scope.cancel()
--- a/laurelwind/relay_metrics.py
+++ b/laurelwind/relay_metrics.py
@@ -51,6 +51,21 @@
             registry=self.registry,
         )
 
+        self._store_calls = Counter(
+            'laurelwind_store_calls',
+            'Calls of the store, by kind and by what came of them.',
+            ('call', 'outcome'),
+            registry=self.registry,
+        )
+
+    def count_store_call(self, call: str, outcome: str) -> None:
+        """Count one call of the store.
+
+        :param call: what was called.
+        :param outcome: the status, or the kind of failure.
+        """
+        self._store_calls.labels(call, outcome).inc()
+
     def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Show a number that is read when metrics are asked for.
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -80,8 +80,9 @@
         self.is_stopping = False
         self.process: Process | None = None
         self.store_link = Link(target=store)
+        host = draw_host()
         self.addresses = {
-            use: take_address()
+            use: take_address(host)
             for use in ('callers', 'readiness', 'entries', 'metrics', 'peers')
         }
         self.caller_link = Link(target=self.addresses['callers'])
@@ -262,11 +263,23 @@
                 link.cut(is_cut=False)
 
 
-def take_address() -> str:
-    """Find a free port of loopback."""
+def draw_host() -> str:
+    """Draw an address of loopback that nobody else connects from.
+
+    Ports of the usual one may be taken by connections that go out.
+    """
+    words = [random.SystemRandom().randrange(1, 250) for _ in range(3)]
+    return '127.{}.{}.{}'.format(*words)
+
+
+def take_address(host: str) -> str:
+    """Find a free port of a host.
+
+    :param host: an address of this machine.
+    """
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return '127.0.0.1:{1}'.format(*probe.getsockname())
+        probe.bind((host, 0))
+        return '{}:{}'.format(*probe.getsockname())
 
 
 def _build_table(version: int, pool: str, keys: frozenset[str]) -> dict:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import base64
 import struct
+from collections import Counter
 from pathlib import Path
 
 import anyio
@@ -315,3 +316,26 @@
         if path.parent.name != 'platform':
             text = path.read_text(encoding='utf-8').lower()
             assert not [name for name in names if name in text], path
+
+
+async def test_calls_are_counted_by_kind_and_by_what_came_of_them():
+    counts = Counter()
+    store = Store((200, b'{}'), (503, b''))
+    server = HttpServer(address='127.0.0.1:0')
+    async with anyio.create_task_group() as group:
+        await server.start(group, store)
+        client = StoreClient(
+            address=server.address,
+            count=lambda *labels: counts.update([labels]),
+        )
+        await client.call('GET', '/log-owners')
+        with pytest.raises(PlatformError):
+            await client.call('GET', '/log-read')
+        server.cut_off()
+        group.cancel_scope.cancel()
+    with pytest.raises(PlatformError):
+        await client.call('GET', '/log-read')
+    await client.close()
+    assert counts[('log-owners', '200')] == 1
+    assert counts[('log-read', '503')] == 1
+    assert counts.total() == 3
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,7 +1,10 @@
 """What a relay promises callers, whatever endpoints do."""
 
+import random
+
 import pytest
 
+from laurelwind.coordination.sending import LEAST_RETURN_S, MOST_RETURN_S
 from laurelwind.errors import (
     CallerError,
     CapacityError,
@@ -242,3 +245,17 @@
     for _ in range(3):
         await world.serve(request('book'))
     assert bad not in {sent.endpoint for sent in world.gateway.sent[1:]}
+
+
+async def test_callers_that_are_refused_together_do_not_return_together():
+    """A crowd that is refused at one moment would come back as a crowd."""
+    random.seed(1)
+    returns = []
+    for _ in range(40):
+        world = World(SHED, SHED, SHED)
+        with pytest.raises(CapacityError) as caught:
+            await world.serve(request('book'))
+        returns.append(caught.value.retry_after_s)
+    width = MOST_RETURN_S - LEAST_RETURN_S
+    quarters = {int((at - LEAST_RETURN_S) / width * 4) for at in returns}
+    assert quarters == {0, 1, 2, 3}
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -20,8 +20,9 @@
     RelayDaemon,
     RelayEdges,
     build_member,
-    run_relay,
 )
+from laurelwind.relay_metrics import RelayMetrics
+from laurelwind.relay_program import run_relay
 from laurelwind.relay_settings import (
     BoundSettings,
     ListenSettings,
@@ -123,6 +124,7 @@
         self.store.put(Topic.ENDPOINTS, 'e1', endpoint(1, address=address))
         self.daemon = RelayDaemon(
             settings=self.settings,
+            metrics=RelayMetrics(),
             edges=RelayEdges(
                 store=self.store,
                 group=FakeGroup([build_member(self.settings)]),
