Leave a store that fails alone: followers ask it every three seconds

Change: where the daemon that is followed answers that its copy is too old and the store fails too, the store is asked again after three seconds only, and that daemon meanwhile. One that does not answer holds nobody back. The first sites have no followers and are not touched.

test_a_store_in_trouble_does_not_hear_from_all fails without it: 20 reads a daemon in ten seconds in place of 4.

--- a/laurelwind/coordination/copies.py
+++ b/laurelwind/coordination/copies.py
@@ -5,9 +5,10 @@
 
 import anyio
 
-from laurelwind.errors import ErrorKind, PlatformError
+from laurelwind.errors import ErrorKind
 from laurelwind.protocol.keyed import (
     Batch,
+    CopyTooOldError,
     HistoryLostError,
     KeyedRecord,
     Topic,
@@ -70,7 +71,7 @@
         :param offset: where to begin.
         :param wait_s: how long to wait for a first record.
         :raises HistoryLostError: when not every change since is known.
-        :raises PlatformError: when the copy is too old.
+        :raises CopyTooOldError: when the copy is too old.
         """
         begun_at = self._clock()
         if self._next_offset <= offset:
@@ -79,7 +80,7 @@
             ):
                 await self._changed.wait()
         if self.age_s > self._most_age_s:
-            raise PlatformError(
+            raise CopyTooOldError(
                 ErrorKind.LOG_UNAVAILABLE, 'the copy is too old'
             )
         if offset < self._first_offset:
--- a/laurelwind/coordination/following.py
+++ b/laurelwind/coordination/following.py
@@ -12,9 +12,10 @@
 from typing import Final
 
 from laurelwind.decisions import DecisionLog
-from laurelwind.errors import PlatformError
+from laurelwind.errors import ErrorKind, PlatformError
 from laurelwind.protocol.keyed import (
     Batch,
+    CopyTooOldError,
     HistoryLostError,
     KeyedStore,
     PeerTopics,
@@ -35,6 +36,10 @@
 FOLLOW_WAIT_S: Final = 1.2
 # Seconds for which a daemon that failed to answer is not asked.
 DISTRUST_S: Final = 2.0
+# Seconds for which a daemon that follows another does not ask the store again
+# after that failed both.  It asks the other one meanwhile, which goes on asking
+# the store, so that a store in trouble does not hear from the whole fleet.
+FAILED_S: Final = 3.0
 
 
 def find_source(
@@ -81,6 +86,9 @@
         self._log = log
         self._members: Sequence[ListedInstance] = ()
         self._source: ListedInstance | None = None
+        # Topics that the daemon asked last could not read from the store.
+        self._stale: set[Topic] = set()
+        self._failed_until: dict[Topic, float] = {}
         self._distrusted: dict[tuple[str, Topic], float] = {}
 
     async def read_newest(self, topic: Topic) -> Batch:
@@ -99,17 +107,31 @@
         source = self._find_source()
         if source == self._own:
             wait_s = min(wait_s, SOURCE_WAIT_S)
-        elif (
-            source is not None
-            and not is_strict
-            and self._is_trusted(source, topic)
-        ):
+        elif source is not None and not is_strict:
+            return await self._follow(source, topic, offset, wait_s)
+        return await self._store.read_after(topic, offset, wait_s=wait_s)
+
+    async def _follow(
+        self, source: ListedInstance, topic: Topic, offset: int, wait_s: float
+    ) -> Batch:
+        has_failed = read_clock() < self._failed_until.get(topic, 0)
+        if has_failed or self._is_trusted(source, topic):
             batch = await self._ask(source, topic, offset, wait_s)
             if batch is not None:
                 return batch
             # Time has passed already; what is there now is wanted at once.
             wait_s = 0
-        return await self._store.read_after(topic, offset, wait_s=wait_s)
+        if has_failed and topic in self._stale:
+            raise CopyTooOldError(
+                ErrorKind.LOG_UNAVAILABLE,
+                'the daemon that reads the store cannot read it either',
+            )
+        try:
+            return await self._store.read_after(topic, offset, wait_s=wait_s)
+        except PlatformError:
+            if topic in self._stale:
+                self._failed_until[topic] = read_clock() + FAILED_S
+            raise
 
     async def write(
         self,
@@ -153,8 +175,12 @@
                 wait_s=min(wait_s, FOLLOW_WAIT_S),
             )
         except (PlatformError, HistoryLostError) as error:
+            self._note_stale(topic, is_stale=isinstance(error, CopyTooOldError))
+            was_trusted = self._is_trusted(source, topic)
             until = read_clock() + DISTRUST_S
             self._distrusted[(source.name, topic)] = until
+            if not was_trusted:
+                return None
             self._log.warning(
                 'source_distrusted',
                 source=source.name,
@@ -163,3 +189,9 @@
                 for_s=DISTRUST_S,
             )
             return None
+
+    def _note_stale(self, topic: Topic, *, is_stale: bool) -> None:
+        if is_stale:
+            self._stale.add(topic)
+        else:
+            self._stale.discard(topic)
--- a/laurelwind/protocol/keyed.py
+++ b/laurelwind/protocol/keyed.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from laurelwind.errors import PlatformError
 from laurelwind.protocol.platform import ListedInstance
 
 
@@ -52,6 +53,10 @@
     """The records asked for are gone; only the newest of each key is left."""
 
 
+class CopyTooOldError(PlatformError):
+    """A daemon answers, but cannot read the store itself."""
+
+
 class KeyedStore(abc.ABC):
     """A linearizable store of keyed records, in topics."""
 
@@ -119,6 +124,7 @@
         :param offset: where to begin.
         :param wait_s: how long to wait for a first record.
         :raises HistoryLostError: when it cannot tell every change since then.
+        :raises CopyTooOldError: when it has not read the store for too long.
         :raises PlatformError: when it does not answer.
         """
 
--- a/laurelwind/transport/topics.py
+++ b/laurelwind/transport/topics.py
@@ -12,6 +12,7 @@
 from laurelwind.protocol.copies import decode_batch, encode_batch
 from laurelwind.protocol.keyed import (
     Batch,
+    CopyTooOldError,
     HistoryLostError,
     PeerTopics,
     Topic,
@@ -59,7 +60,7 @@
             batch = await self._copies[topic].read_after(offset, wait_s=wait_s)
         except HistoryLostError:
             await _answer(send, _GONE, b'')
-        except PlatformError:
+        except CopyTooOldError:
             await _answer(send, _UNAVAILABLE, b'')
         else:
             await _answer(send, _OK, encode_batch(batch))
@@ -89,6 +90,10 @@
             raise PlatformError(ErrorKind.LOG_UNAVAILABLE, reason) from error
         if found.status == _GONE:
             raise HistoryLostError
+        if found.status == _UNAVAILABLE:
+            raise CopyTooOldError(
+                ErrorKind.LOG_UNAVAILABLE, 'its copy is too old'
+            )
         if found.status != _OK:
             reason = f'it answered {found.status}'
             raise PlatformError(ErrorKind.LOG_UNAVAILABLE, reason)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -51,6 +51,7 @@
         self.records = []
         self.reads = 0
         self.waits = []
+        self.is_down = False
 
     def put(self, key, body):
         self.records.append(
@@ -66,6 +67,8 @@
     async def read_after(self, topic, offset, *, wait_s=0, is_strict=False):
         self.reads += 1
         self.waits.append(wait_s)
+        if self.is_down:
+            raise PlatformError(ErrorKind.LOG_UNAVAILABLE, 'down')
         await anyio.sleep(0)
         return Batch(
             records=self.records[offset:], next_offset=len(self.records)
@@ -250,6 +253,52 @@
     assert follower.store.waits == [0, 1.0]
 
 
+async def test_a_store_in_trouble_does_not_hear_from_all(monkeypatch):
+    """An outage under many daemons, each of which would try twice a second."""
+    clock, peers, members = Clock(), DirectPeers(), fleet(20)
+    monkeypatch.setattr(following, 'read_clock', clock)
+    stores = [CountingStore() for _ in members]
+    readers = [
+        Reader(own, members, store, peers, clock)
+        for own, store in zip(members, stores, strict=True)
+    ]
+    for one in readers:
+        await one.reader.read()
+    for store in stores:
+        store.is_down, store.reads = True, 0
+    clock.now += MOST_AGE_S + 0.1
+    for _ in range(20):
+        clock.now += 0.5
+        for one in readers:
+            with pytest.raises(PlatformError):
+                await one.reader.read(wait_s=1.0)
+    # The reader for the others goes on asking; they ask every three seconds.
+    assert stores[0].reads == 20
+    assert {store.reads for store in stores[1:]} == {4}
+    # As soon as it has an answer, the others have one too.
+    put_all(stores, 'table', b'1')
+    stores[0].is_down = False
+    for one in readers:
+        assert (await one.reader.read(wait_s=1.0)).records
+
+
+async def test_a_reader_that_is_gone_holds_nobody_back(monkeypatch):
+    clock, peers, members = Clock(), DirectPeers(), fleet(8)
+    monkeypatch.setattr(following, 'read_clock', clock)
+    source = Reader(members[0], members, CountingStore(), peers, clock)
+    follower = Reader(members[1], members, CountingStore(), peers, clock)
+    await source.reader.read()
+    await follower.reader.read()
+    peers.is_cut = True
+    follower.store.is_down = True
+    with pytest.raises(PlatformError):
+        await follower.reader.read(wait_s=1.0)
+    follower.store.is_down = False
+    clock.now += 0.1
+    await follower.reader.read(wait_s=1.0)
+    assert follower.store.waits == [0, 1.0]
+
+
 async def test_dropped_keys_are_passed_on():
     clock = Clock()
     copy = TopicCopy(clock=clock)
