Keep one copy of what the last changes wrote twice

Found in reading the whole change again: the tuple of the HTTP client's failures stood in five clients, taking an address apart in four places, a free port's search in three; a relay was put together in the daemon and once more in the tests; the delivery raised silence in two places; a set with add and discard stood for one flag a topic; Outcome.endpoint was filled and read by nothing.

Change: transport/network.py holds the failures and split_address, standins/addresses.py the search, coordination/relay.py build_relay, delivery one _fail_after. The soak reads pages with one function. Behaviour stays; no assertion of a test changed, only how tests build what they test.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -1,5 +1,7 @@
 """Passes an endpoint's answer on to the caller."""
 
+import contextlib
+from collections.abc import Iterator
 from typing import Final
 
 import anyio
@@ -106,7 +108,6 @@
             attempt.endpoint,
             Outcome(
                 route=job.route.name,
-                endpoint=attempt.endpoint.name,
                 scale=attempt.model,
                 failed=failed,
                 pace_s=attempt.pace_s,
@@ -122,15 +123,8 @@
             # Where work waits, silence is no sign of a fault, and going
             # elsewhere would only add to the work.
             wait_s = job.route.latency_goal_s * share + attempt.expected_s
-        try:
-            with anyio.fail_after(wait_s):
-                head = await attempt.exchange.read_head()
-        except TimeoutError:
-            raise EndpointSilentError(
-                ErrorKind.ENDPOINT_FAILED,
-                f'no first byte within {wait_s:.1f} s',
-                run=RunState.UNKNOWN,
-            ) from None
+        with _fail_after(wait_s, awaited='first byte', run=RunState.UNKNOWN):
+            head = await attempt.exchange.read_head()
         attempt.first_at = read_clock()
         self._parts.placement.note_first_byte(
             attempt.endpoint, attempt.first_at - attempt.sent_at, attempt.work_s
@@ -224,15 +218,8 @@
         wait_s = None
         if job.route.is_resumable and job.attempts < job.route.max_attempts:
             wait_s = job.route.gap_goal_s * GAP_SHARE
-        try:
-            with anyio.fail_after(wait_s):
-                return await attempt.exchange.read_chunk()
-        except TimeoutError:
-            raise EndpointSilentError(
-                ErrorKind.ENDPOINT_FAILED,
-                f'no event within {wait_s:.1f} s',
-                run=RunState.RAN,
-            ) from None
+        with _fail_after(wait_s, awaited='event', run=RunState.RAN):
+            return await attempt.exchange.read_chunk()
 
     def _log_answered(self, job: Job, attempt: Attempt, status: int) -> None:
         metrics = self._parts.metrics
@@ -256,6 +243,21 @@
         )
 
 
+@contextlib.contextmanager
+def _fail_after(
+    wait_s: float | None, *, awaited: str, run: RunState
+) -> Iterator[None]:
+    try:
+        with anyio.fail_after(wait_s):
+            yield
+    except TimeoutError:
+        raise EndpointSilentError(
+            ErrorKind.ENDPOINT_FAILED,
+            f'no {awaited} within {wait_s:.1f} s',
+            run=run,
+        ) from None
+
+
 def _check_head(head: AnswerHead) -> None:
     if head.did_not_run or head.status == _MISDIRECTED:
         raise EndpointError(
--- a/laurelwind/coordination/following.py
+++ b/laurelwind/coordination/following.py
@@ -86,8 +86,8 @@
         self._log = log
         self._members: Sequence[ListedInstance] = ()
         self._source: ListedInstance | None = None
-        # Topics that the daemon asked last could not read from the store.
-        self._stale: set[Topic] = set()
+        # Whether the daemon asked last could not read a topic itself.
+        self._is_stale: dict[Topic, bool] = {}
         self._failed_until: dict[Topic, float] = {}
         self._distrusted: dict[tuple[str, Topic], float] = {}
 
@@ -121,7 +121,7 @@
                 return batch
             # Time has passed already; what is there now is wanted at once.
             wait_s = 0
-        if has_failed and topic in self._stale:
+        if has_failed and self._is_stale.get(topic):
             raise CopyTooOldError(
                 ErrorKind.LOG_UNAVAILABLE,
                 'the daemon that reads the store cannot read it either',
@@ -129,7 +129,7 @@
         try:
             return await self._store.read_after(topic, offset, wait_s=wait_s)
         except PlatformError:
-            if topic in self._stale:
+            if self._is_stale.get(topic):
                 self._failed_until[topic] = read_clock() + FAILED_S
             raise
 
@@ -175,7 +175,7 @@
                 wait_s=min(wait_s, FOLLOW_WAIT_S),
             )
         except (PlatformError, HistoryLostError) as error:
-            self._note_stale(topic, is_stale=isinstance(error, CopyTooOldError))
+            self._is_stale[topic] = isinstance(error, CopyTooOldError)
             was_trusted = self._is_trusted(source, topic)
             until = read_clock() + DISTRUST_S
             self._distrusted[(source.name, topic)] = until
@@ -189,9 +189,3 @@
                 for_s=DISTRUST_S,
             )
             return None
-
-    def _note_stale(self, topic: Topic, *, is_stale: bool) -> None:
-        if is_stale:
-            self._stale.add(topic)
-        else:
-            self._stale.discard(topic)
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -3,10 +3,14 @@
 import anyio
 from attrs import frozen
 
-from laurelwind.coordination.delivery import AnswerDoubtedError, Delivery
+from laurelwind.coordination.delivery import (
+    AnswerDoubtedError,
+    Delivery,
+    DeliveryParts,
+)
 from laurelwind.coordination.jobs import Attempt, Job
 from laurelwind.coordination.placement import Placement
-from laurelwind.coordination.sending import Sender, draw_return
+from laurelwind.coordination.sending import Sender, SenderParts, draw_return
 from laurelwind.coordination.sizing import ModelPlanner
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
@@ -20,6 +24,7 @@
     RunState,
 )
 from laurelwind.protocol.exchanges import CallerAnswer, RelayRequest
+from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.state.routes import Route, Workspace
 
@@ -46,6 +51,37 @@
     log: DecisionLog
 
 
+def build_relay(*, parts: SenderParts, metrics: RelayMetrics) -> 'Relay':
+    """Put a relay together.
+
+    :param parts: what requests are sent with.
+    :param metrics: where latencies are counted.
+    """
+    planner = ModelPlanner()
+    sender = Sender(parts=parts)
+    delivery = Delivery(
+        parts=DeliveryParts(
+            sender=sender,
+            placement=parts.placement,
+            rollouts=parts.rollouts,
+            planner=planner,
+            metrics=metrics,
+            log=parts.log,
+        )
+    )
+    return Relay(
+        parts=RelayParts(
+            tracker=parts.tracker,
+            lease=parts.lease,
+            placement=parts.placement,
+            planner=planner,
+            sender=sender,
+            delivery=delivery,
+            log=parts.log,
+        )
+    )
+
+
 class Relay:
     """Passes requests on, and their answers back.
 
--- a/laurelwind/coordination/verdicts.py
+++ b/laurelwind/coordination/verdicts.py
@@ -34,14 +34,12 @@
     """What one answer says of the version that gave it.
 
     :ivar route: name of the route.
-    :ivar endpoint: name of the endpoint.
     :ivar scale: what answers are compared with each other, such as a model.
     :ivar failed: whether it failed.
     :ivar pace_s: how long it took by the unit of its scale, or ``None``.
     """
 
     route: str
-    endpoint: str
     scale: str = ''
     failed: bool = False
     pace_s: float | None = None
--- a/laurelwind/platform/store.py
+++ b/laurelwind/platform/store.py
@@ -21,6 +21,7 @@
     Topic,
 )
 from laurelwind.protocol.platform import ListedInstance
+from laurelwind.transport.network import NO_ANSWER
 
 _TOPICS: Final[Mapping[Topic, str]] = {
     Topic.OPERATORS: 'keyed.op',
@@ -48,13 +49,6 @@
 _HEAD: Final = struct.Struct('>QQ')
 _LENGTH: Final = struct.Struct('>I')
 _CONNECTIONS: Final = 8
-_NO_ANSWER: Final = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    TimeoutError,
-    OSError,
-)
 
 
 @frozen(kw_only=True)
@@ -123,7 +117,7 @@
                     content=body,
                     headers={'Content-Length': str(len(body))} if body else {},
                 )
-        except _NO_ANSWER as error:
+        except NO_ANSWER as error:
             self._note(path, type(error).__name__)
             raise _fail(f'no answer ({type(error).__name__})') from error
         self._note(path, str(found.status))
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -9,14 +9,12 @@
 from starlette.types import ASGIApp
 
 from laurelwind.coordination.budgets import RetryWindows
-from laurelwind.coordination.delivery import Delivery, DeliveryParts
 from laurelwind.coordination.following import FollowingStore
 from laurelwind.coordination.lag import LoopLag
 from laurelwind.coordination.placement import Placement
-from laurelwind.coordination.relay import Relay, RelayParts
+from laurelwind.coordination.relay import Relay, build_relay
 from laurelwind.coordination.rollouts import RolloutBook
-from laurelwind.coordination.sending import Sender, SenderParts
-from laurelwind.coordination.sizing import ModelPlanner
+from laurelwind.coordination.sending import SenderParts
 from laurelwind.coordination.tracker import Tracker, TrackerParts
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ConfigurationError
@@ -230,32 +228,8 @@
         self.log.warning('settings_reloaded', changed=changed)
 
     def _build_relay(self) -> Relay:
-        planner = ModelPlanner()
-        sender = self._build_sender()
-        return Relay(
-            parts=RelayParts(
-                tracker=self.tracker,
-                lease=self.lease,
-                placement=self.placement,
-                planner=planner,
-                sender=sender,
-                delivery=Delivery(
-                    parts=DeliveryParts(
-                        sender=sender,
-                        placement=self.placement,
-                        rollouts=self.rollouts,
-                        planner=planner,
-                        metrics=self.metrics,
-                        log=self.log,
-                    )
-                ),
-                log=self.log,
-            )
-        )
-
-    def _build_sender(self) -> Sender:
         bounds = self.settings.bounds
-        return Sender(
+        return build_relay(
             parts=SenderParts(
                 tracker=self.tracker,
                 lease=self.lease,
@@ -271,7 +245,8 @@
                 gateway=self.gateway,
                 tell_work=self.hints.tell,
                 log=self.log,
-            )
+            ),
+            metrics=self.metrics,
         )
 
     def _watch(self) -> None:
--- a/laurelwind/transport/connection.py
+++ b/laurelwind/transport/connection.py
@@ -18,6 +18,7 @@
 
 from laurelwind.errors import EndpointError, ErrorKind, RunState
 from laurelwind.protocol.exchanges import HeaderPairs
+from laurelwind.transport.network import split_address
 
 # Longest time for the TCP handshake; several times a lost packet's first
 # retransmission would take would leave callers waiting.
@@ -72,10 +73,10 @@
         :param address: ``host:port``.
         :raises EndpointError: when nothing accepts it in time.
         """
-        host, _, port = address.rpartition(':')
+        host, port = split_address(address)
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(host, int(port))
+                stream = await anyio.connect_tcp(host, port)
         except (OSError, TimeoutError) as error:
             raise EndpointError(
                 ErrorKind.ENDPOINT_FAILED,
--- a/laurelwind/transport/engine.py
+++ b/laurelwind/transport/engine.py
@@ -21,6 +21,7 @@
     EngineStream,
     Usage,
 )
+from laurelwind.transport.network import HTTP_FAILURES
 from laurelwind.transport.pools import EndpointPools
 
 _STATUS_OK: Final = 200
@@ -31,11 +32,6 @@
 _USAGE_MARK: Final = b'"usage":{'
 _DONE_MARK: Final = b'data: [DONE]'
 _DATA_MARK: Final = b'data: '
-_NETWORK_ERRORS: Final = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
 
 
 class HttpEngineClient(EngineClient):
@@ -65,7 +61,7 @@
                     answer = await stack.enter_async_context(
                         self._send(pool, call)
                     )
-                except _NETWORK_ERRORS as error:
+                except HTTP_FAILURES as error:
                     self._pools.retire(call.address)
                     raise _explain_silence(error) from error
                 _check_head(answer, call)
@@ -148,7 +144,7 @@
                 ready = self._check_batch(batch)
                 if ready:
                     yield ready
-        except _NETWORK_ERRORS as error:
+        except HTTP_FAILURES as error:
             self._pools.retire(self._address)
             raise _break_answer('the answer was cut off') from error
         self._check_end(rest)
--- a/laurelwind/transport/hints.py
+++ b/laurelwind/transport/hints.py
@@ -13,6 +13,7 @@
 from anyio.abc import TaskGroup, UDPSocket
 
 from laurelwind.decisions import DecisionLog
+from laurelwind.transport.network import split_address
 
 # Work below this is not told: it is over before it could matter elsewhere.
 LEAST_WORK_S: Final = 0.1
@@ -47,7 +48,7 @@
 
         :param group: the daemon's tasks.
         """
-        host, port = _split(self._address)
+        host, port = split_address(self._address)
         self._socket = await anyio.create_udp_socket(
             family=socket.AF_INET, local_host=host, local_port=port
         )
@@ -69,7 +70,7 @@
         hint = orjson.dumps([endpoint, round(work_s, 3)])
         for peer in self._list_peers():
             try:
-                await self._socket.sendto(hint, *_split(peer))
+                await self._socket.sendto(hint, *split_address(peer))
             except (OSError, anyio.BusyResourceError) as error:
                 # A hint that cannot go out at once is not worth waiting for.
                 self._log.note('hint_not_sent', peer=peer, reason=str(error))
@@ -85,11 +86,6 @@
                 self._note_work(*hint)
 
 
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 def _read_hint(text: bytes) -> tuple[str, float] | None:
     try:
         found = orjson.loads(text)
--- a/laurelwind/transport/json_service.py
+++ b/laurelwind/transport/json_service.py
@@ -9,6 +9,7 @@
 import orjson
 
 from laurelwind.errors import ErrorKind, PlatformError
+from laurelwind.transport.network import HTTP_FAILURES
 
 _STATUS_OK: Final = 200
 _CONNECT_TIMEOUT_S: Final = 1.0
@@ -59,13 +60,7 @@
         """Turn failures of the connection and of decoding into one error."""
         try:
             yield
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
-            raise self._build_error(type(error).__name__) from error
-        except (TimeoutError, ValueError) as error:
+        except (*HTTP_FAILURES, TimeoutError, ValueError) as error:
             raise self._build_error(type(error).__name__) from error
 
     def _build_error(self, reason: str) -> PlatformError:
--- a/laurelwind/transport/server.py
+++ b/laurelwind/transport/server.py
@@ -13,6 +13,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from laurelwind.settings import TlsSettings
+from laurelwind.transport.network import split_address
 
 HEADER_TIMEOUT_S: Final = 10.0
 _BACKLOG: Final = 2048
@@ -88,8 +89,7 @@
         tls: TlsSettings | None = None,
         header_timeout_s: float = HEADER_TIMEOUT_S,
     ) -> None:
-        host, _, port = address.rpartition(':')
-        self._socket = _bind(host, int(port))
+        self._socket = _bind(*split_address(address))
         self._tls = tls or TlsSettings()
         self._header_timeout_s = header_timeout_s
         self._server: _QuietServer | None = None
--- a/laurelwind/transport/service.py
+++ b/laurelwind/transport/service.py
@@ -13,6 +13,7 @@
     ServiceCall,
     ServiceClient,
 )
+from laurelwind.transport.network import HTTP_FAILURES
 from laurelwind.transport.pools import EndpointPools
 
 _CONNECT_TIMEOUT_S: Final = 0.5
@@ -22,12 +23,7 @@
     httpcore.ConnectTimeout,
     httpcore.PoolTimeout,
 )
-_MAYBE_SENT: Final = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    TimeoutError,
-)
+_MAYBE_SENT: Final = (*HTTP_FAILURES, TimeoutError)
 
 
 class HttpServiceClient(ServiceClient):
--- a/laurelwind/transport/topics.py
+++ b/laurelwind/transport/topics.py
@@ -17,6 +17,7 @@
     PeerTopics,
     Topic,
 )
+from laurelwind.transport.network import NO_ANSWER
 
 # A daemon of the same zone answers within milliseconds; one that takes this
 # long beyond the wait it was asked for is busy, frozen or gone.
@@ -29,13 +30,6 @@
 _MS_PER_S: Final = 1000
 _MOST_WAIT_S: Final = 5.0
 _CONNECTIONS: Final = 6
-_NO_ANSWER: Final = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    TimeoutError,
-    OSError,
-)
 
 
 class TopicApplication:
@@ -85,7 +79,7 @@
         try:
             with anyio.fail_after(ANSWER_TIMEOUT_S + wait_s):
                 found = await self._pool.request('GET', target)
-        except _NO_ANSWER as error:
+        except NO_ANSWER as error:
             reason = f'no answer ({type(error).__name__})'
             raise PlatformError(ErrorKind.LOG_UNAVAILABLE, reason) from error
         if found.status == _GONE:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,6 +7,7 @@
 import orjson
 from attrs import define
 
+from laurelwind.transport.network import NO_ANSWER
 from soak import bounds
 from soak.fleet import Daemon, Fleet
 
@@ -152,21 +153,11 @@
 
 
 async def fetch(address: str, path: str) -> bytes | None:
-    """Read a page, or nothing where there is none in time."""
+    """Read a page over a connection of its own, or nothing where none comes."""
     try:
         with anyio.fail_after(_CALL_TIMEOUT_S):
-            found = await httpcore_get(address, path)
-    except (
-        httpcore.NetworkError,
-        httpcore.ProtocolError,
-        httpcore.TimeoutException,
-        TimeoutError,
-    ):
+            async with httpcore.AsyncConnectionPool() as pool:
+                found = await pool.request('GET', f'http://{address}{path}')
+    except NO_ANSWER:
         return None
     return found.content if found.status == 200 else None
-
-
-async def httpcore_get(address: str, path: str) -> httpcore.Response:
-    """Read a page over a connection of its own."""
-    async with httpcore.AsyncConnectionPool() as pool:
-        return await pool.request('GET', f'http://{address}{path}')
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -4,7 +4,6 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -14,6 +13,7 @@
 from attrs import define, field
 
 from soak import bounds
+from standins.addresses import take_address
 from standins.link import Link
 from standins.relayed import Ledger, RelayedEndpoint
 from standins.store import StoreMode, StoreStandin
@@ -274,16 +274,6 @@
     return '127.{}.{}.{}'.format(*words)
 
 
-def take_address(host: str) -> str:
-    """Find a free port of a host.
-
-    :param host: an address of this machine.
-    """
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return '{}:{}'.format(*probe.getsockname())
-
-
 def _build_table(version: int, pool: str, keys: frozenset[str]) -> dict:
     routes = [
         {
--- a/standins/link.py
+++ b/standins/link.py
@@ -13,6 +13,8 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
+from laurelwind.transport.network import split_address
+
 _FOREVER: Final = float('inf')
 # Linger for no time: closing the socket resets the connection.
 _AT_ONCE: Final = struct.pack('ii', 1, 0)
@@ -88,10 +90,9 @@
         generation = self._generation
         if self.is_cut:
             await anyio.sleep(_FOREVER)
-        host, _, port = self._target.rpartition(':')
         async with near:
             try:
-                far = await anyio.connect_tcp(host, int(port))
+                far = await anyio.connect_tcp(*split_address(self._target))
             except OSError:
                 return
             async with far, anyio.create_task_group() as group:
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -6,12 +6,10 @@
 from attrs import define, field
 
 from laurelwind.coordination.budgets import RetryWindows
-from laurelwind.coordination.delivery import Delivery, DeliveryParts
 from laurelwind.coordination.placement import Placement
-from laurelwind.coordination.relay import Relay, RelayParts
+from laurelwind.coordination.relay import build_relay
 from laurelwind.coordination.rollouts import RolloutBook
-from laurelwind.coordination.sending import Sender, SenderParts
-from laurelwind.coordination.sizing import ModelPlanner
+from laurelwind.coordination.sending import SenderParts
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import EndpointError, ErrorKind, RunState
 from laurelwind.protocol.exchanges import (
@@ -223,8 +221,7 @@
         self.windows = RetryWindows(
             share=share, extra=10, window_s=10, count_members=lambda: 1
         )
-        planner = ModelPlanner()
-        sender = Sender(
+        self.relay = build_relay(
             parts=SenderParts(
                 tracker=self.tracker,
                 lease=self.lease,
@@ -235,28 +232,8 @@
                 gateway=self.gateway,
                 tell_work=tell_nothing,
                 log=self.log,
-            )
-        )
-        delivery = Delivery(
-            parts=DeliveryParts(
-                sender=sender,
-                placement=self.placement,
-                rollouts=self.rollouts,
-                planner=planner,
-                metrics=RelayMetrics(),
-                log=self.log,
-            )
-        )
-        self.relay = Relay(
-            parts=RelayParts(
-                tracker=self.tracker,
-                lease=self.lease,
-                placement=self.placement,
-                planner=planner,
-                sender=sender,
-                delivery=delivery,
-                log=self.log,
-            )
+            ),
+            metrics=RelayMetrics(),
         )
 
     async def serve(self, found):
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -6,20 +6,15 @@
 import pytest
 
 from laurelwind.transport.hints import LEAST_WORK_S, WorkHints
+from standins.addresses import take_address
 from tests.helpers import wait_until
 from tests.relay_helpers import quiet_log
 
 pytestmark = pytest.mark.anyio
 
 
-def take_address():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(('127.0.0.1', 0))
-        return '127.0.0.1:{1}'.format(*probe.getsockname())
-
-
 async def run(check):
-    addresses = [take_address(), take_address()]
+    addresses = [take_address(kind=socket.SOCK_DGRAM) for _ in range(2)]
     heard = []
     hints = [
         WorkHints(
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import signal
-import socket
 
 import anyio
 import httpcore
@@ -31,6 +30,7 @@
     load_relay_settings,
 )
 from laurelwind.transport.server import HttpServer
+from standins.addresses import take_address
 from tests.helpers import wait_until
 from tests.test_tracker import FakeGroup, FakeStore, endpoint
 
@@ -60,12 +60,6 @@
 }
 
 
-def take_address():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return '127.0.0.1:{1}'.format(*probe.getsockname())
-
-
 class Endpoint:
     """Answers like a replica, and keeps what it was asked."""
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -55,7 +55,6 @@
             endpoint,
             Outcome(
                 route='draft',
-                endpoint=endpoint.name,
                 failed=failed,
                 pace_s=pace_s,
             ),
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -327,9 +327,7 @@
         await wait_until(lambda: world.rollouts.has_unsettled)
         new = record('n1', version='v2')
         for _ in range(3):
-            world.rollouts.note_outcome(
-                new, Outcome(route='r', endpoint='n1', failed=True)
-            )
+            world.rollouts.note_outcome(new, Outcome(route='r', failed=True))
         await wait_until(
             lambda: any(
                 found.body and b'rolled_back' in found.body
