Decide the shift of a roll-out once, and accept a version on pooled evidence

Cause: every daemon shifted all sessions when its own sum of answers reached eight.

Ruled out: shifting by time alone, since versions that fail late would get all sessions without evidence; a ramp of shares, since daemons' clocks of the order differ by more than a session's pause.

Now one daemon writes the moment of the shift 3 s ahead, the age beyond which statuses are not acted upon; acceptance excludes a rejectable share of bad answers at 1 in 100; counts of the old version are pooled; sums are kept as running totals; rank delays grow with the logarithm of the rank.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -9,9 +9,9 @@
 
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.placement import Placement
-from laurelwind.coordination.rejection import AnswerOutcome
 from laurelwind.coordination.relay_jobs import Attempt, BufferedAnswer, Job
-from laurelwind.coordination.rollouts import RolloutRegistry
+from laurelwind.coordination.rollouts.evidence import AnswerOutcome
+from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.sending import Sender
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
--- /dev/null
+++ b/laurelwind/coordination/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs of versions: phases, evidence, and their exchange."""
--- a/laurelwind/coordination/rejection.py
+++ b/laurelwind/coordination/rollouts/evidence.py
@@ -1,5 +1,6 @@
-"""Criteria by which a version is rejected during a roll-out."""
+"""Evidence by which a version is rejected or accepted during a roll-out."""
 
+import math
 import statistics
 from collections import deque
 from typing import Final
@@ -26,6 +27,11 @@
 # both versions rejects neither.
 SLOW_RATIO: Final = 5.0
 MIN_BASELINE_S: Final = 0.02
+# Probability with which a version that is bad enough to be rejected may show as
+# few bad answers as one that is accepted.
+MAX_FALSE_ACCEPTANCE: Final = 0.01
+# Above this share of bad answers no version can be told from a worse one.
+_MAX_BAD_SHARE: Final = 0.9
 _MAX_BASELINE_SAMPLES: Final = 64
 _MIN_BASELINE_SAMPLES: Final = 8
 
@@ -102,8 +108,54 @@
     return tally.slow >= max(MIN_SLOW_ANSWERS, MIN_SLOW_SHARE * tally.answers)
 
 
+def should_accept(tally: Tally, old_tally: Tally) -> bool:
+    """Return whether the answers of a version suffice to accept it.
+
+    They suffice if a version that is just bad enough to be rejected would show
+    so few bad answers only with the probability MAX_FALSE_ACCEPTANCE.  Without
+    a bad answer that takes 21 answers.
+
+    :param tally: counts of the version's answers.
+    :param old_tally: counts of the old version's answers in the same time.
+    """
+    if should_reject(tally, old_tally):
+        return False
+    return _excludes_share(
+        tally.failures,
+        tally.answers,
+        _find_rejected_share(MIN_FAILURE_SHARE, old_tally.failures, old_tally),
+    ) and _excludes_share(
+        tally.slow,
+        tally.answers,
+        _find_rejected_share(MIN_SLOW_SHARE, old_tally.slow, old_tally),
+    )
+
+
 def _exceeds_old_version(
     bad: int, tally: Tally, old_bad: int, old_tally: Tally
 ) -> bool:
     old_share = old_bad / old_tally.answers if old_tally.answers else 0
     return bad > MIN_BAD_RATIO * old_share * tally.answers
+
+
+def _find_rejected_share(
+    min_share: float, old_bad: int, old_tally: Tally
+) -> float:
+    old_share = old_bad / old_tally.answers if old_tally.answers else 0
+    return min(max(min_share, MIN_BAD_RATIO * old_share), _MAX_BAD_SHARE)
+
+
+def _excludes_share(bad: int, answers: int, share: float) -> bool:
+    """Return whether so few bad answers are unlikely at a share.
+
+    Chernoff's bound on the lower tail of the binomial distribution.
+    """
+    if not answers:
+        return False
+    observed = bad / answers
+    if observed >= share:
+        return False
+    divergence = (1 - observed) * math.log((1 - observed) / (1 - share))
+    if bad:
+        divergence += observed * math.log(observed / share)
+    return math.exp(-answers * divergence) <= MAX_FALSE_ACCEPTANCE
--- a/laurelwind/coordination/rollouts.py
+++ b/laurelwind/coordination/rollouts/registry.py
@@ -1,108 +1,44 @@
-"""Roll-outs: assigns requests to versions, and rejects or accepts versions."""
+"""Roll-outs of all services: assigns requests to versions."""
 
-from collections.abc import Callable, Iterator, Mapping, Sequence
+import math
+from collections.abc import Callable, Iterator, Sequence
 from typing import Final
 
-from attrs import define, field
-
-from laurelwind.coordination.rejection import (
+from laurelwind.coordination.rollouts.evidence import (
     AnswerOutcome,
     LatencyBaselines,
-    should_reject,
 )
+from laurelwind.coordination.rollouts.progress import RolloutProgress
 from laurelwind.decisions import DecisionLog
 from laurelwind.state.directory import EndpointRecord
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.state.rollouts import (
     RolloutOrder,
     RolloutReport,
+    RolloutShift,
     RolloutState,
     RolloutStatus,
     Tally,
 )
 from laurelwind.state.routes import hash_fraction
 
-ALL_ROUTES: Final = '*'
-# Fractions of an order's time limit. A session may not change its version in
-# the first half; then the target version serves some sessions, then all.
-CANARY_FRACTION: Final = 0.51
-SHIFT_FRACTION: Final = 0.66
-SUCCESS_FRACTION: Final = 0.92
-# Seconds of the time limit reserved for writing the final status.
-SUCCESS_MARGIN_S: Final = 0.8
 # Share of the requests that go to the target version during the canary phase,
 # as a factor of the exposure limit that the operator sets.
 CANARY_EXPOSURE_FACTOR: Final = 1.0
-# Answers of the target version, summed over all daemons, that are required
-# before it serves all sessions and before the roll-out succeeds.
-REQUIRED_ANSWERS: Final = 8
-# Age of the last read of the statuses above which a daemon does not use the
-# target version, since it may have been rolled back.
-MAX_STATUS_AGE_S: Final = 3.0
-# Seconds after which a daemon reports new good answers, until enough answers
-# are counted: all daemons must shift at the same time, however few answers each
-# of them counts.
-REPORT_DELAY_S: Final = 0.8
-# Interval at which the first member reports the elapsed time, for daemons that
-# have just started.
-TIME_REPORT_PERIOD_S: Final = 2.5
-# Seconds that each further member waits before it writes a status that the
-# members before it have not written.
+# Seconds that a daemon waits before it writes what the daemons of lower rank
+# have not written, each time the rank doubles.
 RANK_DELAY_S: Final = 0.6
 
 
-@define(kw_only=True)
-class _Rollout:
-    """State of one roll-out order."""
-
-    order: RolloutOrder
-    ordered_at: float
-    state: RolloutState | None = None
-    local_tallies: dict[str, Tally] = field(factory=dict)
-    peer_reports: dict[str, RolloutReport] = field(factory=dict)
-    reported_tallies: dict[str, Tally] = field(factory=dict)
-    old_tally: Tally = field(factory=Tally)
-    is_rejected: bool = False
-    reported_at: float = 0
-
-    @property
-    def elapsed_s(self) -> float:
-        return read_monotonic_clock() - self.ordered_at
-
-    @property
-    def has_enough_answers(self) -> bool:
-        return _merge_tallies(self)[ALL_ROUTES].answers >= REQUIRED_ANSWERS
-
-    def is_report_due(self, rank: int) -> bool:
-        local_tally = _sum_tallies(tuple(self.local_tallies.values()))
-        reported_tally = _sum_tallies(tuple(self.reported_tallies.values()))
-        if local_tally.bad_answers > reported_tally.bad_answers:
-            return True
-        since_report_s = read_monotonic_clock() - self.reported_at
-        if (
-            local_tally.answers > reported_tally.answers
-            and not self.has_enough_answers
-            and since_report_s > REPORT_DELAY_S
-        ):
-            return True
-        return not rank and since_report_s > TIME_REPORT_PERIOD_S
-
-    @property
-    def is_settled(self) -> bool:
-        return self.state in {RolloutState.SUCCEEDED, RolloutState.ROLLED_BACK}
+def compute_rank_delay(rank: int) -> float:
+    """Return the seconds for which daemons of lower rank write first.
 
-    @property
-    def is_undecided(self) -> bool:
-        return not self.is_rejected and not self.is_settled
+    The delay grows with the logarithm of the rank, so that in a fleet of
+    hundreds somebody writes within a few seconds, whoever is down.
 
-    @property
-    def is_target_in_use(self) -> bool:
-        if self.is_settled:
-            return False
-        exposure_start_s = (
-            self.order.duration_s * CANARY_FRACTION - TIME_REPORT_PERIOD_S
-        )
-        return self.is_rejected or self.elapsed_s > exposure_start_s
+    :param rank: index of the daemon among the members.
+    """
+    return RANK_DELAY_S * math.floor(math.log2(rank + 1))
 
 
 class RolloutRegistry:
@@ -112,6 +48,7 @@
     :param exposure_share: largest share of a service's requests that a bad
         version may receive.
     :param log: the decision log.
+    :param clock: returns the current time in seconds.
     """
 
     def __init__(
@@ -120,15 +57,18 @@
         local_daemon: str,
         exposure_share: float,
         log: DecisionLog,
+        clock: Callable[[], float] = read_monotonic_clock,
     ) -> None:
         self._local_daemon = local_daemon
         self._canary_share = exposure_share * CANARY_EXPOSURE_FACTOR
         self._log = log
-        self._rollouts: dict[str, _Rollout] = {}
+        self._clock = clock
+        self._rollouts: dict[str, RolloutProgress] = {}
         self._statuses: dict[str, RolloutStatus] = {}
+        self._shifts: dict[str, RolloutShift] = {}
         self._rejected_versions: dict[str, set[str]] = {}
         self._baselines = LatencyBaselines()
-        self._statuses_read_at = read_monotonic_clock()
+        self._statuses_read_at = self._clock()
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -158,7 +98,7 @@
         :param age_s: seconds since the records were known to be complete.
         """
         self._statuses_read_at = max(
-            self._statuses_read_at, read_monotonic_clock() - age_s
+            self._statuses_read_at, self._clock() - age_s
         )
 
     def apply_order(self, order: RolloutOrder) -> None:
@@ -169,8 +109,8 @@
         rollout = self._rollouts.get(order.service)
         if rollout is not None and rollout.order == order:
             return
-        self._rollouts[order.service] = _Rollout(
-            order=order, ordered_at=read_monotonic_clock()
+        self._rollouts[order.service] = RolloutProgress(
+            order=order, clock=self._clock, ordered_at=self._clock()
         )
         self._log.log_warning(
             'rollout_ordered', service=order.service, target=order.target
@@ -178,6 +118,9 @@
         status = self._statuses.get(order.service)
         if status is not None:
             self.apply_status(order.service, status)
+        shift = self._shifts.get(order.service)
+        if shift is not None:
+            self.apply_shift(order.service, shift)
 
     def apply_status(self, service: str, status: RolloutStatus) -> None:
         """Apply a status that was written to the store.
@@ -201,6 +144,25 @@
             )
         rollout.state = status.state
 
+    def apply_shift(self, service: str, shift: RolloutShift) -> None:
+        """Apply the decision to shift that was written to the store.
+
+        :param service: name of the service.
+        :param shift: the decision.
+        """
+        self._shifts[service] = shift
+        rollout = self._rollouts.get(service)
+        if rollout is None or rollout.order.target != shift.target:
+            return
+        if rollout.shift_at_s != shift.shift_at_s:
+            self._log.log_warning(
+                'rollout_shift',
+                service=service,
+                target=shift.target,
+                in_s=round(shift.shift_at_s - rollout.elapsed_s, 2),
+            )
+        rollout.apply_shift(shift)
+
     def apply_report(
         self, service: str, daemon: str, report: RolloutReport
     ) -> None:
@@ -215,9 +177,7 @@
             return
         if rollout.order.target != report.target:
             return
-        rollout.peer_reports[daemon] = report
-        ordered_at = read_monotonic_clock() - report.elapsed_s
-        rollout.ordered_at = min(rollout.ordered_at, ordered_at)
+        rollout.apply_report(daemon, report)
         self._evaluate(service, rollout)
 
     def filter_endpoints(
@@ -246,7 +206,9 @@
             return target_endpoints or old_endpoints
         if rollout.is_rejected:
             return _exclude_versions(old_endpoints, rejected)
-        share = self._compute_target_share(rollout)
+        share = rollout.compute_target_share(
+            self._canary_share, self._clock() - self._statuses_read_at
+        )
         if target_endpoints and hash_fraction(session) < share:
             return target_endpoints
         return _exclude_versions(old_endpoints, rejected) or target_endpoints
@@ -274,10 +236,9 @@
             slow=int(is_slow and not outcome.failed),
         )
         if not is_target_version:
-            rollout.old_tally = rollout.old_tally.add(tally)
+            rollout.record_old_answer(tally)
             return
-        previous_tally = rollout.local_tallies.get(outcome.route, Tally())
-        rollout.local_tallies[outcome.route] = previous_tally.add(tally)
+        rollout.record_answer(outcome.route, tally)
         if tally.bad_answers:
             self._evaluate(endpoint.service, rollout)
 
@@ -289,17 +250,9 @@
         :param rank: index of the local daemon among the members.
         """
         for service, rollout in self._rollouts.items():
-            if not rollout.is_settled and rollout.is_report_due(rank):
-                rollout.reported_tallies = dict(rollout.local_tallies)
-                rollout.reported_at = read_monotonic_clock()
-                yield (
-                    service,
-                    RolloutReport(
-                        target=rollout.order.target,
-                        elapsed_s=rollout.elapsed_s,
-                        tallies=dict(rollout.local_tallies),
-                    ),
-                )
+            report = rollout.take_due_report(is_first_member=rank == 0)
+            if report is not None:
+                yield service, report
 
     def list_due_statuses(
         self, rank: int
@@ -310,83 +263,47 @@
             wait longer.
         """
         for service, rollout in self._rollouts.items():
-            due_state = self._find_due_state(rollout, rank * RANK_DELAY_S)
+            due_state = rollout.find_due_state(compute_rank_delay(rank))
             if due_state is not None and due_state is not rollout.state:
                 yield (
                     service,
                     RolloutStatus(target=rollout.order.target, state=due_state),
                 )
 
-    def _find_due_state(
-        self, rollout: _Rollout, rank_delay_s: float
-    ) -> RolloutState | None:
-        if rollout.is_settled:
-            return None
-        if rollout.is_rejected:
-            return RolloutState.ROLLED_BACK
-        elapsed_s = rollout.elapsed_s - rank_delay_s
-        duration_s = rollout.order.duration_s
-        success_due_s = min(
-            duration_s * SUCCESS_FRACTION, duration_s - SUCCESS_MARGIN_S
+    def list_due_shifts(self, rank: int) -> Iterator[tuple[str, RolloutShift]]:
+        """Return the decisions to shift that the local daemon should write now.
+
+        :param rank: index of the local daemon among the members; higher ones
+            wait longer.
+        """
+        for service, rollout in self._rollouts.items():
+            shift = rollout.find_due_shift(compute_rank_delay(rank))
+            if shift is not None:
+                yield service, shift
+
+    def _evaluate(self, service: str, rollout: RolloutProgress) -> None:
+        rejected = (
+            rollout.find_rejected_route() if rollout.is_undecided else None
         )
-        if elapsed_s > success_due_s and rollout.has_enough_answers:
-            return RolloutState.SUCCEEDED
-        return RolloutState.ACTIVE if elapsed_s > 0 else None
-
-    def _compute_target_share(self, rollout: _Rollout) -> float:
-        elapsed_fraction = rollout.elapsed_s / rollout.order.duration_s
-        if (
-            elapsed_fraction < CANARY_FRACTION
-            or read_monotonic_clock() - self._statuses_read_at
-            > MAX_STATUS_AGE_S
-        ):
-            return 0
-        if elapsed_fraction < SHIFT_FRACTION or not rollout.has_enough_answers:
-            return self._canary_share
-        return 1
-
-    def _evaluate(self, service: str, rollout: _Rollout) -> None:
-        if not rollout.is_undecided:
+        if rejected is None:
             return
-        for route, tally in _merge_tallies(rollout).items():
-            if should_reject(tally, rollout.old_tally):
-                rollout.is_rejected = True
-                self._rejected_versions.setdefault(service, set()).add(
-                    rollout.order.target
-                )
-                self._log.log_warning(
-                    'version_rejected',
-                    service=service,
-                    target=rollout.order.target,
-                    route=route,
-                    answers=tally.answers,
-                    failures=tally.failures,
-                    slow=tally.slow,
-                    elapsed_s=round(rollout.elapsed_s, 2),
-                )
-                for listener in self._listeners:
-                    listener()
-                return
-
-
-def _merge_tallies(rollout: _Rollout) -> Mapping[str, Tally]:
-    merged: dict[str, Tally] = {}
-    sources = (
-        rollout.local_tallies,
-        *(report.tallies for report in rollout.peer_reports.values()),
-    )
-    for tallies in sources:
-        for route, tally in tallies.items():
-            merged[route] = merged.get(route, Tally()).add(tally)
-    merged[ALL_ROUTES] = _sum_tallies(tuple(merged.values()))
-    return merged
-
-
-def _sum_tallies(tallies: Sequence[Tally]) -> Tally:
-    total = Tally()
-    for tally in tallies:
-        total = total.add(tally)
-    return total
+        route, tally = rejected
+        rollout.reject()
+        self._rejected_versions.setdefault(service, set()).add(
+            rollout.order.target
+        )
+        self._log.log_warning(
+            'version_rejected',
+            service=service,
+            target=rollout.order.target,
+            route=route,
+            answers=tally.answers,
+            failures=tally.failures,
+            slow=tally.slow,
+            elapsed_s=round(rollout.elapsed_s, 2),
+        )
+        for listener in self._listeners:
+            listener()
 
 
 def _exclude_versions(
--- a/laurelwind/coordination/status_exchange.py
+++ b/laurelwind/coordination/rollouts/status_exchange.py
@@ -7,7 +7,7 @@
 from anyio.abc import TaskGroup
 from attrs import frozen
 
-from laurelwind.coordination.rollouts import RolloutRegistry
+from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.topic_copies import TopicCopy
 from laurelwind.coordination.topic_readers import (
     Backoff,
@@ -118,7 +118,7 @@
             for record in batch.records:
                 self._apply_status_record(record)
             self._dependencies.rollouts.record_read(reader.age_s)
-            if await self._write_statuses(batch.next_offset):
+            if await self._write_decisions(batch.next_offset):
                 break
         await self._write_reports()
         return is_copy
@@ -134,6 +134,10 @@
                 rollouts.apply_status(
                     *documents.decode_status(record.key, record.body)
                 )
+            elif kind is DocumentKind.ROLLOUT_SHIFT:
+                rollouts.apply_shift(
+                    *documents.decode_shift(record.key, record.body)
+                )
             elif kind is DocumentKind.ROLLOUT_REPORT:
                 rollouts.apply_report(
                     *documents.decode_report(record.key, record.body)
@@ -152,29 +156,41 @@
             )
             await self._dependencies.store.write(Topic.STATUS, key, body)
 
-    async def _write_statuses(self, expected_end_offset: int) -> bool:
-        """Write due statuses; return ``False`` on a concurrent write."""
+    async def _write_decisions(self, expected_end_offset: int) -> bool:
+        """Write due statuses and shifts; return ``False`` on a conflict."""
         rollouts = self._dependencies.rollouts
-        for service, status in rollouts.list_due_statuses(self._get_rank()):
-            key, body = self._dependencies.documents.encode_status(
-                service, status
-            )
-            is_written = await self._dependencies.store.write(
-                Topic.STATUS, key, body, expected_end_offset=expected_end_offset
-            )
-            self._dependencies.log.log_warning(
-                'rollout_status_written',
-                service=service,
-                target=status.target,
-                state=status.state,
-                is_written=is_written,
-            )
-            if not is_written:
+        documents = self._dependencies.documents
+        rank = self._get_rank()
+        for service, status in rollouts.list_due_statuses(rank):
+            document = documents.encode_status(service, status)
+            if not await self._write_decision(document, expected_end_offset):
                 return False
             expected_end_offset += 1
             rollouts.apply_status(service, status)
+        for service, shift in rollouts.list_due_shifts(rank):
+            document = documents.encode_shift(service, shift)
+            if not await self._write_decision(document, expected_end_offset):
+                return False
+            expected_end_offset += 1
+            rollouts.apply_shift(service, shift)
         return True
 
+    async def _write_decision(
+        self, document: tuple[str, bytes], expected_end_offset: int
+    ) -> bool:
+        """Write a decision unless another daemon has written meanwhile."""
+        key, body = document
+        is_written = await self._dependencies.store.write(
+            Topic.STATUS, key, body, expected_end_offset=expected_end_offset
+        )
+        self._dependencies.log.log_warning(
+            'rollout_decision_written',
+            key=key,
+            decision=body.decode(),
+            is_written=is_written,
+        )
+        return is_written
+
     def _get_rank(self) -> int:
         return self._dependencies.list_members().index(self._local_instance)
 
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -9,7 +9,7 @@
 from laurelwind.coordination.fleet_retry_budget import FleetRetryBudget
 from laurelwind.coordination.placement import Placement, PlacementRequirements
 from laurelwind.coordination.relay_jobs import Attempt, Job
-from laurelwind.coordination.rollouts import RolloutRegistry
+from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -7,8 +7,8 @@
 from anyio.abc import TaskGroup
 from attrs import frozen
 
-from laurelwind.coordination.rollouts import RolloutRegistry
-from laurelwind.coordination.status_exchange import (
+from laurelwind.coordination.rollouts.registry import RolloutRegistry
+from laurelwind.coordination.rollouts.status_exchange import (
     StatusDependencies,
     StatusExchange,
 )
--- a/laurelwind/platform/documents.py
+++ b/laurelwind/platform/documents.py
@@ -13,6 +13,7 @@
 from laurelwind.state.rollouts import (
     RolloutOrder,
     RolloutReport,
+    RolloutShift,
     RolloutState,
     RolloutStatus,
     Tally,
@@ -31,6 +32,7 @@
 _TABLE_KEY: Final = 'config'
 _ROLLOUT_PREFIX: Final = 'rollout/'
 _REPORT_PREFIX: Final = 'laurelwind/report/'
+_SHIFT_PREFIX: Final = 'laurelwind/shift/'
 # Orders and statuses have the same keys; their topics distinguish them.
 _ROLLOUT_KINDS: Final = MappingProxyType(
     {
@@ -64,6 +66,8 @@
             return _ROLLOUT_KINDS.get(topic, DocumentKind.OTHER)
         if key.startswith(_REPORT_PREFIX):
             return DocumentKind.ROLLOUT_REPORT
+        if key.startswith(_SHIFT_PREFIX):
+            return DocumentKind.ROLLOUT_SHIFT
         return DocumentKind.OTHER
 
     def decode_table(self, body: bytes) -> RoutingTable:
@@ -131,13 +135,15 @@
         document = _parse_object(body)
         try:
             tallies = {
-                route: Tally(answers=row[0], failures=row[1], slow=row[2])
+                route: _parse_tally(row)
                 for route, row in document['tallies'].items()
             }
             report = RolloutReport(
                 target=_parse_text(document['target']),
                 elapsed_s=float(document['elapsed_s']),
                 tallies=tallies,
+                # Absent from reports of earlier releases.
+                old_tally=_parse_tally(document.get('old', (0, 0, 0))),
             )
         except _STRUCTURE_ERRORS as error:
             raise _build_error(error) from error
@@ -148,16 +154,47 @@
     ) -> tuple[str, bytes]:
         """Encode a roll-out report; see :class:`DocumentCodec`."""
         tallies = {
-            route: (tally.answers, tally.failures, tally.slow)
+            route: _list_counts(tally)
             for route, tally in report.tallies.items()
         }
         body = {
             'target': report.target,
             'elapsed_s': round(report.elapsed_s, 3),
             'tallies': tallies,
+            'old': _list_counts(report.old_tally),
         }
         return f'{_REPORT_PREFIX}{service}/{daemon}', orjson.dumps(body)
 
+    def decode_shift(self, key: str, body: bytes) -> tuple[str, RolloutShift]:
+        """Decode the decision to shift; see :class:`DocumentCodec`."""
+        document = _parse_object(body)
+        try:
+            shift = RolloutShift(
+                target=_parse_text(document['target']),
+                shift_at_s=float(document['shift_at_s']),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise _build_error(error) from error
+        return key.removeprefix(_SHIFT_PREFIX), shift
+
+    def encode_shift(
+        self, service: str, shift: RolloutShift
+    ) -> tuple[str, bytes]:
+        """Encode the decision to shift; see :class:`DocumentCodec`."""
+        body = {
+            'target': shift.target,
+            'shift_at_s': round(shift.shift_at_s, 3),
+        }
+        return f'{_SHIFT_PREFIX}{service}', orjson.dumps(body)
+
+
+def _parse_tally(row: Sequence[int]) -> Tally:
+    return Tally(answers=row[0], failures=row[1], slow=row[2])
+
+
+def _list_counts(tally: Tally) -> tuple[int, int, int]:
+    return tally.answers, tally.failures, tally.slow
+
 
 def _build_table(document: Mapping[str, Any]) -> RoutingTable:
     tenants = document.get('tenants') or ()
--- a/laurelwind/protocol/documents.py
+++ b/laurelwind/protocol/documents.py
@@ -5,7 +5,12 @@
 
 from laurelwind.protocol.keyed_store import Topic
 from laurelwind.state.directory import EndpointRecord
-from laurelwind.state.rollouts import RolloutOrder, RolloutReport, RolloutStatus
+from laurelwind.state.rollouts import (
+    RolloutOrder,
+    RolloutReport,
+    RolloutShift,
+    RolloutStatus,
+)
 from laurelwind.state.routes import RoutingTable
 
 
@@ -16,6 +21,7 @@
     ROLLOUT_ORDER = 'rollout_order'
     ROLLOUT_STATUS = 'rollout_status'
     ROLLOUT_REPORT = 'rollout_report'
+    ROLLOUT_SHIFT = 'rollout_shift'
     OTHER = 'other'
 
 
@@ -95,3 +101,21 @@
         :param daemon: name of the daemon.
         :param report: the report.
         """
+
+    @abc.abstractmethod
+    def decode_shift(self, key: str, body: bytes) -> tuple[str, RolloutShift]:
+        """Decode the decision to shift; return it after the service's name.
+
+        :param key: key of the document.
+        :param body: the document.
+        """
+
+    @abc.abstractmethod
+    def encode_shift(
+        self, service: str, shift: RolloutShift
+    ) -> tuple[str, bytes]:
+        """Encode the decision to shift; return the document after its key.
+
+        :param service: name of the service.
+        :param shift: the decision.
+        """
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -13,7 +13,7 @@
 from laurelwind.coordination.peer_store import PeerReadingStore
 from laurelwind.coordination.placement import Placement
 from laurelwind.coordination.relay import Relay, build_relay
-from laurelwind.coordination.rollouts import RolloutRegistry
+from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.sending import SenderDependencies
 from laurelwind.coordination.tracker import Tracker, TrackerDependencies
 from laurelwind.decisions import DecisionLog
--- a/laurelwind/state/rollouts.py
+++ b/laurelwind/state/rollouts.py
@@ -70,6 +70,17 @@
             slow=self.slow + other.slow,
         )
 
+    def subtract(self, other: 'Tally') -> 'Tally':
+        """Return the tally without answers that it includes.
+
+        :param other: tally of these answers.
+        """
+        return Tally(
+            answers=self.answers - other.answers,
+            failures=self.failures - other.failures,
+            slow=self.slow - other.slow,
+        )
+
 
 @frozen(kw_only=True)
 class RolloutReport:
@@ -77,9 +88,24 @@
 
     :ivar target: the version to move to.
     :ivar elapsed_s: time since the order as measured by the daemon, in seconds.
-    :ivar tallies: tally by route name.
+    :ivar tallies: tally of the target version by route name.
+    :ivar old_tally: tally of the version in use, over all routes.
     """
 
     target: str
     elapsed_s: float = 0
     tallies: Mapping[str, Tally] = field(factory=dict)
+    old_tally: Tally = field(factory=Tally)
+
+
+@frozen(kw_only=True)
+class RolloutShift:
+    """Decision to move all sessions to the target version.
+
+    :ivar target: the version to move to.
+    :ivar shift_at_s: time since the order at which every daemon moves its
+        sessions, in seconds.
+    """
+
+    target: str
+    shift_at_s: float
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -8,7 +8,7 @@
 from laurelwind.coordination.fleet_retry_budget import FleetRetryBudget
 from laurelwind.coordination.placement import Placement
 from laurelwind.coordination.relay import build_relay
-from laurelwind.coordination.rollouts import RolloutRegistry
+from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.sending import SenderDependencies
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import EndpointError, ErrorKind, RunState
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,6 +17,7 @@
 from laurelwind.protocol.platform import ListedInstance
 from laurelwind.state.rollouts import (
     RolloutReport,
+    RolloutShift,
     RolloutState,
     RolloutStatus,
     Tally,
@@ -151,6 +152,10 @@
     assert CODEC.get_kind(Topic.STATUS, key) is DocumentKind.ROLLOUT_STATUS
     assert CODEC.get_kind(Topic.OPERATORS, key) is DocumentKind.ROLLOUT_ORDER
     assert CODEC.decode_status(key, body) == ('pool', status)
+    shift = RolloutShift(target='7', shift_at_s=15.84)
+    key, body = CODEC.encode_shift('pool', shift)
+    assert CODEC.get_kind(Topic.STATUS, key) is DocumentKind.ROLLOUT_SHIFT
+    assert CODEC.decode_shift(key, body) == ('pool', shift)
     report = RolloutReport(
         target='v2',
         elapsed_s=3.25,
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -1,13 +1,23 @@
 """Assignment of requests to versions, and rejection of bad versions."""
 
+import random
+
 import pytest
 
-from laurelwind.coordination import rollouts
-from laurelwind.coordination.rejection import AnswerOutcome
-from laurelwind.coordination.rollouts import RolloutRegistry
+from laurelwind.coordination.rollouts.evidence import (
+    AnswerOutcome,
+    should_accept,
+    should_reject,
+)
+from laurelwind.coordination.rollouts.progress import SHIFT_NOTICE_S
+from laurelwind.coordination.rollouts.registry import (
+    RolloutRegistry,
+    compute_rank_delay,
+)
 from laurelwind.state.rollouts import (
     RolloutOrder,
     RolloutReport,
+    RolloutShift,
     RolloutState,
     RolloutStatus,
     Tally,
@@ -30,23 +40,34 @@
 
 
 @pytest.fixture
-def clock(monkeypatch):
-    fake_clock = Clock()
-    monkeypatch.setattr(rollouts, 'read_monotonic_clock', fake_clock)
-    return fake_clock
+def clock():
+    return Clock()
+
+
+def build_book(clock, name='d1', **fields):
+    return RolloutRegistry(
+        local_daemon=name,
+        log=build_silent_log(),
+        clock=clock,
+        **{'exposure_share': 0.15, **fields},
+    )
 
 
 @pytest.fixture
 def book(clock):
-    rollout_book = RolloutRegistry(
-        local_daemon='d1', exposure_share=0.15, log=build_silent_log()
-    )
+    rollout_book = build_book(clock)
     rollout_book.apply_order(
         RolloutOrder(service='pool', target='v2', duration_s=20)
     )
     return rollout_book
 
 
+def apply_due_shift(book):
+    """Write the decision to shift that is due, as the status exchange does."""
+    for service, shift in tuple(book.list_due_shifts(0)):
+        book.apply_shift(service, shift)
+
+
 def measure_target_share(book):
     chosen = [
         book.filter_endpoints(
@@ -112,16 +133,22 @@
 
 
 def test_good_version_serves_all_sessions_and_succeeds_in_time(book, clock):
-    clock.now = 114
+    clock.now = 111
+    record_answers(book, TARGET_ENDPOINTS[0], count=30)
+    apply_due_shift(book)
+    clock.now = 114.5
     book.record_read()
-    record_answers(book, TARGET_ENDPOINTS[0], count=20)
     assert measure_target_share(book) == 1
     clock.now = 119
     assert list_due_states(book) == [RolloutState.SUCCEEDED]
 
 
 def test_version_without_enough_answers_does_not_succeed(book, clock):
+    record_answers(book, TARGET_ENDPOINTS[0], count=20)
+    clock.now = 112
+    assert not list(book.list_due_shifts(0))
     clock.now = 119
+    book.record_read()
     assert measure_target_share(book) < 0.2
     assert list_due_states(book) == [RolloutState.ACTIVE]
 
@@ -129,14 +156,139 @@
 def test_daemon_with_stale_statuses_does_not_use_the_target_version(
     book, clock
 ):
-    clock.now = 114
-    record_answers(book, TARGET_ENDPOINTS[0], count=20)
+    clock.now = 111
+    record_answers(book, TARGET_ENDPOINTS[0], count=30)
+    apply_due_shift(book)
+    clock.now = 115
     book.record_read()
     assert measure_target_share(book) == 1
-    clock.now = 118
+    clock.now = 119
     assert measure_target_share(book) == 0
 
 
+def test_version_failing_two_in_five_while_the_store_was_silent(book, clock):
+    """Soak seed 748531: eight pooled answers, three of them failures.
+
+    The old version had failed as often at the daemon that writes the status,
+    but not at the others.
+    """
+    record_answers(book, OLD_ENDPOINTS[0], failed=True, count=2)
+    record_answers(book, OLD_ENDPOINTS[0], count=3)
+    record_answers(book, TARGET_ENDPOINTS[0], count=3)
+    book.apply_report(
+        'pool',
+        'd2',
+        RolloutReport(
+            target='v2',
+            elapsed_s=12,
+            tallies={'draft': Tally(answers=5, failures=3)},
+            old_tally=Tally(answers=40),
+        ),
+    )
+    clock.now = 119
+    assert list_due_states(book) == [RolloutState.ROLLED_BACK]
+
+
+def test_all_daemons_of_a_large_fleet_shift_at_one_moment(clock):
+    """195 daemons read the decision up to SHIFT_NOTICE_S apart."""
+    order = RolloutOrder(service='pool', target='v2', duration_s=24)
+    books = [build_book(clock, f'd{number}') for number in range(195)]
+    for book in books:
+        book.apply_order(order)
+    clock.now += 13
+    writer = books[0]
+    record_answers(writer, TARGET_ENDPOINTS[0], count=30)
+    ((service, shift),) = writer.list_due_shifts(0)
+    rng = random.Random(1)
+    read_delays = [rng.uniform(0, SHIFT_NOTICE_S) for _ in books]
+    shares = set()
+    for step in range(60):
+        clock.now += 0.1
+        for book, read_delay_s in zip(books, read_delays, strict=True):
+            if step * 0.1 >= read_delay_s:
+                book.apply_shift(service, shift)
+            book.record_read()
+        shares.add(tuple({measure_target_share(book) for book in books[::13]}))
+    assert all(len(at_one_moment) == 1 for at_one_moment in shares)
+    assert (1.0,) in shares
+
+
+def test_decided_shift_is_kept_and_not_decided_again(book, clock):
+    clock.now = 112
+    record_answers(book, TARGET_ENDPOINTS[0], count=30)
+    apply_due_shift(book)
+    assert not list(book.list_due_shifts(0))
+    late_book = build_book(clock)
+    late_book.apply_shift('pool', RolloutShift(target='v2', shift_at_s=14))
+    late_book.apply_order(
+        RolloutOrder(service='pool', target='v2', duration_s=20)
+    )
+    assert not list(late_book.list_due_shifts(0))
+
+
+def test_restarted_daemon_replaces_its_former_report(book, clock):
+    """A daemon that restarted counts from zero under the same name."""
+    clock.now = 112
+    for tallies in (
+        {'draft': Tally(answers=15), 'tag': Tally(answers=15)},
+        {'draft': Tally(answers=2)},
+    ):
+        book.apply_report(
+            'pool',
+            'd2',
+            RolloutReport(target='v2', elapsed_s=12, tallies=tallies),
+        )
+    assert not list(book.list_due_shifts(0))
+
+
+def test_rank_delay_stays_within_the_rollback_bound_at_195_daemons():
+    assert compute_rank_delay(0) == 0
+    assert compute_rank_delay(194) < 5.0
+
+
+def play_trial(rng, failure_share, daemons, old_failure_share):
+    """Return whether a version is accepted, rejected (False) or neither.
+
+    Each daemon sees one answer in turn; the verdict is taken after each.
+    """
+    tally, old_tally = Tally(), Tally()
+    for _ in range(max(daemons, 8) * 8):
+        tally = tally.add(
+            Tally(answers=1, failures=int(rng.random() < failure_share))
+        )
+        for _ in range(9):
+            old_tally = old_tally.add(
+                Tally(answers=1, failures=int(rng.random() < old_failure_share))
+            )
+        if should_reject(tally, old_tally):
+            return False
+        if should_accept(tally, old_tally):
+            return True
+    return None
+
+
+@pytest.mark.parametrize('daemons', [8, 70, 300])
+@pytest.mark.parametrize('failure_share', [0.3, 0.4, 0.5])
+def test_bad_versions_are_seldom_accepted(daemons, failure_share):
+    rng = random.Random(daemons)
+    verdicts = [play_trial(rng, failure_share, daemons, 0) for _ in range(400)]
+    assert verdicts.count(True) <= 0.01 * len(verdicts)
+    assert verdicts.count(None) == 0
+
+
+@pytest.mark.parametrize('daemons', [8, 70, 300])
+@pytest.mark.parametrize('failure_share', [0, 0.005, 0.02])
+def test_versions_as_good_as_the_old_one_are_seldom_rejected(
+    daemons, failure_share
+):
+    rng = random.Random(daemons)
+    verdicts = [
+        play_trial(rng, failure_share, daemons, failure_share)
+        for _ in range(400)
+    ]
+    assert verdicts.count(True) >= 0.99 * len(verdicts)
+
+
 def test_good_answers_are_reported_to_peers(book, clock):
     clock.now = 112
     list(book.collect_due_reports(1))
@@ -146,11 +298,7 @@
 
 def test_daemons_with_one_answer_each_shift_in_time(clock):
     books = [
-        RolloutRegistry(
-            local_daemon=f'd{number}',
-            exposure_share=0.1,
-            log=build_silent_log(),
-        )
+        build_book(clock, f'd{number}', exposure_share=0.1)
         for number in range(20)
     ]
     order = RolloutOrder(service='pool', target='v2', duration_s=20)
@@ -158,16 +306,19 @@
         book.apply_order(order)
     clock.now = 111
     for book in books:
-        record_answers(book, TARGET_ENDPOINTS[0])
+        record_answers(book, TARGET_ENDPOINTS[0], count=2)
     reports = [
         (f'd{number}', report)
         for number, book in enumerate(books)
         for _, report in book.collect_due_reports(number)
     ]
-    clock.now = 114
     for book in books:
         for daemon, report in reports:
             book.apply_report('pool', daemon, report)
+    ((service, shift),) = books[0].list_due_shifts(0)
+    clock.now = 114.5
+    for book in books:
+        book.apply_shift(service, shift)
         book.record_read()
         assert measure_target_share(book) == 1
 
@@ -231,9 +382,13 @@
 
 
 def test_version_that_fails_after_the_shift_is_rejected(book, clock):
-    clock.now = 114
+    clock.now = 111
     record_answers(book, OLD_ENDPOINTS[0], count=30)
-    record_answers(book, TARGET_ENDPOINTS[0], count=10)
+    record_answers(book, TARGET_ENDPOINTS[0], count=30)
+    apply_due_shift(book)
+    clock.now = 115
+    book.record_read()
+    assert measure_target_share(book) == 1
     record_answers(book, TARGET_ENDPOINTS[0], failed=True, count=8)
     assert measure_target_share(book) == 0
 
@@ -257,12 +412,13 @@
 
 
 def test_late_daemon_takes_the_elapsed_time_from_reports(clock):
-    late_book = RolloutRegistry(
-        local_daemon='d9', exposure_share=0.15, log=build_silent_log()
-    )
+    late_book = build_book(clock, 'd9')
     late_book.apply_order(
         RolloutOrder(service='pool', target='v2', duration_s=20)
     )
+    late_book.apply_shift('pool', RolloutShift(target='v2', shift_at_s=14))
+    late_book.record_read()
+    assert measure_target_share(late_book) == 0
     report = RolloutReport(
         target='v2', elapsed_s=15, tallies={'draft': Tally(answers=9)}
     )
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -4,10 +4,11 @@
 import orjson
 import pytest
 
-from laurelwind.coordination import status_exchange, topic_readers
+from laurelwind.coordination import topic_readers
 from laurelwind.coordination import tracker as tracking
-from laurelwind.coordination.rejection import AnswerOutcome
-from laurelwind.coordination.rollouts import RolloutRegistry
+from laurelwind.coordination.rollouts import status_exchange
+from laurelwind.coordination.rollouts.evidence import AnswerOutcome
+from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.tracker import Tracker, TrackerDependencies
 from laurelwind.errors import ErrorKind, PlatformError
 from laurelwind.platform.documents import PlatformDocuments
