Refuse addresses that two listeners would share; make soak seeds repeat

The daemon keeps its applications by address, so the metrics page replaced the callers' relay. Ruled out: kernel sharing of the port; a second listen() on a bound port fails here, but only after a second bind() succeeded, since neither socket listened yet.

Listeners listen as soon as they are bound and raise ListenError; settings name both paths of equal addresses; port zero and negative retry shares of a relay are refused; the program ends with a message instead of a traceback. Probes for free ports stay open until all are drawn and cover UDP as well.

A soak seed played other faults each time: overlapping faults drew from one generator, and keys were chosen from a set. Each fault has a generator of its own now, and daemons rank by addresses in the order of their numbers.

--- a/laurelwind/errors.py
+++ b/laurelwind/errors.py
@@ -275,5 +275,9 @@
     """Another daemon could not be reached, or sent no valid answer."""
 
 
+class ListenError(LaurelwindError):
+    """A daemon cannot listen on one of its addresses."""
+
+
 class ConfigurationError(LaurelwindError):
     """A configuration document or a settings file is invalid."""
--- a/laurelwind/platform/__main__.py
+++ b/laurelwind/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import functools
 import os
+import sys
 from pathlib import Path
 from typing import Final
 
@@ -9,6 +10,7 @@
 import prometheus_client
 from starlette.types import ASGIApp
 
+from laurelwind.errors import LaurelwindError
 from laurelwind.platform.discovery import (
     ReadinessApplication,
     RegistryApplication,
@@ -76,8 +78,14 @@
 def run() -> None:
     """Run a daemon until a signal stops it."""
     path = Path(os.environ[_SETTINGS_VARIABLE])
-    settings = load_relay_settings(path)
-    daemon = build_daemon(settings)
+    try:
+        _run_daemon(path)
+    except* LaurelwindError as group:
+        sys.exit(f'the daemon does not start: {group.exceptions[0]}')
+
+
+def _run_daemon(path: Path) -> None:
+    daemon = build_daemon(load_relay_settings(path))
     anyio.run(
         run_relay,
         daemon,
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -7,8 +7,11 @@
 
 from laurelwind.errors import Fault
 from laurelwind.settings import (
+    ANY_PORT_SUFFIX,
     EXPECTED_ADDRESS,
+    EXPECTED_NOT_NEGATIVE,
     EXPECTED_POSITIVE,
+    check_listen_addresses,
     check_settings,
     read_settings_file,
 )
@@ -102,25 +105,39 @@
 
 
 def _find_faults(settings: RelaySettings) -> Iterator[Fault]:
-    addresses = {
-        'listen.callers': settings.listen.callers,
-        'listen.readiness': settings.listen.readiness,
-        'listen.entries': settings.listen.entries,
-        'listen.metrics': settings.listen.metrics,
-        'listen.peers': settings.listen.peers,
-        'store': settings.store,
-    }
-    for path, address in addresses.items():
-        if not is_address(address):
-            yield Fault(path=path, expected=EXPECTED_ADDRESS)
+    yield from _check_addresses(settings)
     bounds = settings.bounds
-    durations = {
+    positive = {
         'bounds.revocation_s': bounds.revocation_s,
         'bounds.apply_s': bounds.apply_s,
         'bounds.stop_s': bounds.stop_s,
         'bounds.entries_life_s': bounds.entries_life_s,
         'bounds.retry_window_s': bounds.retry_window_s,
     }
-    for path, duration_s in durations.items():
-        if duration_s <= 0:
+    for path, number in positive.items():
+        if number <= 0:
             yield Fault(path=path, expected=EXPECTED_POSITIVE)
+    shares = {
+        'bounds.retry_share': bounds.retry_share,
+        'bounds.retry_extra': bounds.retry_extra,
+        'bounds.exposure_share': bounds.exposure_share,
+    }
+    for path, number in shares.items():
+        if number < 0:
+            yield Fault(path=path, expected=EXPECTED_NOT_NEGATIVE)
+
+
+def _check_addresses(settings: RelaySettings) -> Iterator[Fault]:
+    listen = settings.listen
+    listen_addresses = {
+        'listen.callers': listen.callers,
+        'listen.readiness': listen.readiness,
+        'listen.entries': listen.entries,
+        'listen.metrics': listen.metrics,
+        'listen.peers': listen.peers,
+    }
+    for path, address in {**listen_addresses, 'store': settings.store}.items():
+        # Other processes are told these ports, so zero cannot stand for any.
+        if not is_address(address) or address.endswith(ANY_PORT_SUFFIX):
+            yield Fault(path=path, expected=EXPECTED_ADDRESS)
+    yield from check_listen_addresses(listen_addresses)
--- a/laurelwind/settings.py
+++ b/laurelwind/settings.py
@@ -14,6 +14,9 @@
 _MIN_SECRET_LENGTH: Final = 16
 EXPECTED_ADDRESS: Final = 'expected an IP address and a port'
 EXPECTED_POSITIVE: Final = 'expected a number above zero'
+EXPECTED_NOT_NEGATIVE: Final = 'expected zero or more'
+# Port zero, for which the system chooses a free port.
+ANY_PORT_SUFFIX: Final = ':0'
 
 
 @frozen(kw_only=True)
@@ -189,6 +192,23 @@
     return settings
 
 
+def check_listen_addresses(addresses: Mapping[str, str]) -> Iterator[Fault]:
+    """Yield a fault for each listen address that another setting uses too.
+
+    :param addresses: listen addresses by the path of their setting.
+    """
+    paths: dict[str, str] = {}
+    for path, address in addresses.items():
+        if address.endswith(ANY_PORT_SUFFIX):
+            continue
+        first_path = paths.setdefault(address, path)
+        if first_path != path:
+            yield Fault(
+                path=path,
+                expected=f'expected another address than {first_path}',
+            )
+
+
 def _find_faults(settings: Settings) -> Iterator[Fault]:
     yield from _check_addresses(settings)
     yield from _check_keys(settings.keys)
@@ -204,17 +224,20 @@
 def _check_addresses(settings: Settings) -> Iterator[Fault]:
     daemon = settings.daemon
     platform = settings.platform
-    addresses = {
+    listen_addresses = {
         'daemon.caller_address': daemon.caller_address,
         'daemon.admin_address': daemon.admin_address,
         'daemon.peer_address': daemon.peer_address,
+    }
+    platform_addresses = {
         'platform.log': platform.log,
         'platform.instances': platform.instances,
         'platform.ratings': platform.ratings,
     }
-    for path, address in addresses.items():
+    for path, address in {**listen_addresses, **platform_addresses}.items():
         if not is_address(address):
             yield Fault(path=path, expected=EXPECTED_ADDRESS)
+    yield from check_listen_addresses(listen_addresses)
     for path, text in {
         'daemon.name': daemon.name,
         'daemon.zone': daemon.zone,
--- a/laurelwind/transport/server.py
+++ b/laurelwind/transport/server.py
@@ -12,6 +12,7 @@
 from starlette.types import ASGIApp
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from laurelwind.errors import ErrorKind, ListenError
 from laurelwind.settings import TlsSettings
 from laurelwind.transport.network import split_address
 
@@ -80,6 +81,7 @@
     :param address: ``host:port``; port zero selects a free port.
     :param tls: certificate and private key, or ``None`` for plain HTTP.
     :param header_timeout_s: time-out for the head of a request in seconds.
+    :raises ListenError: if the address is in use or not of this machine.
     """
 
     def __init__(
@@ -174,6 +176,7 @@
 
 
 def _create_listener(host: str, port: int) -> socket.socket:
+    """Bind and listen, so that no other socket can share the port."""
     # asyncio disables Nagle's algorithm only on sockets created with an
     # explicit IPPROTO_TCP.
     listener = socket.socket(
@@ -182,6 +185,14 @@
         socket.IPPROTO_TCP,
     )
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
+    try:
+        listener.bind((host, port))
+        listener.listen(_BACKLOG)
+    except OSError as error:
+        listener.close()
+        raise ListenError(
+            ErrorKind.CONFIGURATION_INVALID,
+            f'cannot listen on {host}:{port}: {error.strerror}',
+        ) from error
     listener.setblocking(False)
     return listener
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,7 +16,7 @@
 from soak import bounds
 from soak.callers import Callers, fetch
 from soak.faults import FAULT_SHARE, FaultInjector
-from soak.fleet import Daemon, Fleet
+from soak.fleet import Daemon, Fleet, choose_network
 from soak.guarantees import GuaranteeChecker
 
 # Zone of each daemon. Zone `a` is large enough for daemons to read from their
@@ -24,6 +24,9 @@
 ZONES = 'aaaaaaabb'
 CALLER_COUNT = 24
 ENDPOINTS_PER_SERVICE = 3
+# Last octet of the first daemon's address. All have three digits, so that texts
+# sort as numbers do.
+FIRST_HOST = 100
 RECOVERY_REQUESTS = 40
 _READY_TIMEOUT_S = 30.0
 _POLL_S = 0.1
@@ -70,12 +73,15 @@
         for _ in range(ENDPOINTS_PER_SERVICE):
             await fleet.add_endpoint(group, service, fault_share=fault_share)
     fleet.publish(bounds.POOLS[0])
+    network = choose_network()
     for number, zone in enumerate(zones):
         daemon = Daemon(
             name=f'd{number}',
             zone=zone,
             folder=fleet.folder,
             store=server.address,
+            # Daemons rank by address, and a seed must give the same ranks.
+            host=f'{network}.{FIRST_HOST + number}',
         )
         fleet.daemons.append(daemon)
         await daemon.start_links(group)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -63,7 +63,7 @@
     async def run(self, seconds: float) -> None:
         """Start faults for some seconds, and wait until the last has ended."""
         ends_at = anyio.current_time() + seconds
-        injectors: dict[str, Callable[[], Awaitable[None]]] = {
+        injectors: dict[str, Callable[[random.Random], Awaitable[None]]] = {
             'stop': self._stop,
             'kill': self._kill,
             'pause': self._pause,
@@ -81,20 +81,20 @@
         async with anyio.create_task_group() as group:
             while anyio.current_time() < ends_at:
                 name = self._rng.choice(names)
-                group.start_soon(injectors[name])
+                # A generator of its own: overlapping faults would draw from a
+                # shared one in the order in which processes are scheduled.
+                rng = random.Random(self._rng.random())
+                group.start_soon(injectors[name], rng)
                 pause_s = self._rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S)
                 await anyio.sleep(pause_s)
 
-    def _choose_duration(self, max_s: float = MAX_DURATION_S) -> float:
-        return self._rng.uniform(MIN_DURATION_S, max_s)
-
     def _record(self, name: str, subject: str, duration_s: float = 0) -> None:
         started_at = anyio.current_time()
         self.history.append(
             f'{started_at:.2f} {name} {subject} {duration_s:.1f}'
         )
 
-    def _reserve_daemon(self) -> Daemon | None:
+    def _reserve_daemon(self, rng: random.Random) -> Daemon | None:
         free = [
             daemon
             for daemon in self._fleet.daemons
@@ -102,37 +102,37 @@
         ]
         if len(free) < len(self._fleet.daemons) // 2:
             return None
-        chosen = self._rng.choice(free)
+        chosen = rng.choice(free)
         self._busy_subjects.add(chosen.name)
         return chosen
 
-    async def _stop(self) -> None:
-        daemon = self._reserve_daemon()
+    async def _stop(self, rng: random.Random) -> None:
+        daemon = self._reserve_daemon(rng)
         if daemon is None:
             return
         self._record('stop', daemon.name)
         if not await daemon.stop():
             self.slow_stops.append(daemon.name)
-        await anyio.sleep(self._choose_duration(1.0))
+        await anyio.sleep(_choose_duration(rng, 1.0))
         await daemon.start()
         self._busy_subjects.discard(daemon.name)
 
-    async def _kill(self) -> None:
-        daemon = self._reserve_daemon()
+    async def _kill(self, rng: random.Random) -> None:
+        daemon = self._reserve_daemon(rng)
         if daemon is None:
             return
         self._record('kill', daemon.name)
         with self._fleet.fault_windows.record(daemon.subject):
             await daemon.kill()
-            await anyio.sleep(self._choose_duration(2.0))
+            await anyio.sleep(_choose_duration(rng, 2.0))
             await daemon.start()
         self._busy_subjects.discard(daemon.name)
 
-    async def _pause(self) -> None:
-        daemon = self._reserve_daemon()
+    async def _pause(self, rng: random.Random) -> None:
+        daemon = self._reserve_daemon(rng)
         if daemon is None:
             return
-        duration_s = self._choose_duration()
+        duration_s = _choose_duration(rng)
         self._record('pause', daemon.name, duration_s)
         with self._fleet.fault_windows.record(daemon.subject):
             daemon.send_signal(signal.SIGSTOP)
@@ -140,20 +140,20 @@
             daemon.send_signal(signal.SIGCONT)
         self._busy_subjects.discard(daemon.name)
 
-    async def _reload(self) -> None:
-        daemon = self._reserve_daemon()
+    async def _reload(self, rng: random.Random) -> None:
+        daemon = self._reserve_daemon(rng)
         if daemon is None:
             return
         self._record('reload', daemon.name)
         daemon.send_signal(signal.SIGHUP)
         self._busy_subjects.discard(daemon.name)
 
-    async def _disturb_store(self) -> None:
+    async def _disturb_store(self, rng: random.Random) -> None:
         if 'store' in self._busy_subjects:
             return
         self._busy_subjects.add('store')
-        mode = self._rng.choice(_STORE_MODES)
-        duration_s = self._choose_duration()
+        mode = rng.choice(_STORE_MODES)
+        duration_s = _choose_duration(rng)
         self._record(f'store {mode.value}', 'store', duration_s)
         with self._fleet.fault_windows.record('store'):
             self._fleet.store.mode = mode
@@ -161,26 +161,26 @@
             self._fleet.store.mode = StoreMode.UP
         self._busy_subjects.discard('store')
 
-    async def _compact_store(self) -> None:
+    async def _compact_store(self, _: random.Random) -> None:
         self._record('forget', 'store')
         self._fleet.store.compact()
 
-    async def _disturb_link(self) -> None:
-        subject, link = self._choose_link()
+    async def _disturb_link(self, rng: random.Random) -> None:
+        subject, link = self._choose_link(rng)
         if subject in self._busy_subjects:
             return
         self._busy_subjects.add(subject)
-        duration_s = self._choose_duration()
-        fault = self._rng.choice(('delay', 'reset', 'mute', 'lose', 'cut'))
+        duration_s = _choose_duration(rng)
+        fault = rng.choice(('delay', 'reset', 'mute', 'lose', 'cut'))
         self._record(fault, subject, duration_s)
         with self._fleet.fault_windows.record(subject.split(', ')[0]):
             await _apply_link_fault(link, fault, duration_s)
         self._busy_subjects.discard(subject)
 
-    def _choose_link(self) -> tuple[str, Link]:
-        daemon = self._rng.choice(self._fleet.daemons)
-        name = self._rng.choice(list(self._fleet.links))
-        return self._rng.choice(
+    def _choose_link(self, rng: random.Random) -> tuple[str, Link]:
+        daemon = rng.choice(self._fleet.daemons)
+        name = rng.choice(list(self._fleet.links))
+        return rng.choice(
             (
                 (f'{daemon.subject}, callers', daemon.caller_link),
                 (f'{daemon.subject}, store', daemon.store_link),
@@ -188,7 +188,7 @@
             )
         )
 
-    async def _change_table(self) -> None:
+    async def _change_table(self, _: random.Random) -> None:
         now = anyio.current_time()
         if now - self._table_changed_at < MIN_TABLE_INTERVAL_S:
             return
@@ -199,42 +199,42 @@
         self._record('table', pool)
         fleet.publish(pool)
 
-    async def _change_keys(self) -> None:
+    async def _change_keys(self, rng: random.Random) -> None:
         fleet = self._fleet
         if len(fleet.extra_keys) > 2:
-            fleet.extra_keys.discard(self._rng.choice([*fleet.extra_keys]))
+            fleet.extra_keys.discard(rng.choice(sorted(fleet.extra_keys)))
         else:
             fleet.extra_keys.add(f'passing-{len(fleet.tables)}')
         self._record('keys', ' '.join(sorted(fleet.extra_keys)))
         fleet.publish(fleet.tables[-1][1])
 
-    async def _revoke_unseen(self) -> None:
+    async def _revoke_unseen(self, rng: random.Random) -> None:
         """Revoke a key while a daemon cannot read the store."""
         fleet = self._fleet
         # Other daemons of its zone may read from this daemon.
         reader = min(
             fleet.daemons, key=lambda candidate: candidate.addresses['callers']
         )
-        daemon = self._rng.choice((reader, self._rng.choice(fleet.daemons)))
+        daemon = rng.choice((reader, rng.choice(fleet.daemons)))
         subject = f'{daemon.subject}, store'
         if subject in self._busy_subjects or not fleet.extra_keys:
-            await self._change_keys()
+            await self._change_keys(rng)
             return
         self._busy_subjects.add(subject)
         self._record('revoke unseen by', daemon.name, UNSEEN_REVOCATION_S)
         with fleet.fault_windows.record(daemon.subject):
             daemon.store_link.set_blocked(is_blocked=True)
-            fleet.extra_keys.discard(self._rng.choice([*fleet.extra_keys]))
+            fleet.extra_keys.discard(rng.choice(sorted(fleet.extra_keys)))
             fleet.publish(fleet.tables[-1][1])
             await anyio.sleep(UNSEEN_REVOCATION_S)
             daemon.store_link.set_blocked(is_blocked=False)
         self._busy_subjects.discard(subject)
 
-    async def _withdraw_endpoint(self) -> None:
+    async def _withdraw_endpoint(self, rng: random.Random) -> None:
         fleet = self._fleet
         pool = fleet.tables[-1][1]
-        if self._rng.random() < OTHER_POOL_SHARE:
-            pool = self._rng.choice(bounds.POOLS)
+        if rng.random() < OTHER_POOL_SHARE:
+            pool = rng.choice(bounds.POOLS)
         names = [
             name
             for name, endpoint in fleet.endpoints.items()
@@ -242,23 +242,23 @@
         ]
         if len(names) < MIN_ENDPOINTS:
             return
-        name = self._rng.choice(names)
-        is_announced = self._rng.random() < 0.6
+        name = rng.choice(names)
+        is_announced = rng.random() < 0.6
         self._record('leave', name)
         # After the withdrawal the address serves under another name.
         fleet.withdraw_endpoint(name, is_announced=is_announced)
         withdrawn = fleet.endpoints[name]
-        await anyio.sleep(bounds.DRAIN_S + self._choose_duration())
+        await anyio.sleep(bounds.DRAIN_S + _choose_duration(rng))
         fleet.store.put('keyed.servers', name, None)
         successor = await fleet.add_endpoint(
             self._group, pool, fault_share=withdrawn.fault_share
         )
         withdrawn.name = f'{successor.name}-in-place-of-{name}'
 
-    async def _roll_out(self) -> None:
+    async def _roll_out(self, rng: random.Random) -> None:
         if self.rollout_is_bad is not None:
             return
-        self.rollout_is_bad = self._rng.random() < 0.7
+        self.rollout_is_bad = rng.random() < 0.7
         fault_share = BAD_VERSION_FAULT_SHARE if self.rollout_is_bad else 0
         for _ in range(2):
             await self._fleet.add_endpoint(
@@ -280,6 +280,12 @@
         )
 
 
+def _choose_duration(
+    rng: random.Random, max_s: float = MAX_DURATION_S
+) -> float:
+    return rng.uniform(MIN_DURATION_S, max_s)
+
+
 async def _apply_link_fault(link: Link, fault: str, duration_s: float) -> None:
     if fault == 'delay':
         link.delay_s = _LINK_DELAY_S
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,7 +13,7 @@
 from attrs import define, field
 
 from soak import bounds
-from standins.addresses import find_free_address
+from standins.addresses import find_free_addresses
 from standins.link import Link
 from standins.relayed_endpoint import RelayedEndpoint, RunLog
 from standins.store import StoreMode, StoreStandin
@@ -81,24 +81,23 @@
 
     command: tuple[str, ...] = (sys.executable, '-m', 'laurelwind.platform')
 
-    def __init__(self, *, name: str, zone: str, folder: Path, store: str):
+    def __init__(
+        self, *, name: str, zone: str, folder: Path, store: str, host: str
+    ):
         self.name = name
         self.zone = zone
         self.start_count = 0
         self.is_stopping = False
         self.process: Process | None = None
         self.store_link = Link(target=store)
-        host = choose_host()
-        self.addresses = {
-            listener: find_free_address(host)
-            for listener in (
-                'callers',
-                'readiness',
-                'entries',
-                'metrics',
-                'peers',
+        listeners = ('callers', 'readiness', 'entries', 'metrics', 'peers')
+        self.addresses = dict(
+            zip(
+                listeners,
+                find_free_addresses(len(listeners), host),
+                strict=True,
             )
-        }
+        )
         self.caller_link = Link(target=self.addresses['callers'])
         self._folder = folder
 
@@ -287,14 +286,14 @@
                 link.set_blocked(is_blocked=False)
 
 
-def choose_host() -> str:
-    """Choose a random loopback address.
+def choose_network() -> str:
+    """Choose a random loopback network, as the first three octets.
 
     Outgoing connections may use up ports of the default loopback address, but
     not of this one.
     """
-    octets = [random.SystemRandom().randrange(1, 250) for _ in range(3)]
-    return '127.{}.{}.{}'.format(*octets)
+    octets = [random.SystemRandom().randrange(1, 250) for _ in range(2)]
+    return '127.{}.{}'.format(*octets)
 
 
 def _build_table(version: int, pool: str, keys: frozenset[str]) -> dict:
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -6,7 +6,7 @@
 import pytest
 
 from laurelwind.transport.hints import MIN_WORK_S, WorkHints
-from standins.addresses import find_free_address
+from standins.addresses import find_free_addresses
 from tests.helpers import wait_until
 from tests.relay_helpers import build_silent_log
 
@@ -14,7 +14,7 @@
 
 
 async def run_with_peers(check):
-    addresses = [find_free_address(kind=socket.SOCK_DGRAM) for _ in range(2)]
+    addresses = find_free_addresses(2)
     received = []
     hints = [
         WorkHints(
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -30,7 +30,7 @@
     load_relay_settings,
 )
 from laurelwind.transport.server import HttpServer
-from standins.addresses import find_free_address
+from standins.addresses import find_free_addresses
 from tests.helpers import wait_until
 from tests.test_tracker import FakeGroup, FakeStore, build_endpoint
 
@@ -103,14 +103,15 @@
     def __init__(self, address):
         self.endpoint = RecordingEndpoint()
         self.store = FakeStore()
+        callers, readiness, entries, metrics, peers = find_free_addresses(5)
         self.settings = RelaySettings(
             daemon=RelayIdentity(name='d1', zone='a'),
             listen=ListenSettings(
-                callers=find_free_address(),
-                readiness=find_free_address(),
-                entries=find_free_address(),
-                metrics=find_free_address(),
-                peers=find_free_address(),
+                callers=callers,
+                readiness=readiness,
+                entries=entries,
+                metrics=metrics,
+                peers=peers,
             ),
             store='127.0.0.1:1',
         )
