--- a/laurelwind/coordination/fleet_retry_budget.py
+++ b/laurelwind/coordination/fleet_retry_budget.py
@@ -30,6 +30,15 @@
         self._buckets.append((index, count + 1))
         self._total += 1
 
+    def discard_newest(self) -> None:
+        """Take back the newest event, if it is still in the window."""
+        if not self._buckets:
+            return
+        index, count = self._buckets.pop()
+        self._total -= 1
+        if count > 1:
+            self._buckets.append((index, count - 1))
+
     def count(self, now: float) -> int:
         """Return the number of events in the window."""
         oldest = int(now / self._bucket_s) - _BUCKETS
@@ -80,6 +89,15 @@
         """
         self._get_window(self._retries, service).add(read_monotonic_clock())
 
+    def discard_attempt(self, service: str, *, is_retry: bool) -> None:
+        """Take back an attempt that did not reach its endpoint.
+
+        :param service: name of the service.
+        :param is_retry: whether it was counted as a retry.
+        """
+        windows = self._retries if is_retry else self._requests
+        self._get_window(windows, service).discard_newest()
+
     def get_remaining_ratio(self, service: str) -> float:
         """Return the fraction of the retry budget that remains, 0 to 1.
 
--- a/laurelwind/coordination/quarantine.py
+++ b/laurelwind/coordination/quarantine.py
@@ -42,7 +42,7 @@
 _PUSH_FANOUT: Final = 2
 _NOTICE_FANOUT: Final = 3
 _MAX_PUSH_ENTRIES: Final = 100
-_SENDS_FACTOR: Final = 2
+_RETRANSMIT_FACTOR: Final = 2
 _SEND_TIMEOUT_S: Final = 1.0
 _APPEND_RETRY_S: Final = 1.0
 _DEFAULT_PRIOR: Final = 0.9
@@ -86,6 +86,7 @@
         self._active_notices: set[QuarantineNotice] = set()
         self._task_group: TaskGroup | None = None
         self._failure_recorded = anyio.Event()
+        dependencies.metrics.quarantined.set_function(self._count_active)
 
     def get_handlers(self) -> dict[type[Message], MessageHandler]:
         """Return the handlers of evidence and quarantine messages by type."""
@@ -182,6 +183,12 @@
             self._active_notices.discard(notice)
             self._detector.reset(notice.reference)
 
+    def _count_active(self) -> int:
+        lifted_ids = self._dependencies.follower.lifted_quarantine_ids
+        return sum(
+            notice.id not in lifted_ids for notice in self._active_notices
+        )
+
     def _start_quarantine(self, verdict: QuarantineVerdict) -> None:
         log_event(
             'version_quarantined',
@@ -202,7 +209,6 @@
         if notice in self._active_notices:
             return False
         self._active_notices.add(notice)
-        self._dependencies.metrics.quarantined.set(len(self._active_notices))
         if self._task_group is not None:
             for member in self._choose_receivers(_NOTICE_FANOUT):
                 self._task_group.start_soon(
@@ -232,7 +238,7 @@
                 return
 
     def _mark_changed(self, subject: Subject, source: str) -> None:
-        sends = _SENDS_FACTOR * math.ceil(
+        sends = _RETRANSMIT_FACTOR * math.ceil(
             math.log2(len(self._dependencies.roster) + 1)
         )
         self._pending_counts[subject, source] = _PendingCounts(
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -198,6 +198,9 @@
         )
         if error.run is RunState.NOT_RUN:
             job.attempts -= 1
+            self._dependencies.retry_budget.discard_attempt(
+                job.service, is_retry=job.attempts > 0
+            )
             return
         job.may_have_run = True
         if not job.route.is_repeatable:
--- a/laurelwind/coordination/service_calls.py
+++ b/laurelwind/coordination/service_calls.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 import anyio
-from attrs import evolve, frozen
+from attrs import define, evolve, field, frozen
 
 from laurelwind.coordination.claims import Claim, ClaimClient, hash_fields
 from laurelwind.coordination.follower import ConfigurationFollower
@@ -70,6 +70,20 @@
     deadline_s: float
 
 
+@define(kw_only=True)
+class _CallInProgress:
+    """A call, its deadline and the addresses that failed it."""
+
+    request: ServiceCallRequest
+    service: Service
+    deadline_at: float
+    failed_addresses: set[str] = field(factory=set)
+
+    @property
+    def remaining_s(self) -> float:
+        return self.deadline_at - read_monotonic_clock()
+
+
 @frozen(kw_only=True)
 class ServiceCallerDependencies:
     """Collaborators of a service caller."""
@@ -100,23 +114,27 @@
         """
         self._dependencies.ledger.check_capacity()
         service = self._find_service(request)
+        call = _CallInProgress(
+            request=request,
+            service=service,
+            deadline_at=read_monotonic_clock() + request.deadline_s,
+        )
         if not is_idempotent(service, request.method, request.path):
-            return await self._run_at_most_once(request, service)
-        answer = await self._call_with_retries(request, service)
+            return await self._run_at_most_once(call)
+        answer = await self._call_with_retries(call)
         await self._charge(request, service)
         return answer
 
-    async def _run_at_most_once(
-        self, request: ServiceCallRequest, service: Service
-    ) -> ServiceAnswer:
+    async def _run_at_most_once(self, call: _CallInProgress) -> ServiceAnswer:
         """Run a non-idempotent call if its idempotency claim is granted."""
+        request, service = call.request, call.service
         claim = _build_claim(request)
-        outcome = await self._acquire_claim(claim, request.deadline_s)
+        outcome = await self._acquire_claim(claim, call.remaining_s)
         if outcome is not None:
             original_request = evolve(request, request_id=outcome.request_id)
             await self._charge(original_request, service)
             return _restore_answer(outcome)
-        answer = await self._run_claimed(request, service, claim)
+        answer = await self._run_claimed(call, claim)
         async with anyio.create_task_group() as task_group:
             record = _build_outcome(claim, answer)
             task_group.start_soon(
@@ -126,11 +144,11 @@
         return answer
 
     async def _acquire_claim(
-        self, claim: Claim, deadline_s: float
+        self, claim: Claim, remaining_s: float
     ) -> OutcomeRecord | None:
         span = self._dependencies.tracing.tracer.start_as_current_span('claim')
         try:
-            with span, anyio.fail_after(deadline_s):
+            with span, anyio.fail_after(remaining_s):
                 return await self._dependencies.claims.acquire(claim)
         except TimeoutError:
             raise CapacityError(
@@ -140,18 +158,16 @@
             ) from None
 
     async def _run_claimed(
-        self, request: ServiceCallRequest, service: Service, claim: Claim
+        self, call: _CallInProgress, claim: Claim
     ) -> ServiceAnswer:
         """Call the service; retry only if no request reached an endpoint."""
         attempt = 1
         while True:
             try:
-                return await self._call_once(
-                    request, EndpointRequirements(pool=service.pool)
-                )
+                return await self._call_once(call)
             except LaurelwindError as error:
                 _check_not_run(error)
-                if attempt == _MAX_ATTEMPTS:
+                if attempt == _MAX_ATTEMPTS or call.remaining_s <= 0:
                     self._dependencies.claims.release(claim)
                     raise
             await sleep_before_retry(attempt)
@@ -167,35 +183,27 @@
             )
         return document.services[request.service]
 
-    async def _call_with_retries(
-        self,
-        request: ServiceCallRequest,
-        service: Service,
-    ) -> ServiceAnswer:
+    async def _call_with_retries(self, call: _CallInProgress) -> ServiceAnswer:
         self._dependencies.budget.record_request()
-        failed_addresses: frozenset[str] = frozenset()
         attempt = 0
         while True:
             attempt += 1
-            requirements = EndpointRequirements(
-                pool=service.pool, failed_addresses=failed_addresses
-            )
             try:
-                return await self._call_once(request, requirements)
+                return await self._call_once(call)
             except EndpointError:
                 if (
                     attempt >= _MAX_ATTEMPTS
+                    or call.remaining_s <= 0
                     or not self._dependencies.budget.try_spend()
                 ):
                     raise
-                failed_addresses = requirements.failed_addresses
             await sleep_before_retry(attempt)
 
-    async def _call_once(
-        self,
-        request: ServiceCallRequest,
-        requirements: EndpointRequirements,
-    ) -> ServiceAnswer:
+    async def _call_once(self, call: _CallInProgress) -> ServiceAnswer:
+        requirements = EndpointRequirements(
+            pool=call.service.pool,
+            failed_addresses=frozenset(call.failed_addresses),
+        )
         document = self._dependencies.follower.current.document
         with self._dependencies.router.reserve(document, requirements) as slot:
             span = self._dependencies.tracing.tracer.start_as_current_span(
@@ -204,10 +212,11 @@
             with span:
                 try:
                     answer = await self._dependencies.client.call(
-                        _build_call(request, slot)
+                        _build_call(call, slot)
                     )
                 except EndpointError:
                     slot.load.record_failure(read_monotonic_clock())
+                    call.failed_addresses.add(slot.endpoint.address)
                     raise
             slot.load.record_success()
             return answer
@@ -232,7 +241,8 @@
             await self._dependencies.ledger.charge(charge)
 
 
-def _build_call(request: ServiceCallRequest, slot: Slot) -> ServiceCall:
+def _build_call(call: _CallInProgress, slot: Slot) -> ServiceCall:
+    request = call.request
     query = f'?{request.query}' if request.query else ''
     return ServiceCall(
         address=slot.endpoint.address,
@@ -242,7 +252,7 @@
         headers=request.headers,
         body=request.body,
         request_id=request.request_id,
-        timeout_s=request.deadline_s,
+        timeout_s=max(call.remaining_s, 0),
         traceparent=format_traceparent(),
     )
 
--- a/laurelwind/protocol/envelope.py
+++ b/laurelwind/protocol/envelope.py
@@ -2,9 +2,10 @@
 
 A signed envelope is a msgpack pair of body and signature.  The body is a
 msgpack array: format version, key id, sender, seconds since the epoch, nonce,
-trace context, message type, message.  The signature is HMAC-SHA256 of the
-body.  An answer carries the nonce of its request, so it is not accepted for
-any other request.
+trace context, message type, message, whether it is an answer.  The signature is
+HMAC-SHA256 of the body.  An answer carries the nonce of its request, so it is
+not accepted for any other request.  Format 1 lacks the last field; it is
+accepted while daemons of earlier releases may run.
 """
 
 import hashlib
@@ -13,6 +14,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Mapping, Sequence
+from types import MappingProxyType
 from typing import Any, Final
 
 import msgpack
@@ -22,11 +24,11 @@
 from laurelwind.protocol.messages import MESSAGE_TYPES, Message, Refusal
 from laurelwind.state.conversion import LENIENT
 
-_FORMAT_VERSION: Final = 1
-_FIELD_COUNT: Final = 8
+_FORMAT_VERSION: Final = 2
+# Number of fields of each format that is accepted.
+_FIELD_COUNTS: Final[Mapping[int, int]] = MappingProxyType({1: 8, 2: 9})
 _NONCE_BYTES: Final = 12
 _REPLAY_WINDOW_S: Final = 60.0
-_MAX_RECENT_NONCES: Final = 200_000
 
 
 @frozen(kw_only=True)
@@ -50,6 +52,8 @@
     :ivar nonce: matches an answer to its request.
     :ivar traceparent: W3C trace context, or an empty string.
     :ivar message: the message.
+    :ivar is_answer: whether it answers a request; unknown, and then false, in
+        format 1.
     """
 
     sender: str
@@ -57,6 +61,7 @@
     nonce: bytes
     traceparent: str
     message: Message
+    is_answer: bool = False
 
 
 class EnvelopeSigner:
@@ -95,6 +100,7 @@
             traceparent,
             type(message).__name__,
             LENIENT.unstructure(message),
+            bool(nonce),
         ]
         body = msgpack.packb(fields)
         signature = _sign(self._signing_key.secret, body)
@@ -108,6 +114,8 @@
             window or a replay.
         """
         envelope = self._verify(raw)
+        if envelope.is_answer:
+            raise _build_error('message is an answer, not a request')
         now = time.time()
         if abs(now - envelope.sent_at) > _REPLAY_WINDOW_S:
             raise _build_error(
@@ -147,15 +155,16 @@
             raise _build_error(
                 'message is not authentic: its signature does not match'
             )
-        if len(fields) < _FIELD_COUNT:
+        if fields[0] not in _FIELD_COUNTS:
+            raise _build_error(f'message has the unknown format {fields[0]}')
+        if len(fields) < _FIELD_COUNTS[fields[0]]:
             raise _build_error('message is malformed: fields are missing')
         return _build_envelope(fields)
 
     def _evict_nonces(self, now: float) -> None:
         while self._recent_nonces:
             nonce, sent_at = next(iter(self._recent_nonces.items()))
-            is_recent = now - sent_at <= 2 * _REPLAY_WINDOW_S
-            if is_recent and len(self._recent_nonces) <= _MAX_RECENT_NONCES:
+            if now - sent_at <= 2 * _REPLAY_WINDOW_S:
                 return
             self._recent_nonces.pop(nonce)
 
@@ -176,6 +185,7 @@
         nonce=nonce,
         traceparent=traceparent,
         message=message,
+        is_answer=len(fields) > _FIELD_COUNTS[1] and bool(fields[8]),
     )
 
 
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -231,11 +231,23 @@
             self.log.log_warning('settings_refused', reason=str(error))
             return
         bounds = settings.bounds
-        changed = settings != self.settings
-        self.settings = evolve(self.settings, bounds=bounds)
+        in_force = evolve(
+            self.settings,
+            bounds=evolve(
+                self.settings.bounds,
+                revocation_s=bounds.revocation_s,
+                apply_s=bounds.apply_s,
+                stop_s=bounds.stop_s,
+            ),
+        )
+        changed = in_force != self.settings
+        needs_restart = in_force != settings
+        self.settings = in_force
         self.lease.duration_s = bounds.revocation_s * LEASE_SHARE
         self.tracker.max_absence_age_s = bounds.apply_s * MAX_ABSENCE_AGE_SHARE
-        self.log.log_warning('settings_reloaded', changed=changed)
+        self.log.log_warning(
+            'settings_reloaded', changed=changed, needs_restart=needs_restart
+        )
 
     def _build_relay(self) -> Relay:
         bounds = self.settings.bounds
--- a/tests/test_envelope.py
+++ b/tests/test_envelope.py
@@ -1,9 +1,12 @@
 """Envelopes: authenticity, replay protection and mixed releases."""
 
+import time
+
 import msgpack
 import pytest
 
 from laurelwind.errors import PeerError
+from laurelwind.protocol import envelope
 from laurelwind.protocol.envelope import EnvelopeSigner, SigningKey
 from laurelwind.protocol.messages import (
     ConfigurationAsk,
@@ -76,6 +79,42 @@
         signer.verify_answer(answer, nonce)
 
 
+def test_an_answer_is_not_accepted_as_a_request_by_another_daemon():
+    requester = EnvelopeSigner(sender='a0', keys=[OLD])
+    responder = EnvelopeSigner(sender='b1', keys=[OLD])
+    raw, _ = requester.sign(Done())
+    nonce = responder.verify_request(raw).nonce
+    answer, _ = responder.sign(Done(), nonce=nonce)
+    with pytest.raises(PeerError, match='answer'):
+        EnvelopeSigner(sender='c2', keys=[OLD]).verify_request(answer)
+
+
+def sign_fields(fields):
+    body = msgpack.packb(fields)
+    return msgpack.packb([body, envelope._sign(OLD.secret, body)])
+
+
+def test_only_known_formats_are_accepted():
+    fields = ['old', 'a0', time.time(), b'n', '', 'Done', {}, False]
+    signer = EnvelopeSigner(sender='b1', keys=[OLD])
+    # A daemon of the release before sends format 1, without the last field.
+    assert signer.verify_request(sign_fields([1, *fields[:-1]]))
+    with pytest.raises(PeerError, match='format 3'):
+        signer.verify_request(sign_fields([3, *fields]))
+
+
+def test_nonces_are_kept_for_the_whole_time_window_at_a_high_rate():
+    requester = EnvelopeSigner(sender='a0', keys=[OLD])
+    responder = EnvelopeSigner(sender='b1', keys=[OLD])
+    first, _ = requester.sign(Done())
+    responder.verify_request(first)
+    for number in range(200_001):
+        responder._recent_nonces[number.to_bytes(12)] = time.time()
+    responder.verify_request(requester.sign(Done())[0])
+    with pytest.raises(PeerError, match='twice'):
+        responder.verify_request(first)
+
+
 @pytest.mark.parametrize('raw', [b'', b'\x00', b'\xc1garbage', b'\x92\x01\x02'])
 def test_malformed_bytes_are_refused(raw):
     with pytest.raises(PeerError):
--- a/tests/test_fleet_retry_budget.py
+++ b/tests/test_fleet_retry_budget.py
@@ -70,3 +70,16 @@
         sent = sum(end - 10 <= moment < end for moment in requests)
         retried = sum(end - 10 <= moment < end for moment in retries)
         assert retried <= 0.9 * sent + 20
+
+
+def test_attempts_that_did_not_reach_an_endpoint_are_not_counted(clock):
+    retry_budget = build_retry_budget(extra_retries=10, retry_ratio=0)
+    for _ in range(30):
+        retry_budget.record_retry('pool')
+        retry_budget.discard_attempt('pool', is_retry=True)
+    assert spend_budget(retry_budget) == 8
+    for _ in range(30):
+        retry_budget.record_request('other')
+        clock.now += 1
+        retry_budget.discard_attempt('other', is_retry=False)
+    assert spend_budget(build_retry_budget(extra_retries=0)) == 0
--- a/tests/test_model_planning.py
+++ b/tests/test_model_planning.py
@@ -15,7 +15,7 @@
     ModelPlanner,
     compute_confidence_floor,
 )
-from laurelwind.state.routes import RequestKind
+from laurelwind.state.routes import RequestKind, RouteModel
 from tests.relay_helpers import LARGE, SMALL, build_route
 
 
@@ -39,7 +39,7 @@
 
 
 def test_only_the_smallest_and_the_largest_model_are_planned():
-    medium = SMALL
+    medium = RouteModel(name='medium', cost=0.1)
     planned = ModelPlanner().plan(
         build_route('r', RequestKind.STREAMING, models=(SMALL, medium, LARGE))
     )
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -276,9 +276,19 @@
         daemon=harness.settings.daemon,
         listen=harness.settings.listen,
         store=harness.settings.store,
-        bounds=BoundSettings(revocation_s=2.0),
+        # The retry budget is built at the start; only a restart changes it.
+        bounds=BoundSettings(revocation_s=2.0, retry_share=0.7),
     )
     loads = []
+    reloads = []
+    log_warning = harness.daemon.log.log_warning
+
+    def record_reload(event, **fields):
+        if event == 'settings_reloaded':
+            reloads.append((fields['changed'], fields['needs_restart']))
+        log_warning(event, **fields)
+
+    monkeypatch.setattr(harness.daemon.log, 'log_warning', record_reload)
 
     def load():
         loads.append(True)
@@ -296,6 +306,11 @@
             signal.raise_signal(signal.SIGHUP)
             await wait_until(lambda: len(loads) == 2)
             assert harness.daemon.lease.duration_s == pytest.approx(1.8)
+            assert reloads == [(True, True)]
+            signal.raise_signal(signal.SIGHUP)
+            await wait_until(lambda: len(loads) == 3)
+            assert reloads[1:] == [(False, True)]
+            assert harness.daemon.settings.bounds.retry_share == 0.1
             signal.raise_signal(signal.SIGTERM)
 
 
