Read members from sources, and let only sources probe a store that fails

After the store's return a daemon waited out long polls: a source's read held 0.6 s at the store, then its readers' read 1.2 s at the source, both without a change.

Ruled out: longer leases, which revocation forbids; one source a zone, since the loss of one would leave a zone to the store; jitter alone, which spreads the calls without lowering their number.

Members are a topic of their own now: sources list them, others read the copy, newcomers list once and then read all topics from a source. A daemon knows three sources, the last in another zone, and a source that the store refuses reads from others. While the store fails, one topic of each source probes it; readers hold a request at a source until its copy is fresh again. The log line members_changed names what changed, up to eight names.

tests/test_peer_store.py: one read waits out the probe's period, and newcomers count no read of the store any more (stricter). tests/test_tracker.py wires the same parts by hand.

--- /dev/null
+++ b/laurelwind/coordination/endpoint_tracking.py
@@ -0,0 +1,169 @@
+"""Keeps the directory of endpoints in sync with the store."""
+
+from collections.abc import Callable
+from typing import Final
+
+import anyio
+from attrs import frozen
+
+from laurelwind.coordination.topics.copies import TopicCopy
+from laurelwind.coordination.topics.readers import (
+    Backoff,
+    ReaderHealth,
+    TopicReader,
+)
+from laurelwind.decisions import DecisionLog
+from laurelwind.errors import ConfigurationError, PlatformError
+from laurelwind.protocol.documents import DocumentCodec
+from laurelwind.protocol.keyed_store import (
+    Batch,
+    KeyedRecord,
+    KeyedStore,
+    Topic,
+)
+from laurelwind.state.directory import (
+    LAPSE_GRACE_S,
+    EndpointDirectory,
+    EndpointRecord,
+)
+from laurelwind.state.load import read_monotonic_clock
+
+# Longest wait of a read of the endpoints' topic, which changes seldom, and the
+# wait while a lapsed record is about to be removed.
+ENDPOINT_WAIT_S: Final = 2.5
+LAPSED_WAIT_S: Final = 0.2
+# Delay after a read that returned changes. It coalesces the changes of many
+# endpoints, which would otherwise wake every daemon of the fleet one by one.
+ENDPOINT_COALESCING_S: Final = 0.6
+# Longest time that a removed record is retained. Together with the delay above
+# it stays below the two seconds after which a leaving endpoint must get no more
+# work.
+MAX_REMOVAL_DELAY_S: Final = 1.4
+ENDPOINT_READER: Final = 'endpoints'
+
+
+@frozen(kw_only=True)
+class EndpointTrackerDependencies:
+    """Collaborators of an EndpointTracker.
+
+    :ivar store: the store to read.
+    :ivar copy: copy of the topic that is served to peers.
+    :ivar documents: decodes documents.
+    :ivar directory: directory of the endpoints.
+    :ivar health: records failures and recoveries of store reads.
+    :ivar log: the decision log.
+    :ivar clock: clock of the copy, in seconds.
+    """
+
+    store: KeyedStore
+    copy: TopicCopy
+    documents: DocumentCodec
+    directory: EndpointDirectory
+    health: ReaderHealth
+    log: DecisionLog
+    clock: Callable[[], float]
+
+
+class EndpointTracker:
+    """Reads the endpoints' topic into the directory.
+
+    :param dependencies: collaborators.
+    :ivar has_endpoints: whether the topic was read since the start.
+    """
+
+    def __init__(self, *, dependencies: EndpointTrackerDependencies) -> None:
+        self.has_endpoints = False
+        self._dependencies = dependencies
+        self._listeners: list[Callable[[], None]] = []
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Register a callback for changes of the endpoints.
+
+        :param listener: called after each change.
+        """
+        self._listeners.append(listener)
+
+    async def run(self) -> None:
+        """Read the topic until cancelled."""
+        reader = TopicReader(
+            store=self._dependencies.store,
+            topic=Topic.ENDPOINTS,
+            copy=self._dependencies.copy,
+            clock=self._dependencies.clock,
+        )
+        backoff = Backoff()
+        while True:
+            has_lapsed = self._dependencies.directory.has_lapsed_records
+            wait_s = LAPSED_WAIT_S if has_lapsed else ENDPOINT_WAIT_S
+            try:
+                batch = await reader.read(wait_s=wait_s)
+            except PlatformError as error:
+                self._dependencies.health.record_failure(ENDPOINT_READER, error)
+                await backoff.wait()
+                continue
+            backoff.reset()
+            self._dependencies.health.record_recovery(ENDPOINT_READER)
+            self._apply_endpoints(batch, is_snapshot=reader.was_snapshot)
+            self.has_endpoints = True
+            has_store_changes = bool(batch.records) and not batch.is_copy
+            if (
+                has_store_changes
+                and not self._dependencies.directory.has_lapsed_records
+            ):
+                await anyio.sleep(ENDPOINT_COALESCING_S)
+
+    def _apply_endpoints(self, batch: Batch, *, is_snapshot: bool) -> None:
+        directory = self._dependencies.directory
+        grace_until = self._compute_lapse_deadline()
+        previous_changes = directory.changes
+        for record in batch.records:
+            directory.apply(
+                record.key,
+                self._decode_endpoint(record),
+                offset=record.offset,
+                grace_until=grace_until,
+            )
+        if is_snapshot:
+            directory.retain(
+                {
+                    endpoint_record.key: endpoint_record.offset
+                    for endpoint_record in batch.records
+                },
+                before=batch.next_offset,
+                grace_until=grace_until,
+            )
+        directory.expire(read_monotonic_clock())
+        if directory.changes != previous_changes:
+            self._dependencies.log.log_warning(
+                'endpoints_changed',
+                offset=batch.next_offset,
+                ready=directory.count_ready(),
+            )
+            for listener in self._listeners:
+                listener()
+
+    def _decode_endpoint(self, record: KeyedRecord) -> EndpointRecord | None:
+        if record.body is None:
+            return None
+        try:
+            return self._dependencies.documents.decode_endpoint(
+                record.key, record.body
+            )
+        except ConfigurationError as error:
+            self._dependencies.log.log_warning(
+                'document_unreadable', key=record.key, reason=error.message
+            )
+            return None
+
+    def _compute_lapse_deadline(self) -> float | None:
+        # Until this deadline, records that lapsed during an outage return if
+        # their endpoints are alive. A later removal means that the endpoint is
+        # leaving.
+        now = read_monotonic_clock()
+        deadline = (
+            self._dependencies.health.get_last_failing_time(ENDPOINT_READER)
+            + LAPSE_GRACE_S
+        )
+        return (
+            min(deadline, now + MAX_REMOVAL_DELAY_S) if deadline > now else None
+        )
--- /dev/null
+++ b/laurelwind/coordination/members.py
@@ -0,0 +1,234 @@
+"""Membership of the relay daemons: joins, and the list of members.
+
+Each daemon renews its membership at the store.  The list is read from the
+store only by the sources of a zone (see :mod:`.topics.peer_store`) and by
+daemons that have just started; all others read the copy of a source, since
+hundreds of daemons would otherwise read the whole list at every change.
+"""
+
+from collections.abc import Callable, Sequence
+from typing import Final
+
+import anyio
+import orjson
+from anyio.abc import TaskGroup
+from attrs import frozen
+
+from laurelwind.coordination.topics.copies import TopicCopy
+from laurelwind.coordination.topics.peer_store import PeerReadingStore
+from laurelwind.coordination.topics.readers import Backoff, ReaderHealth
+from laurelwind.decisions import DecisionLog
+from laurelwind.errors import ErrorKind, PlatformError
+from laurelwind.protocol.keyed_store import (
+    Batch,
+    HistoryLostError,
+    KeyedRecord,
+    MemberGroup,
+    Topic,
+)
+from laurelwind.protocol.platform import ListedInstance
+
+JOIN_PERIOD_S: Final = 1.0
+# Longest wait for a source's next list of members.
+LIST_WAIT_S: Final = 1.2
+# Seconds between two lists that a daemon reads from the store.
+LIST_PERIOD_S: Final = 0.8
+# Names of joined and left daemons in one log line.
+MAX_LOGGED_NAMES: Final = 8
+_MEMBERS_KEY: Final = 'members'
+_READER: Final = 'members'
+
+
+@frozen(kw_only=True)
+class MembershipDependencies:
+    """Collaborators of a FleetMembership.
+
+    :ivar group: the group of live daemons.
+    :ivar store: reads the copies of sources.
+    :ivar copy: copy of the list that is served to peers.
+    :ivar health: records failures and recoveries of store calls.
+    :ivar log: the decision log.
+    """
+
+    group: MemberGroup
+    store: PeerReadingStore
+    copy: TopicCopy
+    health: ReaderHealth
+    log: DecisionLog
+
+
+class FleetMembership:
+    """Keeps the local daemon in the group, and the list of members current.
+
+    :param local_instance: member record of the local daemon.
+    :param dependencies: collaborators.
+    :param clock: returns the current time of the copy's clock, in seconds.
+    :ivar members: all daemons, ordered by name; includes the local one.
+    :ivar first_read: set once the list was read.
+    """
+
+    def __init__(
+        self,
+        *,
+        local_instance: ListedInstance,
+        dependencies: MembershipDependencies,
+        clock: Callable[[], float],
+    ) -> None:
+        self.members: tuple[ListedInstance, ...] = (local_instance,)
+        self.first_read = anyio.Event()
+        self._local_instance = local_instance
+        self._dependencies = dependencies
+        self._clock = clock
+        self._has_left = False
+        self._generation = -1
+        self._listed_generation = -1
+        self._changed = anyio.Event()
+        self._was_copy = False
+
+    def start(self, group: TaskGroup) -> None:
+        """Start joining the group and reading the list.
+
+        :param group: task group in which both run.
+        """
+        group.start_soon(self._run_joins)
+        group.start_soon(self._run_reads)
+
+    async def leave(self) -> None:
+        """Leave the group, so that callers use other daemons."""
+        self._has_left = True
+        try:
+            await self._dependencies.group.leave()
+        except PlatformError as error:
+            self._dependencies.log.log_warning(
+                'group_not_left', reason=error.message
+            )
+
+    async def _run_joins(self) -> None:
+        health = self._dependencies.health
+        backoff = Backoff()
+        while not self._has_left:
+            started_at = self._clock()
+            try:
+                generation = await self._dependencies.group.join()
+            except PlatformError as error:
+                health.record_failure(_READER, error)
+                if self._generation < 0:
+                    await backoff.wait()
+                else:
+                    await anyio.sleep(JOIN_PERIOD_S)
+                continue
+            health.record_recovery(_READER)
+            self._record_generation(generation, started_at)
+            await anyio.sleep(JOIN_PERIOD_S)
+
+    def _record_generation(self, generation: int, as_of: float) -> None:
+        self._generation = generation
+        if generation != self._listed_generation:
+            self._changed.set()
+            return
+        # The list is still the newest.
+        batch = Batch(records=(), next_offset=generation + 1)
+        self._dependencies.copy.apply_batch(
+            batch, is_snapshot=False, as_of=as_of
+        )
+
+    async def _run_reads(self) -> None:
+        while not self._has_left:
+            await self._changed.wait()
+            self._changed = anyio.Event()
+            try:
+                await self._read_list()
+            except PlatformError as error:
+                self._dependencies.health.record_failure(_READER, error)
+            else:
+                self.first_read.set()
+            if self._listed_generation < self._generation:
+                self._changed.set()
+            if not self._was_copy:
+                await anyio.sleep(LIST_PERIOD_S)
+
+    async def _read_list(self) -> None:
+        started_at = self._clock()
+        batch = await self._read_copy()
+        self._was_copy = batch is not None
+        if batch is None:
+            generation = self._generation
+            members = await self._dependencies.group.list_members()
+            batch = Batch(
+                records=(_encode_members(members, generation),),
+                next_offset=generation + 1,
+            )
+        self._dependencies.copy.apply_batch(
+            batch, is_snapshot=False, as_of=started_at - batch.lag_s
+        )
+        for record in batch.records:
+            self._listed_generation = record.offset
+            self._apply_members(_decode_members(record))
+
+    async def _read_copy(self) -> Batch | None:
+        store = self._dependencies.store
+        if store.is_source:
+            return None
+        try:
+            return await store.read_copy(
+                Topic.MEMBERS, self._listed_generation + 1, wait_s=LIST_WAIT_S
+            )
+        except HistoryLostError:
+            return None
+
+    def _apply_members(self, instances: Sequence[ListedInstance]) -> None:
+        previous = self.members
+        self.members = tuple(
+            sorted(
+                {*instances, self._local_instance},
+                key=lambda member: member.name,
+            )
+        )
+        if self.members == previous:
+            return
+        self._dependencies.log.log_warning(
+            'members_changed',
+            generation=self._listed_generation,
+            members=len(self.members),
+            joined=_list_new_names(self.members, previous),
+            left=_list_new_names(previous, self.members),
+        )
+
+
+def _list_new_names(
+    members: Sequence[ListedInstance], previous: Sequence[ListedInstance]
+) -> Sequence[str]:
+    known = set(previous)
+    names = [member.name for member in members if member not in known]
+    return names[:MAX_LOGGED_NAMES]
+
+
+def _encode_members(
+    members: Sequence[ListedInstance], generation: int
+) -> KeyedRecord:
+    rows = [
+        (member.name, member.zone, member.caller_address, member.peer_address)
+        for member in members
+    ]
+    return KeyedRecord(
+        key=_MEMBERS_KEY, body=orjson.dumps(rows), offset=generation
+    )
+
+
+def _decode_members(record: KeyedRecord) -> Sequence[ListedInstance]:
+    try:
+        return [
+            ListedInstance(
+                name=name,
+                zone=zone,
+                caller_address=caller_address,
+                peer_address=peer_address,
+            )
+            for name, zone, caller_address, peer_address in orjson.loads(
+                record.body or b''
+            )
+        ]
+    except (TypeError, ValueError) as error:
+        raise PlatformError(
+            ErrorKind.LOG_UNAVAILABLE, 'a peer sent a malformed list of members'
+        ) from error
--- a/laurelwind/coordination/rollouts/status_exchange.py
+++ b/laurelwind/coordination/rollouts/status_exchange.py
@@ -8,8 +8,8 @@
 from attrs import frozen
 
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
-from laurelwind.coordination.topic_copies import TopicCopy
-from laurelwind.coordination.topic_readers import (
+from laurelwind.coordination.topics.copies import TopicCopy
+from laurelwind.coordination.topics.readers import (
     Backoff,
     ReaderHealth,
     TopicReader,
@@ -22,7 +22,7 @@
 
 STATUS_PERIOD_S: Final = 0.9
 # The period while no target version is in use.
-IDLE_PERIOD_S: Final = 2.0
+IDLE_PERIOD_S: Final = 1.4
 # Attempts per period to write statuses while other daemons write too.
 MAX_WRITE_ATTEMPTS: Final = 4
 # Factor of the period for a daemon that reads statuses from a peer. It reads
--- a/laurelwind/coordination/topic_readers.py
+++ b/laurelwind/coordination/topics/readers.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from laurelwind.coordination.topic_copies import TopicCopy
+from laurelwind.coordination.topics.copies import TopicCopy
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import PlatformError
 from laurelwind.protocol.keyed_store import (
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -1,19 +1,24 @@
 """Keeps the daemon's state in sync with the store."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Final
 
 import anyio
 from anyio.abc import TaskGroup
 from attrs import frozen
 
+from laurelwind.coordination.endpoint_tracking import (
+    EndpointTracker,
+    EndpointTrackerDependencies,
+)
+from laurelwind.coordination.members import FleetMembership
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.rollouts.status_exchange import (
     StatusDependencies,
     StatusExchange,
 )
-from laurelwind.coordination.topic_copies import TopicCopies, TopicCopy
-from laurelwind.coordination.topic_readers import (
+from laurelwind.coordination.topics.copies import TopicCopies
+from laurelwind.coordination.topics.readers import (
     Backoff,
     ReaderHealth,
     TopicReader,
@@ -26,41 +31,21 @@
     HistoryLostError,
     KeyedRecord,
     KeyedStore,
-    MemberGroup,
     Topic,
 )
 from laurelwind.protocol.platform import ListedInstance
-from laurelwind.state.directory import (
-    LAPSE_GRACE_S,
-    EndpointDirectory,
-    EndpointRecord,
-)
+from laurelwind.state.directory import EndpointDirectory
 from laurelwind.state.leases import FreshnessLease
-from laurelwind.state.load import read_monotonic_clock
 from laurelwind.state.routes import RoutingTable
 
 # Longest wait of a read of the operators' topic for a change. It is also the
 # interval of lease renewals while nothing changes.
 OPERATOR_WAIT_S: Final = 1.5
-# Longest wait of a read of the endpoints' topic, which changes seldom, and the
-# wait while a lapsed record is about to be removed.
-ENDPOINT_WAIT_S: Final = 2.5
-LAPSED_WAIT_S: Final = 0.2
 # Longest wait for the newest table before a request is refused as unknown.
 CONFIRM_TIMEOUT_S: Final = 0.5
-# Delay after a read that returned changes. It coalesces the changes of many
-# endpoints, which would otherwise wake every daemon of the fleet one by one.
-ENDPOINT_COALESCING_S: Final = 0.6
-# Longest time that a removed record is retained. Together with the delay above
-# it stays below the two seconds after which a leaving endpoint must get no more
-# work.
-MAX_REMOVAL_DELAY_S: Final = 1.4
-# Statuses are read rarely while no target version is in use. A copy of them
-# stays younger than the three seconds after which target versions are no longer
-# used.
-MAX_STATUS_COPY_AGE_S: Final = 2.6
-ENDPOINT_READER: Final = 'endpoints'
-MEMBER_POLL_PERIOD_S: Final = 0.8
+# Longest wait for the list of members before topics are read without it. The
+# list tells a daemon that starts which peers have copies.
+FIRST_MEMBERS_TIMEOUT_S: Final = 5.0
 
 
 @frozen(kw_only=True)
@@ -68,7 +53,9 @@
     """Collaborators of a Tracker.
 
     :ivar store: the store to read.
-    :ivar group: the group of live daemons.
+    :ivar membership: the live daemons.
+    :ivar copies: copies of the topics that are served to peers.
+    :ivar health: records failures and recoveries of store reads.
     :ivar documents: decodes documents.
     :ivar lease: renewed by each complete read of the operators' topic.
     :ivar directory: directory of the endpoints.
@@ -77,7 +64,9 @@
     """
 
     store: KeyedStore
-    group: MemberGroup
+    membership: FleetMembership
+    copies: TopicCopies
+    health: ReaderHealth
     documents: DocumentCodec
     lease: FreshnessLease
     directory: EndpointDirectory
@@ -86,7 +75,7 @@
 
 
 class Tracker:
-    """Keeps the routing table, the endpoints and the members up to date.
+    """Keeps the routing table, the endpoints and the statuses up to date.
 
     :param local_instance: member record of the local daemon.
     :param dependencies: collaborators.
@@ -102,18 +91,9 @@
         max_absence_age_s: float,
     ) -> None:
         self.max_absence_age_s = max_absence_age_s
-        self._local_instance = local_instance
         self._dependencies = dependencies
-        self._listeners: list[Callable[[], None]] = []
-        self._health = ReaderHealth(log=dependencies.log)
-        self._has_left = False
         self._is_table_unreadable = False
         self._confirm_lock = anyio.Lock()
-        self.copies: TopicCopies = {
-            Topic.OPERATORS: TopicCopy(clock=dependencies.lease.read_clock),
-            Topic.ENDPOINTS: TopicCopy(clock=dependencies.lease.read_clock),
-            Topic.STATUS: TopicCopy(max_age_s=MAX_STATUS_COPY_AGE_S),
-        }
         self._operators = self._build_reader(Topic.OPERATORS)
         self._statuses = StatusExchange(
             local_instance=local_instance,
@@ -122,14 +102,23 @@
                 documents=dependencies.documents,
                 rollouts=dependencies.rollouts,
                 log=dependencies.log,
-                list_members=lambda: self.members,
-                copy=self.copies[Topic.STATUS],
+                list_members=lambda: dependencies.membership.members,
+                copy=dependencies.copies[Topic.STATUS],
             ),
-            health=self._health,
+            health=dependencies.health,
+        )
+        self._endpoints = EndpointTracker(
+            dependencies=EndpointTrackerDependencies(
+                store=dependencies.store,
+                copy=dependencies.copies[Topic.ENDPOINTS],
+                documents=dependencies.documents,
+                directory=dependencies.directory,
+                health=dependencies.health,
+                log=dependencies.log,
+                clock=dependencies.lease.read_clock,
+            )
         )
         self.table: RoutingTable | None = None
-        self.members: tuple[ListedInstance, ...] = (local_instance,)
-        self.has_endpoints = False
 
     @property
     def is_ready(self) -> bool:
@@ -140,22 +129,25 @@
             and self._dependencies.lease.is_valid
         )
 
+    @property
+    def has_endpoints(self) -> bool:
+        """Whether the endpoints were read since the start."""
+        return self._endpoints.has_endpoints
+
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Register a callback for changes of the endpoints.
 
         :param listener: called after each change.
         """
-        self._listeners.append(listener)
+        self._endpoints.add_listener(listener)
 
     def start(self, group: TaskGroup) -> None:
         """Start reading the store and the member group.
 
         :param group: task group in which the reads run.
         """
-        group.start_soon(self._run_operator_reads)
-        group.start_soon(self._run_endpoint_reads)
-        self._statuses.start(group)
-        group.start_soon(self._run_member_reads)
+        self._dependencies.membership.start(group)
+        group.start_soon(self._run_reads, group)
 
     async def ensure_current(self) -> bool:
         """Return whether the table is current, reading the store if needed.
@@ -179,15 +171,12 @@
             return False
         return self._apply_operator_batch(batch, started_at)
 
-    async def leave(self) -> None:
-        """Leave the member group, so that callers use other daemons."""
-        self._has_left = True
-        try:
-            await self._dependencies.group.leave()
-        except PlatformError as error:
-            self._dependencies.log.log_warning(
-                'group_not_left', reason=error.message
-            )
+    async def _run_reads(self, group: TaskGroup) -> None:
+        with anyio.move_on_after(FIRST_MEMBERS_TIMEOUT_S):
+            await self._dependencies.membership.first_read.wait()
+        group.start_soon(self._endpoints.run)
+        self._statuses.start(group)
+        await self._run_operator_reads()
 
     async def _run_operator_reads(self) -> None:
         backoff = Backoff()
@@ -195,18 +184,18 @@
             try:
                 batch = await self._operators.read(wait_s=OPERATOR_WAIT_S)
             except PlatformError as error:
-                self._health.record_failure('operators', error)
+                self._dependencies.health.record_failure('operators', error)
                 await backoff.wait()
                 continue
             backoff.reset()
-            self._health.record_recovery('operators')
+            self._dependencies.health.record_recovery('operators')
             self._apply_operator_batch(batch, self._operators.as_of)
 
     def _build_reader(self, topic: Topic) -> TopicReader:
         return TopicReader(
             store=self._dependencies.store,
             topic=topic,
-            copy=self.copies[topic],
+            copy=self._dependencies.copies[topic],
             clock=self._dependencies.lease.read_clock,
         )
 
@@ -251,116 +240,3 @@
             offset=record.offset,
             routes=len(table.routes),
         )
-
-    async def _run_endpoint_reads(self) -> None:
-        reader = self._build_reader(Topic.ENDPOINTS)
-        backoff = Backoff()
-        while True:
-            has_lapsed = self._dependencies.directory.has_lapsed_records
-            wait_s = LAPSED_WAIT_S if has_lapsed else ENDPOINT_WAIT_S
-            try:
-                batch = await reader.read(wait_s=wait_s)
-            except PlatformError as error:
-                self._health.record_failure(ENDPOINT_READER, error)
-                await backoff.wait()
-                continue
-            backoff.reset()
-            self._health.record_recovery(ENDPOINT_READER)
-            self._apply_endpoints(batch, is_snapshot=reader.was_snapshot)
-            self.has_endpoints = True
-            has_store_changes = bool(batch.records) and not batch.is_copy
-            if (
-                has_store_changes
-                and not self._dependencies.directory.has_lapsed_records
-            ):
-                await anyio.sleep(ENDPOINT_COALESCING_S)
-
-    def _apply_endpoints(self, batch: Batch, *, is_snapshot: bool) -> None:
-        directory = self._dependencies.directory
-        grace_until = self._compute_lapse_deadline()
-        previous_changes = directory.changes
-        for record in batch.records:
-            directory.apply(
-                record.key,
-                self._decode_endpoint(record),
-                offset=record.offset,
-                grace_until=grace_until,
-            )
-        if is_snapshot:
-            directory.retain(
-                {
-                    endpoint_record.key: endpoint_record.offset
-                    for endpoint_record in batch.records
-                },
-                before=batch.next_offset,
-                grace_until=grace_until,
-            )
-        directory.expire(read_monotonic_clock())
-        if directory.changes != previous_changes:
-            self._dependencies.log.log_warning(
-                'endpoints_changed',
-                offset=batch.next_offset,
-                ready=directory.count_ready(),
-            )
-            for listener in self._listeners:
-                listener()
-
-    def _decode_endpoint(self, record: KeyedRecord) -> EndpointRecord | None:
-        if record.body is None:
-            return None
-        try:
-            return self._dependencies.documents.decode_endpoint(
-                record.key, record.body
-            )
-        except ConfigurationError as error:
-            self._dependencies.log.log_warning(
-                'document_unreadable', key=record.key, reason=error.message
-            )
-            return None
-
-    def _compute_lapse_deadline(self) -> float | None:
-        # Until this deadline, records that lapsed during an outage return if
-        # their endpoints are alive. A later removal means that the endpoint is
-        # leaving.
-        now = read_monotonic_clock()
-        deadline = (
-            self._health.get_last_failing_time(ENDPOINT_READER) + LAPSE_GRACE_S
-        )
-        return (
-            min(deadline, now + MAX_REMOVAL_DELAY_S) if deadline > now else None
-        )
-
-    async def _run_member_reads(self) -> None:
-        last_generation = -1
-        backoff = Backoff()
-        while not self._has_left:
-            try:
-                generation = await self._dependencies.group.join()
-                if generation != last_generation:
-                    instances = await self._dependencies.group.list_members()
-                    self._apply_members(instances, generation)
-                    last_generation = generation
-            except PlatformError as error:
-                self._health.record_failure('members', error)
-                await backoff.wait()
-                continue
-            backoff.reset()
-            self._health.record_recovery('members')
-            await anyio.sleep(MEMBER_POLL_PERIOD_S)
-
-    def _apply_members(
-        self, instances: Sequence[ListedInstance], generation: int
-    ) -> None:
-        members = tuple(
-            sorted(
-                {*instances, self._local_instance},
-                key=lambda member: member.name,
-            )
-        )
-        if members != self.members:
-            self._dependencies.log.log_warning(
-                'members_changed',
-                generation=generation,
-                members=[member.name for member in members],
-            )
-        self.members = members
--- a/laurelwind/platform/store.py
+++ b/laurelwind/platform/store.py
@@ -45,7 +45,7 @@
 # retry uses a new connection.
 CALL_TIMEOUT_S: Final = 1.0
 # Milliseconds after its last call at which a member counts as lost.
-MEMBER_TTL_MS: Final = 2500
+MEMBER_TTL_MS: Final = 3000
 _READ_HEADER: Final = struct.Struct('>QQ')
 _RECORD_LENGTH: Final = struct.Struct('>I')
 _MAX_CONNECTIONS: Final = 8
--- a/laurelwind/protocol/keyed_store.py
+++ b/laurelwind/protocol/keyed_store.py
@@ -16,6 +16,8 @@
     OPERATORS = 'operators'
     ENDPOINTS = 'endpoints'
     STATUS = 'status'
+    # Derived from the member group; daemons pass it on, the store has none.
+    MEMBERS = 'members'
 
 
 @frozen(kw_only=True)
@@ -118,13 +120,14 @@
 
     @abc.abstractmethod
     async def read_after(
-        self, peer: str, topic: Topic, offset: int, *, wait_s: float
+        self, peer: str, topic: Topic, offset: int | None, *, wait_s: float
     ) -> Batch:
         """Read records from an offset on.
 
         :param peer: ``host:port`` of the daemon to query.
         :param topic: topic to read.
-        :param offset: offset of the first record to read.
+        :param offset: offset of the first record to read, or ``None`` for the
+            newest record of each key.
         :param wait_s: longest wait for the first record.
         :raises HistoryLostError: if the peer does not hold every change since
             the offset.
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -10,17 +10,23 @@
 
 from laurelwind.coordination.fleet_retry_budget import FleetRetryBudget
 from laurelwind.coordination.loop_lag import LoopLag
-from laurelwind.coordination.peer_store import PeerReadingStore
+from laurelwind.coordination.members import (
+    FleetMembership,
+    MembershipDependencies,
+)
 from laurelwind.coordination.placement import Placement
 from laurelwind.coordination.relay import Relay, build_relay
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.sending import SenderDependencies
+from laurelwind.coordination.topics.copies import build_topic_copies
+from laurelwind.coordination.topics.peer_store import PeerReadingStore
+from laurelwind.coordination.topics.readers import ReaderHealth
 from laurelwind.coordination.tracker import Tracker, TrackerDependencies
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ConfigurationError
 from laurelwind.protocol.documents import DocumentCodec
 from laurelwind.protocol.exchanges import HeaderCodec
-from laurelwind.protocol.keyed_store import KeyedStore, MemberGroup
+from laurelwind.protocol.keyed_store import KeyedStore, MemberGroup, Topic
 from laurelwind.protocol.platform import ListedInstance
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.relay_settings import RelaySettings
@@ -102,17 +108,33 @@
         )
         local_member = build_local_member(settings)
         self._peers = HttpPeerTopics()
+        self.copies = build_topic_copies(self.lease.read_clock)
+        health = ReaderHealth(log=self.log)
+        store = PeerReadingStore(
+            local_instance=local_member,
+            store=adapters.store,
+            peers=self._peers,
+            list_members=lambda: self.membership.members,
+            log=self.log,
+        )
+        self.membership = FleetMembership(
+            local_instance=local_member,
+            dependencies=MembershipDependencies(
+                group=adapters.group,
+                store=store,
+                copy=self.copies[Topic.MEMBERS],
+                health=health,
+                log=self.log,
+            ),
+            clock=self.lease.read_clock,
+        )
         self.tracker = Tracker(
             local_instance=local_member,
             dependencies=TrackerDependencies(
-                store=PeerReadingStore(
-                    local_instance=local_member,
-                    store=adapters.store,
-                    peers=self._peers,
-                    list_members=lambda: self.tracker.members,
-                    log=self.log,
-                ),
-                group=adapters.group,
+                store=store,
+                membership=self.membership,
+                copies=self.copies,
+                health=health,
                 documents=adapters.documents,
                 lease=self.lease,
                 directory=self.directory,
@@ -155,7 +177,7 @@
         local_address = self.settings.listen.callers
         accepting = [
             member
-            for member in self.tracker.members
+            for member in self.membership.members
             if self.is_ready or member.caller_address != local_address
         ]
         same_zone = [member for member in accepting if member.zone == zone]
@@ -166,7 +188,7 @@
         local_address = self.settings.listen.peers
         return [
             member.peer_address
-            for member in self.tracker.members
+            for member in self.membership.members
             if member.zone == self.settings.daemon.zone
             and member.peer_address != local_address
         ]
@@ -186,9 +208,7 @@
         await self.hints.start(group)
         applications: dict[str, ASGIApp] = {
             self.settings.listen.callers: self.application,
-            self.settings.listen.peers: TopicApplication(
-                copies=self.tracker.copies
-            ),
+            self.settings.listen.peers: TopicApplication(copies=self.copies),
             **other_applications,
         }
         for address, application in applications.items():
@@ -204,7 +224,7 @@
         limit_s = self.settings.bounds.stop_s - STOP_MARGIN_S
         with anyio.move_on_after(limit_s):
             with anyio.move_on_after(REFUSE_AFTER_S):
-                await self.tracker.leave()
+                await self.membership.leave()
                 await anyio.sleep(REFUSE_AFTER_S)
             self.application.rejects_requests = True
             await anyio.sleep(LISTEN_AFTER_STOP_S - REFUSE_AFTER_S)
@@ -262,7 +282,7 @@
                     retry_ratio=bounds.retry_share,
                     extra_retries=bounds.retry_extra,
                     window_s=bounds.retry_window_s,
-                    count_members=lambda: len(self.tracker.members),
+                    count_members=lambda: len(self.membership.members),
                 ),
                 gateway=self.gateway,
                 notify_work=self.hints.notify,
@@ -291,7 +311,7 @@
         add_gauge(
             'laurelwind_members',
             'Daemons that are alive.',
-            lambda: len(self.tracker.members),
+            lambda: len(self.membership.members),
         )
         add_gauge(
             'laurelwind_endpoints_ready',
--- a/laurelwind/transport/topics.py
+++ b/laurelwind/transport/topics.py
@@ -7,7 +7,7 @@
 import httpcore
 from starlette.types import Receive, Scope, Send
 
-from laurelwind.coordination.topic_copies import TopicCopies
+from laurelwind.coordination.topics.copies import TopicCopies
 from laurelwind.errors import ErrorKind, PlatformError
 from laurelwind.protocol.batches import decode_batch, encode_batch
 from laurelwind.protocol.keyed_store import (
@@ -29,12 +29,16 @@
 _UNAVAILABLE: Final = 503
 _MS_PER_S: Final = 1000
 _MAX_WAIT_S: Final = 5.0
-_MAX_CONNECTIONS: Final = 6
+# Each of four topics may be read from a source, and from another one while the
+# first does not answer.
+_MAX_CONNECTIONS: Final = 8
 
 
 class TopicApplication:
     """Serves ``GET /topics/{topic}?from=OFFSET&wait_ms=MILLISECONDS``.
 
+    Without ``from``, the answer has the newest record of each key.
+
     :param copies: topic copies of the local daemon.
     """
 
@@ -69,12 +73,13 @@
         )
 
     async def read_after(
-        self, peer: str, topic: Topic, offset: int, *, wait_s: float
+        self, peer: str, topic: Topic, offset: int | None, *, wait_s: float
     ) -> Batch:
         """Read records from an offset on; see :class:`PeerTopics`."""
-        query = urlencode(
-            {'from': offset, 'wait_ms': round(wait_s * _MS_PER_S)}
-        )
+        fields = {'wait_ms': round(wait_s * _MS_PER_S)}
+        if offset is not None:
+            fields['from'] = offset
+        query = urlencode(fields)
         target = f'http://{peer}{_PREFIX}{topic.value}?{query}'
         try:
             with anyio.fail_after(ANSWER_TIMEOUT_S + wait_s):
@@ -98,10 +103,10 @@
         await self._pool.aclose()
 
 
-def _parse_request(scope: Scope) -> tuple[Topic, int, float]:
+def _parse_request(scope: Scope) -> tuple[Topic, int | None, float]:
     query = parse_qs(scope.get('query_string', b'').decode('latin-1'))
     topic = Topic(scope['path'].removeprefix(_PREFIX))
-    offset = int(query.get('from', [''])[0])
+    offset = int(query['from'][0]) if 'from' in query else None
     wait_s = int(query.get('wait_ms', ['0'])[0]) / _MS_PER_S
     return topic, offset, min(max(wait_s, 0), _MAX_WAIT_S)
 
--- a/tests/test_peer_store.py
+++ b/tests/test_peer_store.py
@@ -13,10 +13,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from laurelwind.coordination import peer_store
-from laurelwind.coordination.peer_store import PeerReadingStore, choose_source
-from laurelwind.coordination.topic_copies import MAX_AGE_S, TopicCopy
-from laurelwind.coordination.topic_readers import TopicReader
+from laurelwind.coordination.topics import peer_store
+from laurelwind.coordination.topics.copies import MAX_AGE_S, TopicCopy
+from laurelwind.coordination.topics.peer_store import PeerReadingStore
+from laurelwind.coordination.topics.readers import TopicReader
+from laurelwind.coordination.topics.sources import (
+    MIN_ZONE_SIZE,
+    READERS_PER_SOURCE,
+    list_sources,
+)
 from laurelwind.errors import ErrorKind, PlatformError
 from laurelwind.protocol.batches import decode_batch, encode_batch
 from laurelwind.protocol.keyed_store import (
@@ -120,6 +125,7 @@
                 peers=peers,
                 list_members=lambda: members,
                 log=build_silent_log(),
+                clock=clock,
             ),
             topic=Topic.OPERATORS,
             copy=self.copy,
@@ -133,21 +139,19 @@
 
 
 def test_daemons_of_small_zones_read_the_store():
-    members = build_fleet(peer_store.MIN_ZONE_SIZE - 1) + build_fleet(
-        20, zone='b'
-    )
-    assert choose_source(members[0], members) is None
+    members = build_fleet(MIN_ZONE_SIZE - 1) + build_fleet(20, zone='b')
+    assert not list_sources(members[0], members)
 
 
-@given(size=st.integers(min_value=peer_store.MIN_ZONE_SIZE, max_value=120))
+@given(size=st.integers(min_value=MIN_ZONE_SIZE, max_value=120))
 def test_large_zones_have_few_sources_with_bounded_readers(size):
     members = build_fleet(size)
-    chosen = [choose_source(member, members) for member in members]
+    chosen = [list_sources(member, members)[0] for member in members]
     sources = set(chosen)
-    assert len(sources) == math.ceil(size / (peer_store.READERS_PER_SOURCE + 1))
-    assert all(choose_source(source, members) == source for source in sources)
+    assert len(sources) == math.ceil(size / (READERS_PER_SOURCE + 1))
+    assert all(list_sources(source, members)[0] == source for source in sources)
     largest_group = max(chosen.count(source) for source in sources)
-    assert largest_group <= peer_store.READERS_PER_SOURCE + 1
+    assert largest_group <= READERS_PER_SOURCE + 1
 
 
 async def test_store_reads_do_not_grow_with_zone_size():
@@ -167,8 +171,8 @@
                 b'%d' % version
             ]
     counts = sorted(store.reads for store in stores)
-    # Each daemon reads the store once at start; then only the two sources do.
-    assert counts == [1] * 30 + [6, 6]
+    # Only the two sources read the store, also at the start.
+    assert counts == [0] * 30 + [6, 6]
 
 
 async def test_source_limits_its_wait_at_the_store():
@@ -261,10 +265,9 @@
     assert follower.store.waits == [0, 1.0]
 
 
-async def test_failing_store_is_not_retried_by_the_whole_fleet(monkeypatch):
+async def test_failing_store_is_not_retried_by_the_whole_fleet():
     """Guards against daemons that each retry a failing store twice a second."""
     clock, peers, members = Clock(), InMemoryPeers(), build_fleet(20)
-    monkeypatch.setattr(peer_store, 'read_monotonic_clock', clock)
     stores = [CountingStore() for _ in members]
     daemons = [
         TopicDaemon(member, members, store, peers, clock)
@@ -279,20 +282,20 @@
         clock.now += 0.5
         for daemon in daemons:
             with pytest.raises(PlatformError):
-                await daemon.reader.read(wait_s=1.0)
+                await daemon.reader.read(wait_s=0.001)
     # The source keeps trying; the others try every three seconds.
     assert stores[0].reads == 20
     assert {store.reads for store in stores[1:]} == {4}
     # As soon as the source recovers, the others read from it.
     write_to_all(stores, 'table', b'1')
     stores[0].is_down = False
+    clock.now += peer_store.SOURCE_PROBE_S
     for daemon in daemons:
-        assert (await daemon.reader.read(wait_s=1.0)).records
+        assert (await daemon.reader.read(wait_s=0.001)).records
 
 
-async def test_lost_source_does_not_delay_store_retries(monkeypatch):
+async def test_lost_source_does_not_delay_store_retries():
     clock, peers, members = Clock(), InMemoryPeers(), build_fleet(8)
-    monkeypatch.setattr(peer_store, 'read_monotonic_clock', clock)
     source = TopicDaemon(members[0], members, CountingStore(), peers, clock)
     follower = TopicDaemon(members[1], members, CountingStore(), peers, clock)
     await source.reader.read()
@@ -437,6 +440,6 @@
         serve_copies(copies) as (address, _),
         httpcore.AsyncConnectionPool() as pool,
     ):
-        for path in ('/topics/other?from=1', '/topics/status', '/'):
+        for path in ('/topics/other?from=1', '/topics/status?from=x', '/'):
             answer = await pool.request('GET', f'http://{address}{path}')
             assert answer.status == 400
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -218,7 +218,11 @@
         other_zone = evolve(
             local_member, name='f', caller_address='10.0.0.3:80', zone='b'
         )
-        harness.daemon.tracker.members = (local_member, same_zone, other_zone)
+        harness.daemon.membership.members = (
+            local_member,
+            same_zone,
+            other_zone,
+        )
         callers = harness.settings.listen.callers
         list_entries = harness.daemon.list_entries
         assert list_entries('a') == [callers, '10.0.0.2:80']
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -4,11 +4,18 @@
 import orjson
 import pytest
 
-from laurelwind.coordination import topic_readers
-from laurelwind.coordination import tracker as tracking
+from laurelwind.coordination import endpoint_tracking, members
+from laurelwind.coordination.members import (
+    FleetMembership,
+    MembershipDependencies,
+)
 from laurelwind.coordination.rollouts import status_exchange
 from laurelwind.coordination.rollouts.evidence import AnswerOutcome
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
+from laurelwind.coordination.topics import readers as topic_readers
+from laurelwind.coordination.topics.copies import build_topic_copies
+from laurelwind.coordination.topics.peer_store import PeerReadingStore
+from laurelwind.coordination.topics.readers import ReaderHealth
 from laurelwind.coordination.tracker import Tracker, TrackerDependencies
 from laurelwind.errors import ErrorKind, PlatformError
 from laurelwind.platform.documents import PlatformDocuments
@@ -18,6 +25,7 @@
     KeyedRecord,
     KeyedStore,
     MemberGroup,
+    PeerTopics,
     Topic,
 )
 from laurelwind.protocol.platform import ListedInstance
@@ -84,6 +92,11 @@
             raise PlatformError(ErrorKind.LOG_UNAVAILABLE, 'down')
 
 
+class NoPeers(PeerTopics):
+    async def read_after(self, peer, topic, offset, *, wait_s):
+        raise PlatformError(ErrorKind.LOG_UNAVAILABLE, 'no peers')
+
+
 class FakeGroup(MemberGroup):
     def __init__(self, members):
         self.members = members
@@ -135,11 +148,33 @@
         )
         local_instance = build_member(name)
         self.group = FakeGroup([local_instance, *others])
+        copies = build_topic_copies(self.lease.read_clock)
+        health = ReaderHealth(log=log)
+        topics = PeerReadingStore(
+            local_instance=local_instance,
+            store=store,
+            peers=NoPeers(),
+            list_members=lambda: self.membership.members,
+            log=log,
+        )
+        self.membership = FleetMembership(
+            local_instance=local_instance,
+            dependencies=MembershipDependencies(
+                group=self.group,
+                store=topics,
+                copy=copies[Topic.MEMBERS],
+                health=health,
+                log=log,
+            ),
+            clock=self.lease.read_clock,
+        )
         self.tracker = Tracker(
             local_instance=local_instance,
             dependencies=TrackerDependencies(
-                store=store,
-                group=self.group,
+                store=topics,
+                membership=self.membership,
+                copies=copies,
+                health=health,
                 documents=PlatformDocuments(),
                 lease=self.lease,
                 directory=self.directory,
@@ -161,9 +196,10 @@
 @pytest.fixture(autouse=True)
 def _short_periods(monkeypatch):
     monkeypatch.setattr(status_exchange, 'STATUS_PERIOD_S', 0.02)
-    monkeypatch.setattr(tracking, 'MEMBER_POLL_PERIOD_S', 0.02)
+    monkeypatch.setattr(members, 'JOIN_PERIOD_S', 0.02)
+    monkeypatch.setattr(members, 'LIST_PERIOD_S', 0.02)
     monkeypatch.setattr(topic_readers, 'MAX_BACKOFF_S', 0.05)
-    monkeypatch.setattr(tracking, 'ENDPOINT_COALESCING_S', 0.01)
+    monkeypatch.setattr(endpoint_tracking, 'ENDPOINT_COALESCING_S', 0.01)
 
 
 async def run_check(check, *, store=None):
@@ -268,7 +304,7 @@
 async def test_removal_after_an_outage_is_delayed_up_to_the_limit(
     monkeypatch,
 ):
-    monkeypatch.setattr(tracking, 'MAX_REMOVAL_DELAY_S', 0.15)
+    monkeypatch.setattr(endpoint_tracking, 'MAX_REMOVAL_DELAY_S', 0.15)
 
     async def check(harness, store):
         store.put(Topic.ENDPOINTS, 'e1', build_endpoint(1))
@@ -287,7 +323,7 @@
 async def test_consecutive_endpoint_changes_are_coalesced_into_few_reads(
     monkeypatch,
 ):
-    monkeypatch.setattr(tracking, 'ENDPOINT_COALESCING_S', 0.2)
+    monkeypatch.setattr(endpoint_tracking, 'ENDPOINT_COALESCING_S', 0.2)
     store = FakeStore()
     reads = []
     read_after = store.read_after
@@ -372,7 +408,7 @@
 
 async def test_daemon_leaves_the_member_group():
     async def check(harness, store):
-        await harness.tracker.leave()
+        await harness.membership.leave()
         assert harness.group.has_left
 
     await run_check(check)
@@ -380,10 +416,10 @@
 
 async def test_members_are_read_when_the_generation_changes():
     async def check(harness, store):
-        await wait_until(lambda: len(harness.tracker.members) == 1)
+        await wait_until(lambda: len(harness.membership.members) == 1)
         harness.group.members.append(build_member('d0'))
         harness.group.generation = 2
-        await wait_until(lambda: len(harness.tracker.members) == 2)
-        assert harness.tracker.members[0].name == 'd0'
+        await wait_until(lambda: len(harness.membership.members) == 2)
+        assert harness.membership.members[0].name == 'd0'
 
     await run_check(check)
