--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -9,8 +9,8 @@
     LowConfidenceError,
 )
 from laurelwind.coordination.model_planning import ModelPlanner
-from laurelwind.coordination.placement import Placement
 from laurelwind.coordination.relay_jobs import Attempt, Job
+from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import (
     Sender,
     SenderDependencies,
@@ -241,7 +241,9 @@
         backoff_s: float = 0
         if error.run is not RunState.NOT_RUN:
             job.may_have_run = True
-            backoff_s = dependencies.placement.record_failure(attempt.endpoint)
+            backoff_s = dependencies.sender.record_failure(
+                attempt.endpoint, attempt.elapsed_s
+            )
             # Silence indicates load or a network fault, not a fault of the
             # version.
             if not isinstance(error, EndpointSilentError):
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field, frozen
 
-from laurelwind.coordination.placement import SchedulingClass
+from laurelwind.coordination.scheduling.placement import SchedulingClass
 from laurelwind.protocol.exchanges import (
     AnswerHead,
     EndpointExchange,
@@ -207,6 +207,11 @@
     last_event_at: float = 0
     events: int = 0
 
+    @property
+    def elapsed_s(self) -> float:
+        """Seconds since sending."""
+        return read_monotonic_clock() - self.sent_at
+
     def record_events(self, count: int) -> float | None:
         """Record received events, and return the seconds per event.
 
--- a/laurelwind/coordination/endpoint_states.py
+++ b/laurelwind/coordination/scheduling/endpoint_states.py
@@ -14,13 +14,16 @@
 # event in the moving average.
 UNIT_LATENCY_TTL_S: Final = 2.0
 UNIT_LATENCY_WEIGHT: Final = 0.1
-# Weight of each outcome in the failure rate, and the time over which the rate
-# decays to zero.  The rate covers endpoints that fail only some requests, which
+# Weight of each outcome in the expected loss, and the time over which the loss
+# decays to zero.  The loss covers endpoints that fail only some requests, which
 # the backoff does not: each success ends it.
 OUTCOME_WEIGHT: Final = 0.25
-FAILURE_RATE_TTL_S: Final = 6.0
+EXPECTED_LOSS_TTL_S: Final = 6.0
 # Weight of a 5xx answer, which is often caused by the request itself.
 SERVER_ERROR_WEIGHT: Final = 0.1
+# Weight of a loss that another daemon reports.  Daemons report losses only, so
+# their reports say less about the share that is lost.
+REMOTE_LOSS_WEIGHT: Final = 0.15
 
 
 @define(kw_only=True)
@@ -39,8 +42,8 @@
     :ivar unit_latency_s: seconds per event, as of ``unit_latency_at``.
     :ivar failures: consecutive failures since the last success.
     :ivar backoff_until: end of the backoff.
-    :ivar failure_rate: failure rate of recent requests, 0 to 1, as of
-        ``failure_rate_at``.
+    :ivar expected_loss_s: moving average of the seconds that a request loses
+        at the endpoint by failures, as of ``expected_loss_at``.
     """
 
     in_flight: int = 0
@@ -55,8 +58,8 @@
     unit_latency_at: float = 0
     failures: int = 0
     backoff_until: float = 0
-    failure_rate: float = 0
-    failure_rate_at: float = 0
+    expected_loss_s: float = 0
+    expected_loss_at: float = 0
 
     def estimate_load(self, now: float) -> float:
         """Estimate the number of running and queued requests."""
@@ -67,20 +70,20 @@
         )
         return max(others, 0) + self.in_flight
 
-    def get_failure_rate(self, now: float) -> float:
-        """Return the failure rate, decayed linearly with age."""
+    def get_expected_loss(self, now: float) -> float:
+        """Return the expected loss in seconds, decayed linearly with age."""
         remaining = max(
-            1 - (now - self.failure_rate_at) / FAILURE_RATE_TTL_S, 0
+            1 - (now - self.expected_loss_at) / EXPECTED_LOSS_TTL_S, 0
         )
-        return self.failure_rate * remaining
+        return self.expected_loss_s * remaining
 
-    def record_outcome(
-        self, failed: float, now: float, weight: float = OUTCOME_WEIGHT
+    def record_loss(
+        self, lost_s: float, now: float, weight: float = OUTCOME_WEIGHT
     ) -> None:
-        """Apply the outcome of a request: 1 for a failure, 0 for a success."""
-        rate = self.get_failure_rate(now)
-        self.failure_rate = rate + (failed - rate) * weight
-        self.failure_rate_at = now
+        """Apply the seconds that a request lost: zero for a success."""
+        expected_s = self.get_expected_loss(now)
+        self.expected_loss_s = expected_s + (lost_s - expected_s) * weight
+        self.expected_loss_at = now
 
     def get_unit_latency(self, now: float) -> float:
         """Return the seconds per event, or zero when unknown or expired."""
--- a/laurelwind/coordination/placement.py
+++ b/laurelwind/coordination/scheduling/placement.py
@@ -18,7 +18,8 @@
 
 from attrs import frozen
 
-from laurelwind.coordination.endpoint_states import (
+from laurelwind.coordination.scheduling.endpoint_states import (
+    REMOTE_LOSS_WEIGHT,
     SERVER_ERROR_WEIGHT,
     EndpointState,
 )
@@ -35,8 +36,9 @@
 INITIAL_BACKOFF_S: Final = 0.4
 MAX_BACKOFF_S: Final = 5.0
 _MAX_DOUBLINGS: Final = 4
-# Seconds lost by a request that fails; weighted by the failure rate.
-FAILURE_PENALTY_S: Final = 2.0
+# Seconds that a failed request loses at least: its next attempt queues and
+# reads the prompt again.
+MIN_LOSS_S: Final = 2.0
 # Placement penalties, in seconds of queueing delay.  A full endpoint costs as
 # much as one second of queued work; another availability zone or scheduling
 # class costs a fraction of that.
@@ -217,28 +219,41 @@
         state = self._get_state(endpoint)
         state.failures = 0
         state.backoff_until = 0
-        state.record_outcome(0, read_monotonic_clock())
+        state.record_loss(0, read_monotonic_clock())
 
     def record_server_error(self, endpoint: EndpointRecord) -> None:
         """Record a 5xx answer of an endpoint.
 
         :param endpoint: the endpoint.
         """
-        self._get_state(endpoint).record_outcome(
-            1, read_monotonic_clock(), SERVER_ERROR_WEIGHT
+        self._get_state(endpoint).record_loss(
+            MIN_LOSS_S, read_monotonic_clock(), SERVER_ERROR_WEIGHT
         )
 
-    def record_failure(self, endpoint: EndpointRecord) -> float:
+    def record_remote_loss(self, name: str, lost_s: float) -> None:
+        """Record a failure that another daemon reports.
+
+        :param name: name of the endpoint.
+        :param lost_s: seconds that the request had spent at the endpoint.
+        """
+        self._states.setdefault(name, EndpointState()).record_loss(
+            max(lost_s, MIN_LOSS_S), read_monotonic_clock(), REMOTE_LOSS_WEIGHT
+        )
+
+    def record_failure(
+        self, endpoint: EndpointRecord, lost_s: float = 0
+    ) -> float:
         """Record a failure, and return the backoff in seconds.
 
         :param endpoint: the endpoint.
+        :param lost_s: seconds that the request spent at the endpoint.
         """
         state = self._get_state(endpoint)
         doublings = min(state.failures, _MAX_DOUBLINGS)
         backoff_s = min(INITIAL_BACKOFF_S * (1 << doublings), MAX_BACKOFF_S)
         state.failures += 1
         state.backoff_until = read_monotonic_clock() + backoff_s
-        state.record_outcome(1, read_monotonic_clock())
+        state.record_loss(max(lost_s, MIN_LOSS_S), read_monotonic_clock())
         return backoff_s
 
     def retain_endpoints(self, names: set[str]) -> None:
@@ -297,7 +312,7 @@
         state = self._get_state(endpoint)
         occupancy = state.estimate_load(now) / max(endpoint.slots, 1)
         cost = state.estimate_queue_delay(now) + occupancy * FULL_PENALTY_S
-        cost += state.get_failure_rate(now) * FAILURE_PENALTY_S
+        cost += state.get_expected_loss(now)
         if endpoint.zone != self._zone:
             cost += CROSS_ZONE_PENALTY_S
         return cost
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -1,15 +1,20 @@
 """Selects endpoints and sends requests to them."""
 
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from attrs import frozen
 
-from laurelwind.coordination.fleet_retry_budget import FleetRetryBudget
-from laurelwind.coordination.placement import Placement, PlacementRequirements
 from laurelwind.coordination.relay_jobs import Attempt, Job
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
+from laurelwind.coordination.scheduling.fleet_retry_budget import (
+    FleetRetryBudget,
+)
+from laurelwind.coordination.scheduling.placement import (
+    Placement,
+    PlacementRequirements,
+)
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
@@ -48,6 +53,8 @@
     :ivar gateway: sends requests to endpoints.
     :ivar notify_work: notifies other daemons of the prefill time, in seconds,
         of a request sent to the named endpoint.
+    :ivar notify_loss: notifies other daemons of the seconds that a failed
+        request spent at the named endpoint.
     :ivar log: decision log.
     """
 
@@ -58,7 +65,8 @@
     placement: Placement
     retry_budget: FleetRetryBudget
     gateway: EndpointGateway
-    notify_work: Callable[[str, float], Awaitable[None]]
+    notify_work: Callable[[str, float], None]
+    notify_loss: Callable[[str, float], None]
     log: DecisionLog
 
 
@@ -168,7 +176,8 @@
         self._log_sent(job, endpoint, dispatch)
         dependencies.placement.record_sent(endpoint, job.prefill_s)
         expected_delay_s = dependencies.placement.estimate_queue_delay(endpoint)
-        await dependencies.notify_work(endpoint.name, job.prefill_s)
+        dependencies.notify_work(endpoint.name, job.prefill_s)
+        sent_at = read_monotonic_clock()
         try:
             exchange = await dependencies.gateway.send(job.request, dispatch)
         except BaseException:
@@ -177,16 +186,25 @@
         return Attempt(
             endpoint=endpoint,
             exchange=exchange,
-            sent_at=read_monotonic_clock(),
+            sent_at=sent_at,
             model=dispatch.model,
             prefill_s=job.prefill_s,
             expected_delay_s=expected_delay_s,
         )
 
+    def record_failure(self, endpoint: EndpointRecord, lost_s: float) -> float:
+        """Record a failed attempt here and at peers; return the backoff.
+
+        :param endpoint: the endpoint that failed.
+        :param lost_s: seconds that the request spent there.
+        """
+        self._dependencies.notify_loss(endpoint.name, lost_s)
+        return self._dependencies.placement.record_failure(endpoint, lost_s)
+
     def _handle_unsent(
         self, job: Job, endpoint: EndpointRecord, error: EndpointError
     ) -> None:
-        backoff_s = self._dependencies.placement.record_failure(endpoint)
+        backoff_s = self.record_failure(endpoint, 0)
         job.excluded_endpoints.add(endpoint.name)
         self._dependencies.log.log_warning(
             'not_sent',
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -8,15 +8,17 @@
 from attrs import evolve, frozen
 from starlette.types import ASGIApp
 
-from laurelwind.coordination.fleet_retry_budget import FleetRetryBudget
 from laurelwind.coordination.loop_lag import LoopLag
 from laurelwind.coordination.members import (
     FleetMembership,
     MembershipDependencies,
 )
-from laurelwind.coordination.placement import Placement
 from laurelwind.coordination.relay import Relay, build_relay
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
+from laurelwind.coordination.scheduling.fleet_retry_budget import (
+    FleetRetryBudget,
+)
+from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import SenderDependencies
 from laurelwind.coordination.topics.copies import build_topic_copies
 from laurelwind.coordination.topics.peer_store import PeerReadingStore
@@ -34,7 +36,7 @@
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.state.routes import CallerLimits
 from laurelwind.transport.gateway import HttpGateway
-from laurelwind.transport.hints import WorkHints
+from laurelwind.transport.hints import HintListener, WorkHints
 from laurelwind.transport.relay_application import RelayApplication
 from laurelwind.transport.server import HttpServer
 from laurelwind.transport.topics import HttpPeerTopics, TopicApplication
@@ -149,7 +151,10 @@
         self.hints = WorkHints(
             address=settings.listen.peers,
             list_peers=self._list_zone_peers,
-            record_work=self.placement.record_remote_work,
+            listener=HintListener(
+                record_work=self.placement.record_remote_work,
+                record_loss=self.placement.record_remote_loss,
+            ),
             log=self.log,
         )
         self.relay = self._build_relay()
@@ -285,7 +290,8 @@
                     count_members=lambda: len(self.membership.members),
                 ),
                 gateway=self.gateway,
-                notify_work=self.hints.notify,
+                notify_work=self.hints.notify_work,
+                notify_loss=self.hints.notify_loss,
                 log=self.log,
             ),
             metrics=self.metrics,
--- a/laurelwind/transport/hints.py
+++ b/laurelwind/transport/hints.py
@@ -1,17 +1,19 @@
-"""Work hints: datagrams about work that a daemon sent to an endpoint.
+"""Work hints: datagrams about the work and the failures at endpoints.
 
 Hints are exchanged by the daemons of an availability zone.  They are small,
 soon out of date and may be lost, so they are sent over UDP: over TCP, a peer
-that is down would delay the hints to the others.
+that is down would delay the hints to the others.  Hints of the same moment
+share a datagram, and no request waits until it is sent.
 """
 
 import socket
-from collections.abc import Callable, Iterable
-from typing import Final
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, Final
 
 import anyio
 import orjson
 from anyio.abc import TaskGroup, UDPSocket
+from attrs import frozen
 
 from laurelwind.decisions import DecisionLog
 from laurelwind.transport.network import split_address
@@ -19,16 +21,33 @@
 # No hints are sent for shorter work: it ends before a hint could affect the
 # placement by other daemons.
 MIN_WORK_S: Final = 0.1
+# Seconds for which hints are collected.
+BATCH_DELAY_S: Final = 0.01
+# Endpoints in one datagram, which stays within the smallest MTU.
+_MAX_ROWS: Final = 20
 _MAX_WORK_S: Final = 60.0
 
 
+@frozen(kw_only=True)
+class HintListener:
+    """Receives the hints of other daemons.
+
+    :ivar record_work: called with the name of an endpoint and its additional
+        work in seconds.
+    :ivar record_loss: called with the name of an endpoint and the seconds that
+        a failed request spent there.
+    """
+
+    record_work: Callable[[str, float], None]
+    record_loss: Callable[[str, float], None]
+
+
 class WorkHints:
     """Sends and receives work hints.
 
     :param address: ``host:port`` to bind.
     :param list_peers: returns the addresses of the daemons to notify.
-    :param record_work: called with the name of an endpoint and its additional
-        work in seconds.
+    :param listener: receives the hints of other daemons.
     :param log: decision log.
     """
 
@@ -37,17 +56,20 @@
         *,
         address: str,
         list_peers: Callable[[], Iterable[str]],
-        record_work: Callable[[str, float], None],
+        listener: HintListener,
         log: DecisionLog,
     ) -> None:
         self._address = address
         self._list_peers = list_peers
-        self._record_work = record_work
+        self._listener = listener
         self._log = log
         self._socket: UDPSocket | None = None
+        # Work and loss in seconds, by endpoint.
+        self._pending: dict[str, tuple[float, float]] = {}
+        self._has_pending = anyio.Event()
 
     async def start(self, group: TaskGroup) -> None:
-        """Start to receive hints.
+        """Start to send and receive hints.
 
         :param group: task group of the daemon.
         """
@@ -56,29 +78,61 @@
             family=socket.AF_INET, local_host=host, local_port=port
         )
         group.start_soon(self._receive, self._socket)
+        group.start_soon(self._send_batches, self._socket)
 
     async def close(self) -> None:
-        """Stop receiving hints and close the socket."""
+        """Stop sending and receiving hints, and close the socket."""
         if self._socket is not None:
             await self._socket.aclose()
 
-    async def notify(self, endpoint: str, work_s: float) -> None:
+    def notify_work(self, endpoint: str, work_s: float) -> None:
         """Notify the peers of work that was sent to an endpoint.
 
         :param endpoint: name of the endpoint.
         :param work_s: expected duration of the work in seconds.
         """
-        if self._socket is None or work_s < MIN_WORK_S:
-            return
-        hint = orjson.dumps([endpoint, round(work_s, 3)])
-        for peer in self._list_peers():
-            try:
-                await self._socket.sendto(hint, *split_address(peer))
-            except (OSError, anyio.BusyResourceError) as error:
-                # Dropped, as the hint would be out of date after a wait.
-                self._log.log_info(
-                    'hint_not_sent', peer=peer, reason=str(error)
-                )
+        if work_s >= MIN_WORK_S:
+            self._add(endpoint, work_s, 0)
+
+    def notify_loss(self, endpoint: str, lost_s: float) -> None:
+        """Notify the peers of a request that failed at an endpoint.
+
+        :param endpoint: name of the endpoint.
+        :param lost_s: seconds that the request spent there.
+        """
+        self._add(endpoint, 0, lost_s)
+
+    def _add(self, endpoint: str, work_s: float, lost_s: float) -> None:
+        work_before_s, lost_before_s = self._pending.get(endpoint, (0, 0))
+        self._pending[endpoint] = (
+            work_before_s + work_s,
+            max(lost_before_s, lost_s),
+        )
+        self._has_pending.set()
+
+    async def _send_batches(self, sender: UDPSocket) -> None:
+        while True:
+            await self._has_pending.wait()
+            await anyio.sleep(BATCH_DELAY_S)
+            self._has_pending = anyio.Event()
+            rows = [
+                [name, round(work_s, 3), round(lost_s, 3)]
+                for name, (work_s, lost_s) in self._pending.items()
+            ]
+            self._pending.clear()
+            for start in range(0, len(rows), _MAX_ROWS):
+                datagram = orjson.dumps(rows[start : start + _MAX_ROWS])
+                for peer in self._list_peers():
+                    await self._send(sender, peer, datagram)
+
+    async def _send(
+        self, sender: UDPSocket, peer: str, datagram: bytes
+    ) -> None:
+        try:
+            await sender.sendto(datagram, *split_address(peer))
+        except (OSError, anyio.ClosedResourceError) as error:
+            # Dropped, as the hint would be out of date after a wait.
+            self._log.log_info('hint_not_sent', peer=peer, reason=str(error))
 
     async def _receive(self, receiver: UDPSocket) -> None:
         while True:
@@ -86,19 +140,37 @@
                 datagram, _ = await receiver.receive()
             except anyio.ClosedResourceError:
                 return
-            hint = _decode_hint(datagram)
-            if hint is not None:
-                self._record_work(*hint)
+            for endpoint, work_s, lost_s in _decode_hints(datagram):
+                if work_s:
+                    self._listener.record_work(endpoint, work_s)
+                if lost_s:
+                    self._listener.record_loss(endpoint, lost_s)
 
 
-def _decode_hint(datagram: bytes) -> tuple[str, float] | None:
+def _decode_hints(datagram: bytes) -> Iterator[tuple[str, float, float]]:
     try:
-        hint = orjson.loads(datagram)
+        rows = orjson.loads(datagram)
     except orjson.JSONDecodeError:
-        return None
-    if not isinstance(hint, list) or len(hint) != 2:
-        return None
-    endpoint, work_s = hint
-    if not isinstance(endpoint, str) or not isinstance(work_s, int | float):
-        return None
-    return endpoint, min(max(float(work_s), 0), _MAX_WORK_S)
+        return
+    if not isinstance(rows, list):
+        return
+    if rows and isinstance(rows[0], str):
+        # Daemons of the release before send one endpoint without a loss.
+        rows = [[*rows, 0]]
+    for row in rows:
+        if _is_hint(row):
+            name, work_s, lost_s = row
+            yield name, _limit(work_s), _limit(lost_s)
+
+
+def _is_hint(row: Any) -> bool:
+    if not isinstance(row, list) or len(row) != 3:
+        return False
+    name, *durations = row
+    return isinstance(name, str) and all(
+        isinstance(duration_s, int | float) for duration_s in durations
+    )
+
+
+def _limit(duration_s: float) -> float:
+    return min(max(float(duration_s), 0), _MAX_WORK_S)
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -5,10 +5,12 @@
 import anyio
 from attrs import define, field
 
-from laurelwind.coordination.fleet_retry_budget import FleetRetryBudget
-from laurelwind.coordination.placement import Placement
 from laurelwind.coordination.relay import build_relay
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
+from laurelwind.coordination.scheduling.fleet_retry_budget import (
+    FleetRetryBudget,
+)
+from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import SenderDependencies
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import EndpointError, ErrorKind, RunState
@@ -198,7 +200,7 @@
         self.is_whole = True
 
 
-async def ignore_work(endpoint, prefill_s):
+def ignore_hint(endpoint, duration_s):
     """Discard the notification."""
 
 
@@ -235,7 +237,8 @@
                 placement=self.placement,
                 retry_budget=self.retry_budget,
                 gateway=self.gateway,
-                notify_work=ignore_work,
+                notify_work=ignore_hint,
+                notify_loss=ignore_hint,
                 log=self.log,
             ),
             metrics=RelayMetrics(),
--- a/tests/test_fleet_retry_budget.py
+++ b/tests/test_fleet_retry_budget.py
@@ -4,8 +4,10 @@
 
 import pytest
 
-from laurelwind.coordination import fleet_retry_budget
-from laurelwind.coordination.fleet_retry_budget import FleetRetryBudget
+from laurelwind.coordination.scheduling import fleet_retry_budget
+from laurelwind.coordination.scheduling.fleet_retry_budget import (
+    FleetRetryBudget,
+)
 
 
 class Clock:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,8 +6,8 @@
 
 import random
 
-from laurelwind.coordination import endpoint_states, placement
-from laurelwind.coordination.placement import (
+from laurelwind.coordination.scheduling import endpoint_states, placement
+from laurelwind.coordination.scheduling.placement import (
     Placement,
     PlacementRequirements,
     SchedulingClass,
@@ -190,5 +190,5 @@
     now[0] += 0.5
     for _ in range(20):
         assert choose(placer).name != 'e0'
-    now[0] += endpoint_states.FAILURE_RATE_TTL_S
+    now[0] += endpoint_states.EXPECTED_LOSS_TTL_S
     assert 'e0' in {choose(placer).name for _ in range(60)}
