--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -1,37 +1,32 @@
 """Delivers the answers of endpoints to callers."""
 
-import contextlib
-from collections.abc import Iterator
 from typing import Final
 
-import anyio
 from attrs import frozen
 
+from laurelwind.coordination.answer_heads import (
+    HeadReader,
+    fail_after_silence,
+)
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.relay_jobs import Attempt, BufferedAnswer, Job
 from laurelwind.coordination.rollouts.evidence import AnswerOutcome
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling.placement import Placement
-from laurelwind.coordination.scheduling.silence import SilenceTimeouts
 from laurelwind.coordination.sending import Sender
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
     EndpointError,
-    EndpointSilentError,
     ErrorKind,
     RunState,
 )
 from laurelwind.protocol.event_stream import EventSplitter
 from laurelwind.protocol.exchanges import AnswerHead, CallerAnswer
 from laurelwind.relay_metrics import RelayMetrics
-from laurelwind.state.load import read_monotonic_clock
 
 # Answers up to this size are buffered completely before delivery begins, so
 # that a request whose answer breaks off can be retried.
 MAX_BUFFERED_BYTES: Final = 1_048_576
-# Time-out for the first byte of a retryable plain call, as a multiple of the
-# latency goal, which is short compared with the work of such calls.
-PLAIN_FIRST_BYTE_RATIO: Final = 2.0
 # Time-out between the events of a stream, as a multiple of its gap goal; after
 # it the stream is resumed at another endpoint.  Shorter gaps are caused by long
 # prompts in the same batch; resuming then repeats the whole prefill and makes
@@ -75,7 +70,7 @@
 
     def __init__(self, *, dependencies: DeliveryDependencies) -> None:
         self._dependencies = dependencies
-        self._silence_timeouts = SilenceTimeouts()
+        self._heads = HeadReader(placement=dependencies.placement)
 
     async def deliver(
         self, job: Job, attempt: Attempt, answer: CallerAnswer
@@ -89,7 +84,7 @@
         :raises LowConfidenceError: if the request must be escalated to a larger
             model.
         """
-        head = await self._read_head(job, attempt)
+        head = await self._heads.read(job, attempt)
         if head.load is not None:
             self._dependencies.placement.record_report(
                 attempt.endpoint, head.load
@@ -122,56 +117,6 @@
         if not failed:
             self._dependencies.placement.record_success(attempt.endpoint)
 
-    async def _read_head(self, job: Job, attempt: Attempt) -> AnswerHead:
-        wait_s = self._compute_first_byte_timeout(job, attempt)
-        try:
-            with _fail_after(
-                wait_s, awaited='first byte', run=RunState.UNKNOWN
-            ):
-                head = await attempt.exchange.read_head()
-        except EndpointSilentError:
-            self._record_wait(job, attempt)
-            raise
-        self._record_wait(job, attempt)
-        attempt.first_byte_at = read_monotonic_clock()
-        self._dependencies.placement.record_first_byte(
-            attempt.endpoint,
-            attempt.first_byte_at - attempt.sent_at,
-            attempt.prefill_s,
-        )
-        return head
-
-    def _record_wait(self, job: Job, attempt: Attempt) -> None:
-        self._silence_timeouts.record_wait(
-            _get_silence_group(job, attempt),
-            attempt.elapsed_s,
-            attempt.expected_delay_s,
-        )
-
-    def _compute_first_byte_timeout(
-        self, job: Job, attempt: Attempt
-    ) -> float | None:
-        # Queueing delay is no sign of a fault, and a retry elsewhere would only
-        # add load, so the time-out includes it.
-        if not job.route.is_repeatable:
-            return None
-        is_last_attempt = job.attempts >= job.route.max_attempts
-        goal_s = job.route.latency_goal_s
-        if not job.is_stream:
-            if is_last_attempt:
-                return None
-            return goal_s * PLAIN_FIRST_BYTE_RATIO + attempt.expected_delay_s
-        group = _get_silence_group(job, attempt)
-        if not is_last_attempt:
-            return self._silence_timeouts.compute_timeout(
-                group, attempt.expected_delay_s, goal_s
-            )
-        wait_s = self._silence_timeouts.compute_last_timeout(
-            group, attempt.expected_delay_s, goal_s
-        )
-        # A caller that is told at once can still ask again and be served.
-        return wait_s if job.remaining_s - wait_s > goal_s else None
-
     async def _relay_buffered(
         self,
         job: Job,
@@ -259,7 +204,7 @@
         wait_s = None
         if job.route.is_resumable and job.attempts < job.route.max_attempts:
             wait_s = job.route.gap_goal_s * GAP_TIMEOUT_RATIO
-        with _fail_after(wait_s, awaited='event', run=RunState.RAN):
+        with fail_after_silence(wait_s, awaited='event', run=RunState.RAN):
             return await attempt.exchange.read_chunk()
 
     def _log_answered(self, job: Job, attempt: Attempt, status: int) -> None:
@@ -286,25 +231,6 @@
         )
 
 
-def _get_silence_group(job: Job, attempt: Attempt) -> tuple[str, str]:
-    return job.route.name, attempt.model
-
-
-@contextlib.contextmanager
-def _fail_after(
-    wait_s: float | None, *, awaited: str, run: RunState
-) -> Iterator[None]:
-    try:
-        with anyio.fail_after(wait_s):
-            yield
-    except TimeoutError:
-        raise EndpointSilentError(
-            ErrorKind.ENDPOINT_FAILED,
-            f'no {awaited} within {wait_s:.1f} s',
-            run=run,
-        ) from None
-
-
 def _check_head(head: AnswerHead) -> None:
     if head.did_not_run or head.status == _MISDIRECTED:
         raise EndpointError(
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field, frozen
 
-from laurelwind.coordination.scheduling.placement import SchedulingClass
+from laurelwind.coordination.scheduling.requirements import SchedulingClass
 from laurelwind.protocol.exchanges import (
     AnswerHead,
     EndpointExchange,
--- a/laurelwind/coordination/rollouts/registry.py
+++ b/laurelwind/coordination/rollouts/registry.py
@@ -1,6 +1,5 @@
 """Roll-outs of all services: assigns requests to versions."""
 
-import math
 from collections.abc import Callable, Iterator, Sequence
 from typing import Final
 
@@ -9,6 +8,7 @@
     LatencyBaselines,
 )
 from laurelwind.coordination.rollouts.progress import RolloutProgress
+from laurelwind.coordination.rollouts.ranks import compute_rank_delay
 from laurelwind.decisions import DecisionLog
 from laurelwind.state.directory import EndpointRecord
 from laurelwind.state.load import read_monotonic_clock
@@ -25,20 +25,6 @@
 # Share of the requests that go to the target version during the canary phase,
 # as a factor of the exposure limit that the operator sets.
 CANARY_EXPOSURE_FACTOR: Final = 1.0
-# Seconds that a daemon waits before it writes what the daemons of lower rank
-# have not written, each time the rank doubles.
-RANK_DELAY_S: Final = 0.6
-
-
-def compute_rank_delay(rank: int) -> float:
-    """Return the seconds for which daemons of lower rank write first.
-
-    The delay grows with the logarithm of the rank, so that in a fleet of
-    hundreds somebody writes within a few seconds, whoever is down.
-
-    :param rank: index of the daemon among the members.
-    """
-    return RANK_DELAY_S * math.floor(math.log2(rank + 1))
 
 
 class RolloutRegistry:
--- a/laurelwind/coordination/scheduling/placement.py
+++ b/laurelwind/coordination/scheduling/placement.py
@@ -9,20 +9,21 @@
 notify each other of the prefill time that they queue at each endpoint.
 """
 
-import enum
 import hashlib
 import random
 import statistics
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Sequence
 from typing import Final
 
-from attrs import frozen
-
 from laurelwind.coordination.scheduling.endpoint_states import (
     REMOTE_LOSS_WEIGHT,
     SERVER_ERROR_WEIGHT,
     EndpointState,
 )
+from laurelwind.coordination.scheduling.requirements import (
+    PlacementRequirements,
+    assign_scheduling_classes,
+)
 from laurelwind.protocol.exchanges import LoadReport
 from laurelwind.state.directory import EndpointRecord
 from laurelwind.state.load import read_monotonic_clock
@@ -50,38 +51,6 @@
 AFFINITY_TOLERANCE_S: Final = 0.05
 
 
-class SchedulingClass(enum.Enum):
-    """Classes of requests that are placed on separate engines if possible."""
-
-    LONG = 'long'
-    OTHER = 'other'
-
-
-# Share of a zone's endpoints per scheduling class, in order of assignment.
-CLASS_SHARES: Final[Mapping[SchedulingClass, float]] = {
-    SchedulingClass.LONG: 0.34,
-    SchedulingClass.OTHER: 0.66,
-}
-
-
-@frozen(kw_only=True)
-class PlacementRequirements:
-    """Requirements and preferences of a request for its endpoint.
-
-    :ivar affinity_key: key shared by requests that can reuse each other's
-        prompt cache, or empty.
-    :ivar reuse_saving_s: seconds of prefill that the cached prefix saves.
-    :ivar excluded_endpoints: names of endpoints that failed the request.
-    :ivar scheduling_class: class of the request, or ``None`` where classes are
-        not separated.
-    """
-
-    affinity_key: str = ''
-    reuse_saving_s: float = 0
-    excluded_endpoints: frozenset[str] = frozenset()
-    scheduling_class: SchedulingClass | None = None
-
-
 class Placement:
     """Selects endpoints by cost and tracks the state of each endpoint.
 
@@ -321,31 +290,6 @@
         return self._states.setdefault(endpoint.name, EndpointState())
 
 
-def assign_scheduling_classes(
-    endpoints: Iterable[EndpointRecord],
-) -> dict[str, SchedulingClass]:
-    """Assign a scheduling class to each endpoint, identically in every daemon.
-
-    :param endpoints: the endpoints.
-    """
-    zones: dict[str, list[str]] = {}
-    for endpoint in endpoints:
-        zones.setdefault(endpoint.zone, []).append(endpoint.name)
-    classes = {}
-    for names in zones.values():
-        for index, name in enumerate(sorted(names)):
-            classes[name] = _get_scheduling_class((index + 0.5) / len(names))
-    return classes
-
-
-def _get_scheduling_class(position: float) -> SchedulingClass:
-    for scheduling_class, share in CLASS_SHARES.items():
-        position -= share
-        if position < 0:
-            return scheduling_class
-    return SchedulingClass.OTHER
-
-
 def _compute_slow_penalty(unit_latency_s: float, baseline_s: float) -> float:
     if not unit_latency_s or not baseline_s:
         return 0
--- /dev/null
+++ b/laurelwind/coordination/scheduling/requirements.py
@@ -0,0 +1,66 @@
+"""Requirements of a request, and the scheduling classes of endpoints."""
+
+import enum
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from attrs import frozen
+
+from laurelwind.state.directory import EndpointRecord
+
+
+class SchedulingClass(enum.Enum):
+    """Classes of requests that are placed on separate engines if possible."""
+
+    LONG = 'long'
+    OTHER = 'other'
+
+
+# Share of a zone's endpoints per scheduling class, in order of assignment.
+CLASS_SHARES: Final[Mapping[SchedulingClass, float]] = {
+    SchedulingClass.LONG: 0.34,
+    SchedulingClass.OTHER: 0.66,
+}
+
+
+@frozen(kw_only=True)
+class PlacementRequirements:
+    """Requirements and preferences of a request for its endpoint.
+
+    :ivar affinity_key: key shared by requests that can reuse each other's
+        prompt cache, or empty.
+    :ivar reuse_saving_s: seconds of prefill that the cached prefix saves.
+    :ivar excluded_endpoints: names of endpoints that failed the request.
+    :ivar scheduling_class: class of the request, or ``None`` where classes are
+        not separated.
+    """
+
+    affinity_key: str = ''
+    reuse_saving_s: float = 0
+    excluded_endpoints: frozenset[str] = frozenset()
+    scheduling_class: SchedulingClass | None = None
+
+
+def assign_scheduling_classes(
+    endpoints: Iterable[EndpointRecord],
+) -> dict[str, SchedulingClass]:
+    """Assign a scheduling class to each endpoint, identically in every daemon.
+
+    :param endpoints: the endpoints.
+    """
+    zones: dict[str, list[str]] = {}
+    for endpoint in endpoints:
+        zones.setdefault(endpoint.zone, []).append(endpoint.name)
+    classes = {}
+    for names in zones.values():
+        for index, name in enumerate(sorted(names)):
+            classes[name] = _get_scheduling_class((index + 0.5) / len(names))
+    return classes
+
+
+def _get_scheduling_class(position: float) -> SchedulingClass:
+    for scheduling_class, share in CLASS_SHARES.items():
+        position -= share
+        if position < 0:
+            return scheduling_class
+    return SchedulingClass.OTHER
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -11,8 +11,8 @@
 from laurelwind.coordination.scheduling.fleet_retry_budget import (
     FleetRetryBudget,
 )
-from laurelwind.coordination.scheduling.placement import (
-    Placement,
+from laurelwind.coordination.scheduling.placement import Placement
+from laurelwind.coordination.scheduling.requirements import (
     PlacementRequirements,
 )
 from laurelwind.coordination.tracker import Tracker
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -79,7 +79,7 @@
 
     :param local_instance: member record of the local daemon.
     :param dependencies: collaborators.
-    :param max_absence_age_s: age of the table in seconds up to which a name
+    :ivar max_absence_age_s: age of the table in seconds up to which a name
         that is missing from it counts as non-existent.
     """
 
@@ -88,9 +88,8 @@
         *,
         local_instance: ListedInstance,
         dependencies: TrackerDependencies,
-        max_absence_age_s: float,
     ) -> None:
-        self.max_absence_age_s = max_absence_age_s
+        self.max_absence_age_s: float = 0
         self._dependencies = dependencies
         self._is_table_unreadable = False
         self._confirm_lock = anyio.Lock()
--- a/laurelwind/platform/__main__.py
+++ b/laurelwind/platform/__main__.py
@@ -19,14 +19,11 @@
 from laurelwind.platform.headers import PLATFORM_HEADERS
 from laurelwind.platform.store import LogGroup, LogStore, StoreClient
 from laurelwind.protocol.headers import NamedHeaderCodec
-from laurelwind.relay_daemon import (
-    PlatformAdapters,
-    RelayDaemon,
-    build_local_member,
-)
+from laurelwind.relay_daemon import RelayDaemon
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.relay_program import run_relay
 from laurelwind.relay_settings import RelaySettings, load_relay_settings
+from laurelwind.relay_tracking import PlatformAdapters, build_local_member
 
 _SETTINGS_VARIABLE: Final = 'LAURELWIND_CONFIG'
 # Seconds for which callers cache the addresses; short enough that they leave a
--- a/laurelwind/platform/discovery.py
+++ b/laurelwind/platform/discovery.py
@@ -33,14 +33,14 @@
     """Serves ``GET /resolve``.
 
     :param list_addresses: returns the caller addresses of the daemons for a
-        zone.
+        zone, up to a number.
     :param ttl_s: seconds for which callers may cache an answer.
     """
 
     def __init__(
         self,
         *,
-        list_addresses: Callable[[str], Sequence[str]],
+        list_addresses: Callable[[str, int], Sequence[str]],
         ttl_s: float,
     ) -> None:
         self._list_addresses = list_addresses
@@ -55,7 +55,7 @@
             return
         query = parse_qs(scope.get('query_string', b'').decode('latin-1'))
         zone = query.get('zone', [''])[0]
-        addresses = self._list_addresses(zone)[:_MAX_ADDRESSES]
+        addresses = self._list_addresses(zone, _MAX_ADDRESSES)
         if not addresses:
             await _send_answer(send, _UNAVAILABLE, b'')
             return
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -1,18 +1,15 @@
 """The relay daemon: wires its components, starts them and stops them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import anyio
 from anyio.abc import TaskGroup
-from attrs import evolve, frozen
+from attrs import evolve
 from starlette.types import ASGIApp
 
+from laurelwind.coordination.entry_lists import choose_entries
 from laurelwind.coordination.loop_lag import LoopLag
-from laurelwind.coordination.members import (
-    FleetMembership,
-    MembershipDependencies,
-)
 from laurelwind.coordination.relay import Relay, build_relay
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling.fleet_retry_budget import (
@@ -20,18 +17,16 @@
 )
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import SenderDependencies
-from laurelwind.coordination.topics.copies import build_topic_copies
-from laurelwind.coordination.topics.peer_store import PeerReadingStore
-from laurelwind.coordination.topics.readers import ReaderHealth
-from laurelwind.coordination.tracker import Tracker, TrackerDependencies
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ConfigurationError
-from laurelwind.protocol.documents import DocumentCodec
-from laurelwind.protocol.exchanges import HeaderCodec
-from laurelwind.protocol.keyed_store import KeyedStore, MemberGroup, Topic
-from laurelwind.protocol.platform import ListedInstance
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.relay_settings import RelaySettings
+from laurelwind.relay_tracking import (
+    PlatformAdapters,
+    TrackedState,
+    build_local_member,
+    build_tracking,
+)
 from laurelwind.state.directory import EndpointDirectory
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.state.routes import CallerLimits
@@ -54,28 +49,9 @@
 # Seconds after which a stopping daemon refuses new requests, as they could not
 # be finished in time.
 REFUSE_AFTER_S: Final = 2.9
-# Smallest number of daemons in a zone for callers of that zone to be sent only
-# to these, so that one remains if another fails.
-MIN_ZONE_MEMBERS: Final = 2
 _DRAIN_POLL_S: Final = 0.05
 
 
-@frozen(kw_only=True)
-class PlatformAdapters:
-    """Adapters of a relay daemon to the platform that it runs on.
-
-    :ivar store: keyed topics of the platform's store.
-    :ivar group: membership of the live daemons.
-    :ivar documents: codec of the store's documents.
-    :ivar headers: codec of the request and answer headers.
-    """
-
-    store: KeyedStore
-    group: MemberGroup
-    documents: DocumentCodec
-    headers: HeaderCodec
-
-
 class RelayDaemon:
     """A relay daemon with all its components.
 
@@ -108,43 +84,22 @@
             exposure_share=bounds.exposure_share,
             log=self.log,
         )
-        local_member = build_local_member(settings)
         self._peers = HttpPeerTopics()
-        self.copies = build_topic_copies(self.lease.read_clock)
-        health = ReaderHealth(log=self.log)
-        store = PeerReadingStore(
-            local_instance=local_member,
-            store=adapters.store,
+        tracking = build_tracking(
+            local_instance=build_local_member(settings),
+            adapters=adapters,
             peers=self._peers,
-            list_members=lambda: self.membership.members,
-            log=self.log,
-        )
-        self.membership = FleetMembership(
-            local_instance=local_member,
-            dependencies=MembershipDependencies(
-                group=adapters.group,
-                store=store,
-                copy=self.copies[Topic.MEMBERS],
-                health=health,
-                log=self.log,
-            ),
-            clock=self.lease.read_clock,
-        )
-        self.tracker = Tracker(
-            local_instance=local_member,
-            dependencies=TrackerDependencies(
-                store=store,
-                membership=self.membership,
-                copies=self.copies,
-                health=health,
-                documents=adapters.documents,
+            state=TrackedState(
                 lease=self.lease,
                 directory=self.directory,
                 rollouts=self.rollouts,
-                log=self.log,
             ),
-            max_absence_age_s=bounds.apply_s * MAX_ABSENCE_AGE_SHARE,
+            log=self.log,
         )
+        self.copies = tracking.copies
+        self.membership = tracking.membership
+        self.tracker = tracking.tracker
+        self._apply_absence_age(bounds.apply_s)
         self.placement = Placement(zone=settings.daemon.zone)
         self.tracker.add_listener(self._discard_removed_endpoints)
         self.gateway = HttpGateway(codec=adapters.headers)
@@ -173,11 +128,11 @@
         """Whether callers may connect to this daemon."""
         return self.tracker.is_ready and not self.application.is_draining
 
-    def list_entries(self, zone: str) -> list[str]:
+    def list_entries(self, zone: str, limit: int) -> Sequence[str]:
         """List the caller addresses of the daemons that accept callers.
 
-        :param zone: availability zone of the caller.  Only daemons of this
-            zone are listed if there are enough for one of them to fail.
+        :param zone: availability zone of the caller.
+        :param limit: largest number of addresses.
         """
         local_address = self.settings.listen.callers
         accepting = [
@@ -185,9 +140,7 @@
             for member in self.membership.members
             if self.is_ready or member.caller_address != local_address
         ]
-        same_zone = [member for member in accepting if member.zone == zone]
-        chosen = same_zone if len(same_zone) >= MIN_ZONE_MEMBERS else accepting
-        return [member.caller_address for member in chosen]
+        return choose_entries(accepting, zone, limit)
 
     def _list_zone_peers(self) -> list[str]:
         local_address = self.settings.listen.peers
@@ -269,11 +222,14 @@
         needs_restart = in_force != settings
         self.settings = in_force
         self.lease.duration_s = bounds.revocation_s * LEASE_SHARE
-        self.tracker.max_absence_age_s = bounds.apply_s * MAX_ABSENCE_AGE_SHARE
+        self._apply_absence_age(bounds.apply_s)
         self.log.log_warning(
             'settings_reloaded', changed=changed, needs_restart=needs_restart
         )
 
+    def _apply_absence_age(self, apply_s: float) -> None:
+        self.tracker.max_absence_age_s = apply_s * MAX_ABSENCE_AGE_SHARE
+
     def _build_relay(self) -> Relay:
         bounds = self.settings.bounds
         return build_relay(
@@ -336,16 +292,3 @@
 
     def _discard_removed_endpoints(self) -> None:
         self.placement.retain_endpoints(self.directory.list_names())
-
-
-def build_local_member(settings: RelaySettings) -> ListedInstance:
-    """Build the membership entry of a daemon.
-
-    :param settings: settings of the daemon.
-    """
-    return ListedInstance(
-        name=settings.listen.callers,
-        zone=settings.daemon.zone,
-        caller_address=settings.listen.callers,
-        peer_address=settings.listen.peers,
-    )
--- /dev/null
+++ b/laurelwind/relay_tracking.py
@@ -0,0 +1,140 @@
+"""Wires what a relay daemon knows of the store and of its peers."""
+
+from attrs import frozen
+
+from laurelwind.coordination.members import (
+    FleetMembership,
+    MembershipDependencies,
+)
+from laurelwind.coordination.rollouts.registry import RolloutRegistry
+from laurelwind.coordination.topics.copies import (
+    TopicCopies,
+    build_topic_copies,
+)
+from laurelwind.coordination.topics.peer_store import PeerReadingStore
+from laurelwind.coordination.topics.readers import ReaderHealth
+from laurelwind.coordination.tracker import Tracker, TrackerDependencies
+from laurelwind.decisions import DecisionLog
+from laurelwind.protocol.documents import DocumentCodec
+from laurelwind.protocol.exchanges import HeaderCodec
+from laurelwind.protocol.keyed_store import (
+    KeyedStore,
+    MemberGroup,
+    PeerTopics,
+    Topic,
+)
+from laurelwind.protocol.platform import ListedInstance
+from laurelwind.relay_settings import RelaySettings
+from laurelwind.state.directory import EndpointDirectory
+from laurelwind.state.leases import FreshnessLease
+
+
+@frozen(kw_only=True)
+class PlatformAdapters:
+    """Adapters of a relay daemon to the platform that it runs on.
+
+    :ivar store: keyed topics of the platform's store.
+    :ivar group: membership of the live daemons.
+    :ivar documents: codec of the store's documents.
+    :ivar headers: codec of the request and answer headers.
+    """
+
+    store: KeyedStore
+    group: MemberGroup
+    documents: DocumentCodec
+    headers: HeaderCodec
+
+
+@frozen(kw_only=True)
+class TrackedState:
+    """State that is kept in sync with the store.
+
+    :ivar lease: freshness lease of the routing table.
+    :ivar directory: directory of the endpoints.
+    :ivar rollouts: state of the roll-outs.
+    """
+
+    lease: FreshnessLease
+    directory: EndpointDirectory
+    rollouts: RolloutRegistry
+
+
+@frozen(kw_only=True)
+class FleetTracking:
+    """Components that keep the state in sync.
+
+    :ivar copies: copies of the topics that are served to peers.
+    :ivar membership: the live daemons.
+    :ivar tracker: readers of the topics.
+    """
+
+    copies: TopicCopies
+    membership: FleetMembership
+    tracker: Tracker
+
+
+def build_tracking(
+    *,
+    local_instance: ListedInstance,
+    adapters: PlatformAdapters,
+    peers: PeerTopics,
+    state: TrackedState,
+    log: DecisionLog,
+) -> FleetTracking:
+    """Build the components that keep the state in sync.
+
+    :param local_instance: member record of the local daemon.
+    :param adapters: adapters to the platform.
+    :param peers: client for the topic copies of peers.
+    :param state: the state.
+    :param log: the decision log.
+    """
+    clock = state.lease.read_clock
+    copies = build_topic_copies(clock)
+    health = ReaderHealth(log=log)
+    store = PeerReadingStore(
+        local_instance=local_instance,
+        store=adapters.store,
+        peers=peers,
+        list_members=lambda: membership.members,
+        log=log,
+    )
+    membership = FleetMembership(
+        local_instance=local_instance,
+        dependencies=MembershipDependencies(
+            group=adapters.group,
+            store=store,
+            copy=copies[Topic.MEMBERS],
+            health=health,
+            log=log,
+        ),
+        clock=clock,
+    )
+    tracker = Tracker(
+        local_instance=local_instance,
+        dependencies=TrackerDependencies(
+            store=store,
+            membership=membership,
+            copies=copies,
+            health=health,
+            documents=adapters.documents,
+            lease=state.lease,
+            directory=state.directory,
+            rollouts=state.rollouts,
+            log=log,
+        ),
+    )
+    return FleetTracking(copies=copies, membership=membership, tracker=tracker)
+
+
+def build_local_member(settings: RelaySettings) -> ListedInstance:
+    """Build the membership entry of a daemon.
+
+    :param settings: settings of the daemon.
+    """
+    return ListedInstance(
+        name=settings.listen.callers,
+        zone=settings.daemon.zone,
+        caller_address=settings.listen.callers,
+        peer_address=settings.listen.peers,
+    )
--- a/tests/emulated_fleet.py
+++ b/tests/emulated_fleet.py
@@ -287,8 +287,8 @@
                 rollouts=self.rollouts,
                 log=log,
             ),
-            max_absence_age_s=3.6,
         )
+        self.tracker.max_absence_age_s = 3.6
         self.is_running = True
         group.start_soon(self._run)
 
@@ -303,6 +303,20 @@
             await anyio.sleep_forever()
 
 
+def build_members(size, zones):
+    """Build the member records of daemons, which take the zones in turn."""
+    names = [f'10.0.0.{number:03}:1' for number in range(size)]
+    return [
+        ListedInstance(
+            name=name,
+            zone=zones[number % len(zones)],
+            caller_address=name,
+            peer_address=name,
+        )
+        for number, name in enumerate(names)
+    ]
+
+
 class EmulatedFleet:
     """Daemons in zones before one store."""
 
@@ -313,16 +327,10 @@
             'config',
             {'version': 1, 'routes': [], 'services': []},
         )
-        self.daemons = {}
-        for number in range(size):
-            name = f'10.0.0.{number:03}:1'
-            member = ListedInstance(
-                name=name,
-                zone=zones[number % len(zones)],
-                caller_address=name,
-                peer_address=name,
-            )
-            self.daemons[name] = EmulatedDaemon(self, member)
+        self.daemons = {
+            member.name: EmulatedDaemon(self, member)
+            for member in build_members(size, zones)
+        }
 
     @contextlib.asynccontextmanager
     async def run(self, settle_s=6.0):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,8 +7,8 @@
 import random
 
 from laurelwind.coordination.scheduling import endpoint_states, placement
-from laurelwind.coordination.scheduling.placement import (
-    Placement,
+from laurelwind.coordination.scheduling.placement import Placement
+from laurelwind.coordination.scheduling.requirements import (
     PlacementRequirements,
     SchedulingClass,
     assign_scheduling_classes,
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -15,11 +15,7 @@
 from laurelwind.platform.headers import PLATFORM_HEADERS
 from laurelwind.protocol.headers import NamedHeaderCodec
 from laurelwind.protocol.keyed_store import Topic
-from laurelwind.relay_daemon import (
-    PlatformAdapters,
-    RelayDaemon,
-    build_local_member,
-)
+from laurelwind.relay_daemon import RelayDaemon
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.relay_program import run_relay
 from laurelwind.relay_settings import (
@@ -29,6 +25,7 @@
     RelaySettings,
     load_relay_settings,
 )
+from laurelwind.relay_tracking import PlatformAdapters, build_local_member
 from laurelwind.transport.server import HttpServer
 from standins.addresses import find_free_addresses
 from tests.helpers import wait_until
@@ -225,11 +222,11 @@
         )
         callers = harness.settings.listen.callers
         list_entries = harness.daemon.list_entries
-        assert list_entries('a') == [callers, '10.0.0.2:80']
-        assert len(list_entries('b')) == 3
+        assert list_entries('a', 64) == [callers, '10.0.0.2:80']
+        assert len(list_entries('b', 64)) == 3
         harness.daemon.application.is_draining = True
-        assert callers not in list_entries('a')
-        assert len(list_entries('a')) == 2
+        assert callers not in list_entries('a', 64)
+        assert len(list_entries('a', 64)) == 2
 
 
 async def test_an_outage_of_the_store_ends_readiness_and_service():
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -10,10 +10,8 @@
     should_reject,
 )
 from laurelwind.coordination.rollouts.progress import SHIFT_NOTICE_S
-from laurelwind.coordination.rollouts.registry import (
-    RolloutRegistry,
-    compute_rank_delay,
-)
+from laurelwind.coordination.rollouts.ranks import compute_rank_delay
+from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.state.rollouts import (
     RolloutOrder,
     RolloutReport,
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -9,8 +9,8 @@
 import pytest
 
 from laurelwind.coordination.scheduling import placement
-from laurelwind.coordination.scheduling.placement import (
-    Placement,
+from laurelwind.coordination.scheduling.placement import Placement
+from laurelwind.coordination.scheduling.requirements import (
     PlacementRequirements,
 )
 from laurelwind.coordination.scheduling.silence import (
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -181,8 +181,8 @@
                 rollouts=self.rollouts,
                 log=log,
             ),
-            max_absence_age_s=1.8,
         )
+        self.tracker.max_absence_age_s = 1.8
 
     @property
     def version(self):
