End a stop by force before its bound, whatever hangs

A thread ends the process 0.5 s before the bound, with a line on standard error and status 70, so that it also covers a blocked event loop and the exit of the interpreter.

--- a/laurelwind/platform/__main__.py
+++ b/laurelwind/platform/__main__.py
@@ -21,7 +21,7 @@
 from laurelwind.protocol.headers import NamedHeaderCodec
 from laurelwind.relay_daemon import RelayDaemon
 from laurelwind.relay_metrics import RelayMetrics
-from laurelwind.relay_program import run_relay
+from laurelwind.relay_program import StopWatchdog, run_relay
 from laurelwind.relay_settings import RelaySettings, load_relay_settings
 from laurelwind.relay_tracking import PlatformAdapters, build_local_member
 
@@ -88,6 +88,7 @@
         daemon,
         build_other_applications(daemon),
         functools.partial(load_relay_settings, path),
+        StopWatchdog(),
     )
 
 
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -17,7 +17,7 @@
 from laurelwind.protocol.keyed_store import Topic
 from laurelwind.relay_daemon import RelayDaemon
 from laurelwind.relay_metrics import RelayMetrics
-from laurelwind.relay_program import run_relay
+from laurelwind.relay_program import StopWatchdog, run_relay
 from laurelwind.relay_settings import (
     BoundSettings,
     ListenSettings,
@@ -280,6 +280,7 @@
         # The retry budget is built at the start; only a restart changes it.
         bounds=BoundSettings(revocation_s=2.0, retry_share=0.7),
     )
+    watchdog = StopWatchdog()
     loads = []
     reloads = []
     log_warning = harness.daemon.log.log_warning
@@ -298,7 +299,7 @@
         return changed
 
     async with anyio.create_task_group() as group:
-        group.start_soon(run_relay, harness.daemon, {}, load)
+        group.start_soon(run_relay, harness.daemon, {}, load, watchdog)
         with anyio.fail_after(10):
             await wait_until(lambda: harness.daemon.is_ready)
             signal.raise_signal(signal.SIGHUP)
@@ -313,6 +314,7 @@
             assert reloads[1:] == [(False, True)]
             assert harness.daemon.settings.bounds.retry_share == 0.1
             signal.raise_signal(signal.SIGTERM)
+    watchdog.close()
 
 
 def test_a_settings_error_lists_every_invalid_field(tmp_path):
