Reject at once what cannot start in time; keep an answer when time is short

Three faults of the path under load. A request whose shortest queue was longer than the time its caller had left was sent all the same and waited until the deadline; it is rejected as not run, with the time the queue takes as Retry-After. A refusal after a dropped answer claimed that the request had not run, though the small model had run it; it is a failure now.

Ruled out: rejecting by the latency goal, since late answers are worth something to callers and the estimate of a queue is not exact to a second.

--- a/laurelwind/coordination/model_planning.py
+++ b/laurelwind/coordination/model_planning.py
@@ -44,7 +44,11 @@
         """
         if confidence is None:
             return True
-        delay_ratio = larger_model_wait_s / job.route.latency_goal_s
+        goal_s = job.route.latency_goal_s
+        # The larger model could not answer before the deadline.
+        if job.remaining_s < larger_model_wait_s + goal_s:
+            return True
+        delay_ratio = larger_model_wait_s / goal_s
         return confidence >= compute_confidence_floor(delay_ratio)
 
 
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -228,6 +228,7 @@
                 self._record_failure(job, attempt, error)
                 self._ensure_retry_possible(job, error, answer)
             except LowConfidenceError:
+                job.may_have_run = True
                 job.model_index += 1
             finally:
                 self._dependencies.placement.record_ended(attempt.endpoint)
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -149,6 +149,7 @@
             self._list_ready_endpoints(job), _build_requirements(job)
         )
         if endpoint is not None:
+            self._ensure_start_before_deadline(job, endpoint)
             return endpoint
         if job.may_have_run:
             raise EndpointError(
@@ -161,6 +162,19 @@
             retry_after_s=draw_retry_after(),
         )
 
+    def _ensure_start_before_deadline(
+        self, job: Job, endpoint: EndpointRecord
+    ) -> None:
+        """Reject a request that would wait in a queue past its deadline."""
+        delay_s = self._dependencies.placement.estimate_queue_delay(endpoint)
+        if delay_s < job.remaining_s or job.may_have_run:
+            return
+        raise CapacityError(
+            ErrorKind.OVERLOADED,
+            f'the shortest queue takes {delay_s:.1f} s, past the deadline',
+            retry_after_s=delay_s + draw_retry_after(),
+        )
+
     async def _send_to_endpoint(
         self, job: Job, endpoint: EndpointRecord
     ) -> Attempt:
