--- a/laurelwind/coordination/members.py
+++ b/laurelwind/coordination/members.py
@@ -83,7 +83,6 @@
         self._generation = -1
         self._listed_generation = -1
         self._changed = anyio.Event()
-        self._was_copy = False
 
     def start(self, group: TaskGroup) -> None:
         """Start joining the group and reading the list.
@@ -136,34 +135,39 @@
         while not self._has_left:
             await self._changed.wait()
             self._changed = anyio.Event()
+            is_copy = False
             try:
-                await self._read_list()
+                is_copy = await self._read_list()
             except PlatformError as error:
                 self._dependencies.health.record_failure(_READER, error)
             else:
                 self.first_read.set()
             if self._listed_generation < self._generation:
                 self._changed.set()
-            if not self._was_copy:
+            if not is_copy:
                 await anyio.sleep(LIST_PERIOD_S)
 
-    async def _read_list(self) -> None:
+    async def _read_list(self) -> bool:
+        """Read the list; return whether it is the copy of a source."""
         started_at = self._clock()
-        batch = await self._read_copy()
-        self._was_copy = batch is not None
-        if batch is None:
-            generation = self._generation
-            members = await self._dependencies.group.list_members()
-            batch = Batch(
-                records=(_encode_members(members, generation),),
-                next_offset=generation + 1,
-            )
+        copy = await self._read_copy()
+        batch = copy or await self._list_at_store()
         self._dependencies.copy.apply_batch(
             batch, is_snapshot=False, as_of=started_at - batch.lag_s
         )
         for record in batch.records:
             self._listed_generation = record.offset
             self._apply_members(_decode_members(record))
+        return copy is not None
+
+    async def _list_at_store(self) -> Batch:
+        # The list may be newer than the generation, never older.
+        generation = self._generation
+        members = await self._dependencies.group.list_members()
+        return Batch(
+            records=(_encode_members(members, generation),),
+            next_offset=generation + 1,
+        )
 
     async def _read_copy(self) -> Batch | None:
         store = self._dependencies.store
--- a/laurelwind/coordination/topics/peer_store.py
+++ b/laurelwind/coordination/topics/peer_store.py
@@ -187,7 +187,7 @@
         batch = await self.read_copy(topic, offset, wait_s)
         if batch is not None:
             return batch
-        return await self._probe_store(
+        return await self._read_store(
             topic,
             offset,
             # A failed read has used the wait already.
@@ -201,7 +201,7 @@
         self, topic: Topic, offset: int | None, wait_s: float
     ) -> Batch:
         try:
-            return await self._probe_store(
+            return await self._read_store(
                 topic,
                 offset,
                 wait_s=min(wait_s, SOURCE_WAIT_S),
@@ -214,7 +214,7 @@
                 raise
             return batch
 
-    async def _probe_store(
+    async def _read_store(
         self,
         topic: Topic,
         offset: int | None,
@@ -222,17 +222,14 @@
         wait_s: float,
         period_s: float,
     ) -> Batch:
-        # One topic probes a store that fails; it decides whether callers are
-        # served.
-        is_probe = self._probes.is_due and topic is Topic.OPERATORS
-        if not self._probes.is_healthy and not is_probe:
-            raise StaleCopyError(
-                ErrorKind.LOG_UNAVAILABLE,
-                'no source has a recent copy, and the store failed just before',
-            )
-        if is_probe and not self._probes.is_healthy:
-            # Other reads of this daemon wait for the outcome of this one, and
-            # its peers do.
+        if not self._probes.is_healthy:
+            # Only the topic that decides whether callers are served probes a
+            # store that fails, and without a wait, as peers wait for it.
+            if topic is not Topic.OPERATORS or not self._probes.is_due:
+                raise StaleCopyError(
+                    ErrorKind.LOG_UNAVAILABLE,
+                    'no source has a recent copy, and the store failed before',
+                )
             self._probes.record_failure(period_s)
             wait_s = 0
         try:
