Wire the trackers of tests as the daemon does

tests/test_tracker.py and tests/emulated_fleet.py built the readers a second and a third time by hand; both use build_tracking now. Nothing that they check changes.

--- a/tests/emulated_fleet.py
+++ b/tests/emulated_fleet.py
@@ -14,19 +14,13 @@
 import anyio
 import orjson
 
-from laurelwind.coordination.members import (
-    FleetMembership,
-    MembershipDependencies,
-)
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
-from laurelwind.coordination.topics.copies import build_topic_copies
-from laurelwind.coordination.topics.peer_store import PeerReadingStore
-from laurelwind.coordination.topics.readers import ReaderHealth
-from laurelwind.coordination.tracker import Tracker, TrackerDependencies
 from laurelwind.errors import ErrorKind, PlatformError
 from laurelwind.platform.documents import PlatformDocuments
+from laurelwind.platform.headers import PLATFORM_HEADERS
 from laurelwind.platform.store import MEMBER_TTL_MS
 from laurelwind.protocol.batches import decode_batch, encode_batch
+from laurelwind.protocol.headers import NamedHeaderCodec
 from laurelwind.protocol.keyed_store import (
     Batch,
     KeyedRecord,
@@ -36,6 +30,11 @@
     Topic,
 )
 from laurelwind.protocol.platform import ListedInstance
+from laurelwind.relay_tracking import (
+    PlatformAdapters,
+    TrackedState,
+    build_tracking,
+)
 from laurelwind.state.directory import EndpointDirectory
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.transport.topics import ANSWER_TIMEOUT_S
@@ -251,43 +250,28 @@
         log = build_silent_log()
         client = _StoreClient(self._fleet.store, self.member)
         self.lease = FreshnessLease(duration_s=LEASE_S)
-        self.copies = build_topic_copies(self.lease.read_clock)
         self.rollouts = RolloutRegistry(
             local_daemon=self.member.name, exposure_share=0.1, log=log
         )
-        health = ReaderHealth(log=log)
-        store = PeerReadingStore(
-            local_instance=self.member,
-            store=client,
-            peers=_Peers(self._fleet),
-            list_members=lambda: self.membership.members,
-            log=log,
-        )
-        self.membership = FleetMembership(
+        tracking = build_tracking(
             local_instance=self.member,
-            dependencies=MembershipDependencies(
+            adapters=PlatformAdapters(
+                store=client,
                 group=client,
-                store=store,
-                copy=self.copies[Topic.MEMBERS],
-                health=health,
-                log=log,
-            ),
-            clock=self.lease.read_clock,
-        )
-        self.tracker = Tracker(
-            local_instance=self.member,
-            dependencies=TrackerDependencies(
-                store=store,
-                membership=self.membership,
-                copies=self.copies,
-                health=health,
                 documents=PlatformDocuments(),
+                headers=NamedHeaderCodec(names=PLATFORM_HEADERS),
+            ),
+            peers=_Peers(self._fleet),
+            state=TrackedState(
                 lease=self.lease,
                 directory=EndpointDirectory(),
                 rollouts=self.rollouts,
-                log=log,
             ),
+            log=log,
         )
+        self.copies = tracking.copies
+        self.membership = tracking.membership
+        self.tracker = tracking.tracker
         self.tracker.max_absence_age_s = 3.6
         self.is_running = True
         group.start_soon(self._run)
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -5,20 +5,14 @@
 import pytest
 
 from laurelwind.coordination import endpoint_tracking, members
-from laurelwind.coordination.members import (
-    FleetMembership,
-    MembershipDependencies,
-)
 from laurelwind.coordination.rollouts import status_exchange
 from laurelwind.coordination.rollouts.evidence import AnswerOutcome
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.topics import readers as topic_readers
-from laurelwind.coordination.topics.copies import build_topic_copies
-from laurelwind.coordination.topics.peer_store import PeerReadingStore
-from laurelwind.coordination.topics.readers import ReaderHealth
-from laurelwind.coordination.tracker import Tracker, TrackerDependencies
 from laurelwind.errors import ErrorKind, PlatformError
 from laurelwind.platform.documents import PlatformDocuments
+from laurelwind.platform.headers import PLATFORM_HEADERS
+from laurelwind.protocol.headers import NamedHeaderCodec
 from laurelwind.protocol.keyed_store import (
     Batch,
     HistoryLostError,
@@ -29,6 +23,11 @@
     Topic,
 )
 from laurelwind.protocol.platform import ListedInstance
+from laurelwind.relay_tracking import (
+    PlatformAdapters,
+    TrackedState,
+    build_tracking,
+)
 from laurelwind.state.directory import EndpointDirectory
 from laurelwind.state.leases import FreshnessLease
 from tests.helpers import wait_until
@@ -148,40 +147,24 @@
         )
         local_instance = build_member(name)
         self.group = FakeGroup([local_instance, *others])
-        copies = build_topic_copies(self.lease.read_clock)
-        health = ReaderHealth(log=log)
-        topics = PeerReadingStore(
-            local_instance=local_instance,
-            store=store,
-            peers=NoPeers(),
-            list_members=lambda: self.membership.members,
-            log=log,
-        )
-        self.membership = FleetMembership(
+        tracking = build_tracking(
             local_instance=local_instance,
-            dependencies=MembershipDependencies(
+            adapters=PlatformAdapters(
+                store=store,
                 group=self.group,
-                store=topics,
-                copy=copies[Topic.MEMBERS],
-                health=health,
-                log=log,
-            ),
-            clock=self.lease.read_clock,
-        )
-        self.tracker = Tracker(
-            local_instance=local_instance,
-            dependencies=TrackerDependencies(
-                store=topics,
-                membership=self.membership,
-                copies=copies,
-                health=health,
                 documents=PlatformDocuments(),
+                headers=NamedHeaderCodec(names=PLATFORM_HEADERS),
+            ),
+            peers=NoPeers(),
+            state=TrackedState(
                 lease=self.lease,
                 directory=self.directory,
                 rollouts=self.rollouts,
-                log=log,
             ),
+            log=log,
         )
+        self.membership = tracking.membership
+        self.tracker = tracking.tracker
         self.tracker.max_absence_age_s = 1.8
 
     @property
