Start without a list of members after 0.5 s; strict reads spare a failing store

And a daemon whose joins were not answered waited 5 s before it read any topic; after 0.5 s one reader tries.

Tests: tests/test_peer_store.py (50 denied requests, two reads), tests/test_tracker.py (joins that are lost); both failed before.

--- a/laurelwind/coordination/topics/peer_store.py
+++ b/laurelwind/coordination/topics/peer_store.py
@@ -90,7 +90,9 @@
     ) -> Batch:
         """Read records from an offset on; see :class:`KeyedStore`."""
         if is_strict:
-            return await self._call_store(topic, offset, wait_s)
+            return await self._read_store(
+                topic, offset, wait_s=wait_s, period_s=STORE_RETRY_S
+            )
         return await self._read(topic, offset, wait_s)
 
     async def read_copy(
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -45,7 +45,7 @@
 CONFIRM_TIMEOUT_S: Final = 0.5
 # Longest wait for the list of members before topics are read without it. The
 # list tells a daemon that starts which peers have copies.
-FIRST_MEMBERS_TIMEOUT_S: Final = 5.0
+FIRST_MEMBERS_TIMEOUT_S: Final = 0.5
 
 
 @frozen(kw_only=True)
@@ -93,6 +93,7 @@
         self._dependencies = dependencies
         self._is_table_unreadable = False
         self._confirm_lock = anyio.Lock()
+        self._first_batch = anyio.Event()
         self._operators = self._build_reader(Topic.OPERATORS)
         self._statuses = StatusExchange(
             local_instance=local_instance,
@@ -171,11 +172,15 @@
         return self._apply_operator_batch(batch, started_at)
 
     async def _run_reads(self, group: TaskGroup) -> None:
+        first_list = self._dependencies.membership.first_read
         with anyio.move_on_after(FIRST_MEMBERS_TIMEOUT_S):
-            await self._dependencies.membership.first_read.wait()
-        group.start_soon(self._endpoints.run)
+            await first_list.wait()
+        group.start_soon(self._run_operator_reads)
+        if not first_list.is_set():
+            # Where the store fails, one reader of each daemon tries it.
+            await self._first_batch.wait()
         self._statuses.start(group)
-        await self._run_operator_reads()
+        await self._endpoints.run()
 
     async def _run_operator_reads(self) -> None:
         backoff = Backoff()
@@ -188,6 +193,7 @@
                 continue
             backoff.reset()
             self._dependencies.health.record_recovery('operators')
+            self._first_batch.set()
             self._apply_operator_batch(batch, self._operators.as_of)
 
     def _build_reader(self, topic: Topic) -> TopicReader:
--- a/tests/test_peer_store.py
+++ b/tests/test_peer_store.py
@@ -294,6 +294,25 @@
         assert (await daemon.reader.read(wait_s=0.001)).records
 
 
+async def test_denied_requests_do_not_multiply_calls_to_a_failing_store():
+    """Pattern: each request for an unknown route asks the store again."""
+    clock, peers, members = Clock(), InMemoryPeers(), build_fleet(8)
+    source = TopicDaemon(members[0], members, CountingStore(), peers, clock)
+    follower = TopicDaemon(members[1], members, CountingStore(), peers, clock)
+    await source.reader.read()
+    await follower.reader.read()
+    source.store.is_down = follower.store.is_down = True
+    clock.now += MAX_AGE_S + 0.1
+    with pytest.raises(PlatformError):
+        await follower.reader.read(wait_s=0.001)
+    follower.store.reads = 0
+    for _ in range(50):
+        clock.now += 0.1
+        with pytest.raises(PlatformError):
+            await follower.reader.peek()
+    assert follower.store.reads <= 2
+
+
 async def test_lost_source_does_not_delay_store_retries():
     clock, peers, members = Clock(), InMemoryPeers(), build_fleet(8)
     source = TopicDaemon(members[0], members, CountingStore(), peers, clock)
--- a/tests/test_tracker.py
+++ b/tests/test_tracker.py
@@ -406,3 +406,18 @@
         assert harness.membership.members[0].name == 'd0'
 
     await run_check(check)
+
+
+async def test_daemon_becomes_ready_while_its_joins_are_not_answered():
+    """The store answers reads, but the answers to joins are lost."""
+
+    async def check(harness, store):
+        async def join():
+            await anyio.sleep(0.1)
+            raise PlatformError(ErrorKind.LOG_UNAVAILABLE, 'lost')
+
+        harness.group.join = join
+        store.put(Topic.OPERATORS, 'config', build_table(1))
+        await wait_until(lambda: harness.tracker.is_ready, timeout_s=2)
+
+    await run_check(check)
