--- a/laurelwind/coordination/topics/sources.py
+++ b/laurelwind/coordination/topics/sources.py
@@ -15,7 +15,7 @@
 # per second.
 READERS_PER_SOURCE: Final = 30
 # Sources that a daemon asks before it reads the store itself.
-MAX_CANDIDATES: Final = 3
+MAX_SOURCES: Final = 3
 
 
 def list_sources(
@@ -49,9 +49,9 @@
         for source in _list_zone_sources(members, zone)
     ]
     return (
-        *_rotate(sources, position)[: MAX_CANDIDATES - 1],
+        *_rotate(sources, position)[: MAX_SOURCES - 1],
         *_rotate(other_sources, members.index(local_instance)),
-    )[:MAX_CANDIDATES]
+    )[:MAX_SOURCES]
 
 
 def _list_zone_members(
