Read the newest records after a probe that was told of lost history

Ruled out: rejection of requests that cannot start in time (none of the refusals).

Test: tests/test_peer_store.py, failing before.

--- a/laurelwind/coordination/topics/peer_store.py
+++ b/laurelwind/coordination/topics/peer_store.py
@@ -16,6 +16,7 @@
 from laurelwind.errors import ErrorKind, PlatformError
 from laurelwind.protocol.keyed_store import (
     Batch,
+    HistoryLostError,
     KeyedStore,
     PeerTopics,
     StaleCopyError,
@@ -224,18 +225,14 @@
         wait_s: float,
         period_s: float,
     ) -> Batch:
-        if not self._probes.is_healthy:
-            # Only the topic that decides whether callers are served probes a
-            # store that fails, and without a wait, as peers wait for it.
-            if topic is not Topic.OPERATORS or not self._probes.is_due:
-                raise StaleCopyError(
-                    ErrorKind.LOG_UNAVAILABLE,
-                    'no source has a recent copy, and the store failed before',
-                )
-            self._probes.record_failure(period_s)
+        if self._begin_probe(topic, period_s):
             wait_s = 0
         try:
             batch = await self._call_store(topic, offset, wait_s)
+        except HistoryLostError:
+            # An answer all the same; the newest records are read next.
+            self._probes.record_success()
+            raise
         except PlatformError:
             if self._is_source_stale.get(topic) or self.is_source:
                 self._probes.record_failure(period_s)
@@ -243,6 +240,23 @@
         self._probes.record_success()
         return batch
 
+    def _begin_probe(self, topic: Topic, period_s: float) -> bool:
+        """Return whether a read probes a store that failed.
+
+        :raises StaleCopyError: if the store may not be read now.
+        """
+        if self._probes.is_healthy:
+            return False
+        # Only the topic that decides whether callers are served probes a store
+        # that fails, and without a wait, as peers wait for it.
+        if topic is not Topic.OPERATORS or not self._probes.is_due:
+            raise StaleCopyError(
+                ErrorKind.LOG_UNAVAILABLE,
+                'no source has a recent copy, and the store failed before',
+            )
+        self._probes.record_failure(period_s)
+        return True
+
     async def _call_store(
         self, topic: Topic, offset: int | None, wait_s: float
     ) -> Batch:
--- a/tests/test_peer_store.py
+++ b/tests/test_peer_store.py
@@ -294,6 +294,32 @@
         assert (await daemon.reader.read(wait_s=0.001)).records
 
 
+async def test_source_recovers_from_a_store_that_lost_its_history():
+    """Connections break while the store drops old records, then it answers.
+
+    Pattern of caroni-notices-grown scale-1: every source read on, was told that
+    its history is gone, and was not let to read the newest records.
+    """
+
+    class ForgetfulStore(CountingStore):
+        async def read_after(self, topic, offset, **options):
+            if not self.is_down:
+                raise HistoryLostError
+            return await super().read_after(topic, offset, **options)
+
+    clock, peers, members = Clock(), InMemoryPeers(), build_fleet(8)
+    source = TopicDaemon(members[0], members, ForgetfulStore(), peers, clock)
+    await source.reader.read()
+    source.store.is_down = True
+    with pytest.raises(PlatformError):
+        await source.reader.read()
+    source.store.is_down = False
+    source.store.put('table', b'1')
+    clock.now += peer_store.SOURCE_PROBE_S
+    batch = await source.reader.read()
+    assert [record.body for record in batch.records] == [b'1']
+
+
 async def test_denied_requests_do_not_multiply_calls_to_a_failing_store():
     """Pattern: each request for an unknown route asks the store again."""
     clock, peers, members = Clock(), InMemoryPeers(), build_fleet(8)
