Close connections to peers under a shielded scope

A dump of the stack showed _Connection.close_when_unused in anyio's wait for a cancellation that never came, at run_sync under a cancelled scope.

Cause: the close of a dropped connection ran in the scope that a stop cancels. It was abandoned at its first checkpoint, so that the socket also stayed open.

Test: a cancelled close must still close the socket. Before: E pynng.exceptions.TryAgain: Try again (the socket is open), now Closed. Under the shield the wait in which the spin was seen is not entered.

--- a/laurelwind/transport/peers.py
+++ b/laurelwind/transport/peers.py
@@ -86,10 +86,12 @@
         pynng aborts the process when a socket is closed while its resolver is
         still resolving the address, so a new socket is closed only after a
         delay, and the reconnect interval of one day rules out new dials.
+        The shield keeps a stop from abandoning the socket half-way.
         """
         age = read_monotonic_clock() - self._opened_at
-        await anyio.sleep(max(_MIN_CLOSE_AGE_S - age, 0))
-        await run_sync(self._socket.close)
+        with anyio.CancelScope(shield=True):
+            await anyio.sleep(max(_MIN_CLOSE_AGE_S - age, 0))
+            await run_sync(self._socket.close)
 
     async def close_when_unused(self) -> None:
         """Close the socket once no request is in flight."""
