Log what a table changes, waits of admission and connection time-outs

Callers saw requests without an answer beside changes of the configuration. The logs could not tell apart four ways to get there: an admission that waits for the store, a table that removes what a request needs, a connection closed as idle, and one aborted for a late head.

- `table_in_force` counts the routes, services and keys that a table adds, removes and changes.
- `admission_waited` says how long an unknown route or key waited for a confirmation of the table, and how the wait ended.
- `connection_timed_out` says what a caller did not send in time.

Admission moves from relay.py into a module of its own, and the protocol with the time-outs out of server.py; both behave as before.

--- /dev/null
+++ b/laurelwind/coordination/admission.py
@@ -0,0 +1,140 @@
+"""Admits requests by the routing table in force."""
+
+from typing import Final
+
+from attrs import frozen
+
+from laurelwind.coordination.model_planning import ModelPlanner
+from laurelwind.coordination.relay_jobs import Job
+from laurelwind.coordination.sending import draw_retry_after
+from laurelwind.coordination.tracker import Tracker
+from laurelwind.decisions import DecisionLog
+from laurelwind.errors import CallerError, CapacityError, ErrorKind
+from laurelwind.protocol.exchanges import RelayRequest
+from laurelwind.state.leases import FreshnessLease
+from laurelwind.state.load import read_monotonic_clock
+from laurelwind.state.routes import Route, Workspace
+
+# Shortest wait for a confirmation of the table that is logged.
+LOGGED_WAIT_S: Final = 0.01
+_MS_PER_S: Final = 1000
+
+
+@frozen(kw_only=True)
+class AdmissionDependencies:
+    """Collaborators of an :class:`Admission`.
+
+    :ivar tracker: holds the routing table in force.
+    :ivar lease: freshness lease of the routing table.
+    :ivar planner: plans the model cascade.
+    :ivar log: decision log.
+    """
+
+    tracker: Tracker
+    lease: FreshnessLease
+    planner: ModelPlanner
+    log: DecisionLog
+
+
+class Admission:
+    """Checks requests against the routing table and builds their jobs.
+
+    :param dependencies: collaborators.
+    """
+
+    def __init__(self, *, dependencies: AdmissionDependencies) -> None:
+        self._dependencies = dependencies
+
+    async def admit(self, request: RelayRequest, arrived_at: float) -> Job:
+        """Build the job of a request that the routing table allows.
+
+        :param request: the request.
+        :param arrived_at: moment of arrival, on the monotonic clock.
+        :raises CallerError: if the newest table has no such route or key.
+        :raises CapacityError: if the table is too old or cannot be confirmed
+            as the newest.
+        """
+        match = self._resolve_route(request)
+        if isinstance(match, ErrorKind):
+            # A stale table must not cause a denial: the route or key may have
+            # been added since, so confirm that the table is the newest first.
+            if not await self._confirm_table(request, match):
+                raise CapacityError(
+                    ErrorKind.NOT_READY,
+                    'the routing table could not be confirmed as the newest',
+                    retry_after_s=draw_retry_after(),
+                )
+            match = self._resolve_route(request)
+        if isinstance(match, ErrorKind):
+            raise CallerError(
+                match, 'the routing table has no such route or key'
+            )
+        return self._build_job(request, match, arrived_at)
+
+    async def _confirm_table(
+        self, request: RelayRequest, reason: ErrorKind
+    ) -> bool:
+        started_at = read_monotonic_clock()
+        is_current = None
+        try:
+            is_current = await self._dependencies.tracker.ensure_current()
+        finally:
+            waited_s = read_monotonic_clock() - started_at
+            if waited_s >= LOGGED_WAIT_S or not is_current:
+                self._dependencies.log.log_info(
+                    'admission_waited',
+                    request=request.request_id,
+                    reason=reason,
+                    waited_ms=round(waited_s * _MS_PER_S),
+                    # None if the wait was cancelled.
+                    is_current=is_current,
+                )
+        return is_current
+
+    def _resolve_route(
+        self, request: RelayRequest
+    ) -> tuple[Route, Workspace | None] | ErrorKind:
+        table = self._dependencies.tracker.table
+        if table is None:
+            raise CapacityError(
+                ErrorKind.NOT_READY,
+                'no routing table has been loaded yet',
+                retry_after_s=draw_retry_after(),
+            )
+        if not self._dependencies.lease.is_valid:
+            age = round(self._dependencies.lease.age_s, 1)
+            raise CapacityError(
+                ErrorKind.NOT_READY,
+                f'the routing table was last confirmed {age} s ago',
+                retry_after_s=draw_retry_after(),
+            )
+        route = table.find_route(request.host, request.path)
+        if route is None:
+            return ErrorKind.ROUTE_UNKNOWN
+        if route.is_public:
+            return route, None
+        workspace = table.workspaces.get(request.key)
+        if workspace is None and table.requires_key:
+            return ErrorKind.KEY_UNKNOWN
+        return route, workspace
+
+    def _build_job(
+        self,
+        request: RelayRequest,
+        match: tuple[Route, Workspace | None],
+        arrived_at: float,
+    ) -> Job:
+        route, workspace = match
+        timeout_s = route.timeout_s
+        if request.deadline_s is not None:
+            timeout_s = min(timeout_s, request.deadline_s)
+        return Job(
+            request=request,
+            route=route,
+            workspace=workspace,
+            service=route.choose_service(request.session or request.request_id),
+            arrived_at=arrived_at,
+            deadline_at=arrived_at + timeout_s,
+            models=self._dependencies.planner.plan(route),
+            last_event_id=request.last_event_id,
+        )
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -3,6 +3,10 @@
 import anyio
 from attrs import frozen
 
+from laurelwind.coordination.admission import (
+    Admission,
+    AdmissionDependencies,
+)
 from laurelwind.coordination.delivery import (
     Delivery,
     DeliveryDependencies,
@@ -14,12 +18,9 @@
 from laurelwind.coordination.sending import (
     Sender,
     SenderDependencies,
-    draw_retry_after,
 )
-from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
-    CallerError,
     CapacityError,
     EndpointError,
     EndpointSilentError,
@@ -29,27 +30,21 @@
 )
 from laurelwind.protocol.exchanges import CallerAnswer, RelayRequest
 from laurelwind.relay_metrics import RelayMetrics
-from laurelwind.state.leases import FreshnessLease
-from laurelwind.state.routes import Route, Workspace
 
 
 @frozen(kw_only=True)
 class RelayDependencies:
     """Collaborators of a :class:`Relay`.
 
-    :ivar tracker: holds the routing table in force.
-    :ivar lease: freshness lease of the routing table.
+    :ivar admission: checks requests against the routing table.
     :ivar placement: tracks the state of endpoints.
-    :ivar planner: plans the model cascade.
     :ivar sender: sends requests to endpoints.
     :ivar delivery: delivers answers to callers.
     :ivar log: decision log.
     """
 
-    tracker: Tracker
-    lease: FreshnessLease
+    admission: Admission
     placement: Placement
-    planner: ModelPlanner
     sender: Sender
     delivery: Delivery
     log: DecisionLog
@@ -77,10 +72,15 @@
     )
     return Relay(
         dependencies=RelayDependencies(
-            tracker=dependencies.tracker,
-            lease=dependencies.lease,
+            admission=Admission(
+                dependencies=AdmissionDependencies(
+                    tracker=dependencies.tracker,
+                    lease=dependencies.lease,
+                    planner=planner,
+                    log=dependencies.log,
+                )
+            ),
             placement=dependencies.placement,
-            planner=planner,
             sender=sender,
             delivery=delivery,
             log=dependencies.log,
@@ -114,7 +114,8 @@
         self.in_flight += 1
         try:
             await self._serve_job(
-                await self._admit(request, arrived_at), answer
+                await self._dependencies.admission.admit(request, arrived_at),
+                answer,
             )
         finally:
             self.in_flight -= 1
@@ -150,72 +151,6 @@
             'no endpoint accepted the request within the deadline',
         )
 
-    async def _admit(self, request: RelayRequest, arrived_at: float) -> Job:
-        match = self._resolve_route(request)
-        if isinstance(match, ErrorKind):
-            # A stale table must not cause a denial: the route or key may have
-            # been added since, so confirm that the table is the newest first.
-            if not await self._dependencies.tracker.ensure_current():
-                raise CapacityError(
-                    ErrorKind.NOT_READY,
-                    'the routing table could not be confirmed as the newest',
-                    retry_after_s=draw_retry_after(),
-                )
-            match = self._resolve_route(request)
-        if isinstance(match, ErrorKind):
-            raise CallerError(
-                match, 'the routing table has no such route or key'
-            )
-        return self._build_job(request, match, arrived_at)
-
-    def _resolve_route(
-        self, request: RelayRequest
-    ) -> tuple[Route, Workspace | None] | ErrorKind:
-        table = self._dependencies.tracker.table
-        if table is None:
-            raise CapacityError(
-                ErrorKind.NOT_READY,
-                'no routing table has been loaded yet',
-                retry_after_s=draw_retry_after(),
-            )
-        if not self._dependencies.lease.is_valid:
-            age = round(self._dependencies.lease.age_s, 1)
-            raise CapacityError(
-                ErrorKind.NOT_READY,
-                f'the routing table was last confirmed {age} s ago',
-                retry_after_s=draw_retry_after(),
-            )
-        route = table.find_route(request.host, request.path)
-        if route is None:
-            return ErrorKind.ROUTE_UNKNOWN
-        if route.is_public:
-            return route, None
-        workspace = table.workspaces.get(request.key)
-        if workspace is None and table.requires_key:
-            return ErrorKind.KEY_UNKNOWN
-        return route, workspace
-
-    def _build_job(
-        self,
-        request: RelayRequest,
-        match: tuple[Route, Workspace | None],
-        arrived_at: float,
-    ) -> Job:
-        route, workspace = match
-        timeout_s = route.timeout_s
-        if request.deadline_s is not None:
-            timeout_s = min(timeout_s, request.deadline_s)
-        return Job(
-            request=request,
-            route=route,
-            workspace=workspace,
-            service=route.choose_service(request.session or request.request_id),
-            arrived_at=arrived_at,
-            deadline_at=arrived_at + timeout_s,
-            models=self._dependencies.planner.plan(route),
-            last_event_id=request.last_event_id,
-        )
-
     async def _run_attempts(self, job: Job, answer: CallerAnswer) -> None:
         while True:
             attempt = await self._dependencies.sender.send(job)
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -5,7 +5,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from attrs import frozen
+from attrs import asdict, frozen
 
 from laurelwind.coordination.endpoint_tracking import (
     EndpointTracker,
@@ -37,6 +37,7 @@
 from laurelwind.state.directory import EndpointDirectory
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.state.routes import RoutingTable
+from laurelwind.state.table_changes import compare_tables
 
 # Longest wait of a read of the operators' topic for a change. It is also the
 # interval of lease renewals while nothing changes.
@@ -236,12 +237,13 @@
         self._is_table_unreadable = False
         if self.table is not None and table.version <= self.table.version:
             return
-        previous_version = None if self.table is None else self.table.version
+        previous = self.table
         self.table = table
         self._dependencies.log.log_warning(
             'table_in_force',
             version=table.version,
-            before=previous_version,
+            before=None if previous is None else previous.version,
             offset=record.offset,
             routes=len(table.routes),
+            changes=asdict(compare_tables(previous, table)),
         )
--- a/laurelwind/daemon.py
+++ b/laurelwind/daemon.py
@@ -52,6 +52,7 @@
 )
 from laurelwind.transport.server import HttpServer
 from laurelwind.transport.services import ServiceHandlers
+from laurelwind.transport.timed_protocol import ConnectionPolicy
 
 
 @frozen(kw_only=True)
@@ -96,7 +97,9 @@
         self.caller_server = HttpServer(
             address=settings.daemon.caller_address,
             tls=settings.tls,
-            header_timeout_s=settings.limits.header_timeout_s,
+            policy=ConnectionPolicy(
+                header_timeout_s=settings.limits.header_timeout_s
+            ),
         )
         self.admin_server = HttpServer(
             address=settings.daemon.admin_address, tls=settings.tls
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -34,6 +34,7 @@
 from laurelwind.transport.hints import HintListener, WorkHints
 from laurelwind.transport.relay_application import RelayApplication
 from laurelwind.transport.server import HttpServer
+from laurelwind.transport.timed_protocol import ConnectionPolicy, TimeoutKind
 from laurelwind.transport.topics import HttpPeerTopics, TopicApplication
 
 # The freshness lease and the largest table age at which an unknown name is
@@ -169,8 +170,9 @@
             self.settings.listen.peers: TopicApplication(copies=self.copies),
             **other_applications,
         }
+        policy = ConnectionPolicy(record_timeout=self._log_timeout)
         for address, application in applications.items():
-            server = HttpServer(address=address)
+            server = HttpServer(address=address, policy=policy)
             self._servers.append(server)
             await server.start(group, application)
         self.log.log_warning('started', zone=self.settings.daemon.zone)
@@ -286,6 +288,9 @@
             lambda: self.log.dropped_lines,
         )
 
+    def _log_timeout(self, kind: TimeoutKind) -> None:
+        self.log.log_info('connection_timed_out', kind=kind)
+
     def _read_body_limit(self) -> int:
         table = self.tracker.table
         return (CallerLimits() if table is None else table.limits).body_bytes
--- a/laurelwind/transport/server.py
+++ b/laurelwind/transport/server.py
@@ -1,72 +1,28 @@
 """HTTP server that runs an ASGI application in the daemon's task group."""
 
-import asyncio
 import contextlib
 import socket
 from collections.abc import Iterator
-from typing import Any, Final
+from typing import Final
 
 import anyio
 import uvicorn
 from anyio.abc import TaskGroup
 from starlette.types import ASGIApp
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from laurelwind.errors import ErrorKind, ListenError
 from laurelwind.settings import TlsSettings
 from laurelwind.transport.network import split_address
+from laurelwind.transport.timed_protocol import (
+    IDLE_TIMEOUT_S,
+    ConnectionPolicy,
+    TimedProtocol,
+)
 
-HEADER_TIMEOUT_S: Final = 10.0
 _BACKLOG: Final = 2048
-_KEEPALIVE_S: Final = 60
 _START_POLL_S: Final = 0.01
 
 
-class _HeaderTimeoutProtocol(HttpToolsProtocol):
-    """Aborts a connection whose request head does not arrive in time."""
-
-    header_timeout_s = HEADER_TIMEOUT_S
-
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        self._header_timer: asyncio.TimerHandle | None = None
-        super().__init__(*args, **kwargs)
-
-    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
-        """Start the timer for the head of the first request."""
-        super().connection_made(transport)
-        self._start_timer()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the timer."""
-        self._stop_timer()
-        super().connection_lost(exc)
-
-    def on_message_begin(self) -> None:
-        """Start the timer for the head of a further request."""
-        super().on_message_begin()
-        if self._header_timer is None:
-            self._start_timer()
-
-    def on_headers_complete(self) -> None:
-        """Stop the timer, as the head has arrived."""
-        self._stop_timer()
-        super().on_headers_complete()
-
-    def _start_timer(self) -> None:
-        self._header_timer = self.loop.call_later(
-            self.header_timeout_s, self._abort
-        )
-
-    def _stop_timer(self) -> None:
-        if self._header_timer is not None:
-            self._header_timer.cancel()
-            self._header_timer = None
-
-    def _abort(self) -> None:
-        self._header_timer = None
-        self.transport.abort()
-
-
 class _EmbeddedServer(uvicorn.Server):
     """Uvicorn server that leaves signals to the daemon."""
 
@@ -80,7 +36,7 @@
 
     :param address: ``host:port``; port zero selects a free port.
     :param tls: certificate and private key, or ``None`` for plain HTTP.
-    :param header_timeout_s: time-out for the head of a request in seconds.
+    :param policy: limits on the connections, or ``None`` for the defaults.
     :raises ListenError: if the address is in use or not of this machine.
     """
 
@@ -89,11 +45,11 @@
         *,
         address: str,
         tls: TlsSettings | None = None,
-        header_timeout_s: float = HEADER_TIMEOUT_S,
+        policy: ConnectionPolicy | None = None,
     ) -> None:
         self._socket = _create_listener(*split_address(address))
         self._tls = tls or TlsSettings()
-        self._header_timeout_s = header_timeout_s
+        self._policy = policy or ConnectionPolicy()
         self._server: _EmbeddedServer | None = None
         self._stopped = anyio.Event()
 
@@ -150,9 +106,7 @@
             application,
             loop='asyncio',
             http=type(
-                'HeaderTimeoutProtocol',
-                (_HeaderTimeoutProtocol,),
-                {'header_timeout_s': self._header_timeout_s},
+                'BoundProtocol', (TimedProtocol,), {'policy': self._policy}
             ),
             ws='none',
             lifespan='off',
@@ -160,7 +114,7 @@
             log_config=None,
             log_level='critical',
             backlog=_BACKLOG,
-            timeout_keep_alive=_KEEPALIVE_S,
+            timeout_keep_alive=IDLE_TIMEOUT_S,
             server_header=False,
             proxy_headers=False,
             date_header=False,
