Tell cut answers apart from callers that left

A caller whose answer was ended by the stop of a daemon, by its deadline or by its endpoint got a truncated answer. In the log the first read `caller_left`, the others `failed` with `was_cut`, and `stopped` said `cut=0` always, as it counted after the connections had been aborted. A caller that left while its body was read appeared as `failed` with 400, and an endpoint's saved failure answer had no final line.

Each request now ends with one line: `answered`, `refused`, `failed`, `caller_left` or `cut` with a reason out of `deadline`, `endpoint_failed`, `stopping` and `internal`, and with endpoint, events, elapsed time and whether the daemon was stopping. The counter `laurelwind_cut_answers_total` has the same reasons. `stopped` tells the requests cut and the bytes that were not sent, and `laurelwind explain` shows a stop of the daemon inside a request's timeline.

--- a/laurelwind/cli/explain.py
+++ b/laurelwind/cli/explain.py
@@ -21,6 +21,8 @@
     'version_rejected',
     'rollout_status',
 )
+# Events of a daemon's process, shown where they lie within the timeline.
+_PROCESS_EVENTS: Final = ('stopping', 'stopped', 'settings_reloaded')
 _PREFIX_FIELDS: Final = frozenset(('time', 'daemon', 'event', 'request'))
 
 
@@ -53,6 +55,7 @@
     timeline = [line for line in ordered if line.get('request') == request_id]
     if not timeline:
         return
+    timeline = _add_process_lines(timeline, ordered)
     daemon = timeline[0]['daemon']
     states: dict[str, dict[str, Any]] = {}
     for line in ordered:
@@ -65,6 +68,23 @@
         yield _format_line(line, started_at)
 
 
+def _add_process_lines(
+    timeline: list[dict[str, Any]], ordered: list[dict[str, Any]]
+) -> list[dict[str, Any]]:
+    daemons = {line['daemon'] for line in timeline}
+    first, last = timeline[0]['time'], timeline[-1]['time']
+    process_lines = [
+        line
+        for line in ordered
+        if line['event'] in _PROCESS_EVENTS
+        and line['daemon'] in daemons
+        and first < line['time'] <= last
+    ]
+    return sorted(
+        (*timeline, *process_lines), key=lambda line: float(line['time'])
+    )
+
+
 def _format_line(line: dict[str, Any], started_at: float) -> str:
     offset_s = line['time'] - started_at
     fields = ' '.join(
--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -84,6 +84,7 @@
         :raises LowConfidenceError: if the request must be escalated to a larger
             model.
         """
+        answer.endpoint = attempt.endpoint.name
         head = await self._heads.read(job, attempt)
         if head.load is not None:
             self._dependencies.placement.record_report(
@@ -166,6 +167,7 @@
                 await answer.begin(head.status, head.headers, None)
             await answer.send(b''.join(event.raw for event in events))
             job.record_events(len(events), events[-1].event_id)
+            answer.events = job.events
         if splitter.has_incomplete_event or not job.events:
             raise EndpointError(
                 ErrorKind.ANSWER_BROKEN,
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -133,6 +133,15 @@
                 len(saved_failure.body),
             )
             await answer.finish(saved_failure.body)
+            self._dependencies.log.log_info(
+                'answered',
+                request=job.request.request_id,
+                route=job.route.name,
+                endpoint=answer.endpoint,
+                status=saved_failure.head.status,
+                attempts=job.attempts,
+                elapsed_ms=job.elapsed_ms,
+            )
 
     async def _serve_within_deadline(
         self, job: Job, answer: CallerAnswer
--- a/laurelwind/protocol/exchanges.py
+++ b/laurelwind/protocol/exchanges.py
@@ -178,9 +178,17 @@
 
 
 class CallerAnswer(abc.ABC):
-    """The answer sent to one caller."""
+    """The answer sent to one caller.
+
+    :ivar has_begun: whether its head has been sent.
+    :ivar endpoint: the last endpoint that received the request, or an empty
+        string.
+    :ivar events: number of events sent, if it is a stream.
+    """
 
     has_begun: bool = False
+    endpoint: str = ''
+    events: int = 0
 
     @abc.abstractmethod
     async def begin(
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -188,12 +188,15 @@
             await anyio.sleep(LISTEN_AFTER_STOP_S - REFUSE_AFTER_S)
             while self.relay.in_flight:
                 await anyio.sleep(_DRAIN_POLL_S)
+        cut = self.relay.in_flight
+        unsent_bytes = sum(server.unsent_bytes for server in self._servers)
+        self.application.is_aborting = True
         for server in self._servers:
             server.abort_connections()
         await self.gateway.close()
         await self._peers.close()
         await self.hints.close()
-        self.log.log_warning('stopped', cut=self.relay.in_flight)
+        self.log.log_warning('stopped', cut=cut, unsent_bytes=unsent_bytes)
 
     def reload(self, load_settings: Callable[[], RelaySettings]) -> None:
         """Apply ``revocation_s``, ``apply_s`` and ``stop_s`` from new settings.
--- a/laurelwind/relay_metrics.py
+++ b/laurelwind/relay_metrics.py
@@ -25,6 +25,12 @@
             ('kind',),
             registry=self.registry,
         )
+        self.cut_answers = Counter(
+            'laurelwind_cut_answers',
+            'Answers that this daemon ended before they were complete.',
+            ('reason',),
+            registry=self.registry,
+        )
         self.answer_seconds = Histogram(
             'laurelwind_answer_seconds',
             'Seconds until the whole answer was passed on, by route.',
--- a/laurelwind/transport/caller_exchange.py
+++ b/laurelwind/transport/caller_exchange.py
@@ -5,7 +5,7 @@
 
 import anyio
 import orjson
-from starlette.types import Message, Receive, Scope, Send
+from starlette.types import Receive, Scope, Send
 
 from laurelwind.errors import CallerError, ErrorKind, LaurelwindError
 from laurelwind.state.conversion import dump_json
@@ -38,6 +38,7 @@
         self.request_id = request_id
         self.has_begun = False
         self.is_truncated = False
+        self.has_left = False
         self.extra_headers: list[tuple[bytes, bytes]] = []
         self._scope = scope
         self._receive = receive
@@ -217,7 +218,13 @@
         body = b''
         while True:
             message = await self._receive()
-            body += _read_chunk(message)
+            if message['type'] == 'http.disconnect':
+                self.has_left = True
+                raise CallerError(
+                    ErrorKind.BODY_MALFORMED, 'the request body was cut off'
+                )
+            chunk: bytes = message.get('body', b'')
+            body += chunk
             if len(body) > limit:
                 raise _build_size_error(limit)
             if not message.get('more_body', False):
@@ -240,15 +247,6 @@
         await self.send_json(answer, status=error.status, headers=headers)
 
 
-def _read_chunk(message: Message) -> bytes:
-    if message['type'] == 'http.disconnect':
-        raise CallerError(
-            ErrorKind.BODY_MALFORMED, 'the request body was cut off'
-        )
-    chunk: bytes = message.get('body', b'')
-    return chunk
-
-
 def _build_size_error(limit: int) -> CallerError:
     return CallerError(
         ErrorKind.BODY_TOO_LARGE,
--- a/laurelwind/transport/relay_application.py
+++ b/laurelwind/transport/relay_application.py
@@ -18,6 +18,7 @@
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.transport.caller_exchange import CallerExchange
+from laurelwind.transport.request_outcomes import CutReason, RequestOutcomes
 
 _CLOSE: Final = (b'connection', b'close')
 
@@ -84,10 +85,13 @@
         self._relay = relay
         self._codec = codec
         self._log = log
-        self._metrics = metrics
+        self._outcomes = RequestOutcomes(
+            log=log, metrics=metrics, is_stopping=lambda: self.is_draining
+        )
         self._read_body_limit = read_body_limit
         self.is_draining = False
         self.rejects_requests = False
+        self.is_aborting = False
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -113,8 +117,14 @@
             self._check_open()
             body = await exchange.read_body(self._read_body_limit())
         except LaurelwindError as error:
+            answer = ExchangeAnswer(exchange=exchange)
+            if exchange.has_left:
+                self._record_disconnect(request, answer, arrived_at)
+                return
             exchange.extra_headers.append(_CLOSE)
-            await self._handle_error(exchange, request, error)
+            await self._handle_error(
+                exchange, request, answer, error, arrived_at
+            )
             return
         if body:
             request = self._read_request(scope, body)
@@ -123,31 +133,33 @@
     async def _serve_until_disconnect(
         self, exchange: CallerExchange, request: RelayRequest, arrived_at: float
     ) -> None:
+        answer = ExchangeAnswer(exchange=exchange)
         is_served = False
         async with anyio.create_task_group() as group:
             group.start_soon(
                 _cancel_on_disconnect, exchange, group.cancel_scope
             )
-            await self._serve(exchange, request, arrived_at)
+            await self._serve(exchange, request, answer, arrived_at)
             is_served = True
             group.cancel_scope.cancel()
         if not is_served:
-            self._log.log_info(
-                'caller_left',
-                request=request.request_id,
-                elapsed_ms=round((read_monotonic_clock() - arrived_at) * 1000),
-            )
+            self._record_disconnect(request, answer, arrived_at)
         elif exchange.is_truncated:
             raise TruncatedAnswerError
 
     async def _serve(
-        self, exchange: CallerExchange, request: RelayRequest, arrived_at: float
+        self,
+        exchange: CallerExchange,
+        request: RelayRequest,
+        answer: ExchangeAnswer,
+        arrived_at: float,
     ) -> None:
-        answer = ExchangeAnswer(exchange=exchange)
         try:
             await self._relay.serve(request, answer, arrived_at)
         except LaurelwindError as error:
-            await self._handle_error(exchange, request, error)
+            await self._handle_error(
+                exchange, request, answer, error, arrived_at
+            )
         except Exception as error:
             self._log.log_warning(
                 'failed_inside',
@@ -157,26 +169,33 @@
             internal_error = LaurelwindError(
                 ErrorKind.INTERNAL, 'internal error'
             )
-            await self._handle_error(exchange, request, internal_error)
+            await self._handle_error(
+                exchange, request, answer, internal_error, arrived_at
+            )
+
+    def _record_disconnect(
+        self, request: RelayRequest, answer: CallerAnswer, arrived_at: float
+    ) -> None:
+        if not self.is_aborting:
+            self._outcomes.record_caller_left(request, answer, arrived_at)
+            return
+        self._outcomes.record_cut(
+            request,
+            answer,
+            CutReason.STOPPING,
+            arrived_at,
+            detail='the daemon stopped before the answer was complete',
+        )
 
     async def _handle_error(
         self,
         exchange: CallerExchange,
         request: RelayRequest,
+        answer: CallerAnswer,
         error: LaurelwindError,
+        arrived_at: float,
     ) -> None:
-        self._metrics.refusals.labels(error.kind).inc()
-        self._log.log_warning(
-            'refused' if error.status in {429, 503} else 'failed',
-            request=request.request_id,
-            path=request.path,
-            kind=error.kind,
-            status=error.status,
-            reason=error.message,
-            run=error.run,
-            retry_after_s=error.retry_after_s,
-            was_cut=exchange.has_begun,
-        )
+        self._outcomes.record_error(request, answer, error, arrived_at)
         if exchange.has_begun:
             exchange.is_truncated = True
             return
--- a/laurelwind/transport/server.py
+++ b/laurelwind/transport/server.py
@@ -108,6 +108,14 @@
         """Whether asyncio disables Nagle's algorithm on its connections."""
         return self._socket.proto == socket.IPPROTO_TCP
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that wait to be sent on its connections."""
+        return sum(
+            transport.get_write_buffer_size()
+            for transport in self._list_transports()
+        )
+
     async def start(self, group: TaskGroup, application: ASGIApp) -> None:
         """Start the server and wait until it accepts connections.
 
@@ -140,10 +148,18 @@
             return
         for listener in self._server.servers:
             listener.close()
-        for connection in tuple(self._server.server_state.connections):
-            transport = connection.transport
-            if transport is not None:
-                transport.abort()
+        for transport in self._list_transports():
+            transport.abort()
+
+    def _list_transports(self) -> list[asyncio.Transport]:
+        if self._server is None:
+            return []
+        return [
+            connection.transport
+            for connection in self._server.server_state.connections
+            if isinstance(connection, HttpToolsProtocol)
+            and connection.transport is not None
+        ]
 
     def _build_config(self, application: ASGIApp) -> uvicorn.Config:
         return uvicorn.Config(
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -23,6 +23,19 @@
     assert '+0.500 s d1 refused' in timeline[2]
 
 
+def test_a_timeline_shows_the_stop_of_its_daemon_and_the_cut():
+    lines = (
+        {'time': 1.0, 'daemon': 'd1', 'event': 'sent', 'request': 'r1'},
+        {'time': 1.5, 'daemon': 'd2', 'event': 'stopping'},
+        {'time': 2.0, 'daemon': 'd1', 'event': 'stopping'},
+        {'time': 9.0, 'daemon': 'd1', 'event': 'cut', 'request': 'r1'},
+        {'time': 9.1, 'daemon': 'd1', 'event': 'stopped'},
+    )
+    timeline = list(format_timeline(lines, 'r1'))
+    events = [text.split()[3] for text in timeline]
+    assert events == ['sent', 'stopping', 'cut']
+
+
 def test_an_unknown_request_has_no_timeline():
     assert not list(format_timeline(LINES, 'r9'))
 
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -63,6 +63,7 @@
     def __init__(self):
         self.requests = []
         self.event_pause_s = 0
+        self.event_text = b'x'
 
     async def __call__(self, scope, receive, send):
         body = b''
@@ -84,7 +85,7 @@
             }
         )
         for number in range(1, 5):
-            event = b'id: %d\ndata: x\n\n' % number
+            event = b'id: %d\ndata: %s\n\n' % (number, self.event_text)
             await send(
                 {
                     'type': 'http.response.body',
--- /dev/null
+++ b/tests/test_stop.py
@@ -0,0 +1,131 @@
+"""What callers get, and what the log tells, while a daemon stops."""
+
+import contextlib
+
+import anyio
+import pytest
+from attrs import evolve
+
+from laurelwind import relay_daemon
+from tests.helpers import wait_until
+from tests.test_relay_path import KEY, run_daemon
+
+pytestmark = pytest.mark.anyio
+FINAL_EVENTS = {'answered', 'refused', 'failed', 'caller_left', 'cut'}
+
+
+@pytest.fixture(autouse=True)
+def short_stop(monkeypatch):
+    """Shorten the first phases of a stop."""
+    monkeypatch.setattr(relay_daemon, 'REFUSE_AFTER_S', 0.1)
+    monkeypatch.setattr(relay_daemon, 'LISTEN_AFTER_STOP_S', 0.2)
+
+
+@contextlib.asynccontextmanager
+async def run_logged_daemon(*, stop_s=3.0):
+    """Run a daemon; yield it with the list of its log lines."""
+    async with run_daemon() as harness:
+        lines = []
+        log = harness.daemon.log
+        log.log_info = log.log_warning = lambda event, **fields: lines.append(
+            {'event': event, **fields}
+        )
+        settings = harness.daemon.settings
+        harness.daemon.settings = evolve(
+            settings, bounds=evolve(settings.bounds, stop_s=stop_s)
+        )
+        yield harness, lines
+
+
+def build_head(path, length=0, *, request_id='r1', deadline_ms=60000):
+    """Build the head of a request."""
+    return (
+        f'POST {path} HTTP/1.1\r\nHost: forms.example\r\n'
+        f'X-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline_ms}\r\n'
+        f'Authorization: Bearer {KEY}\r\nContent-Length: {length}\r\n\r\n'
+    ).encode()
+
+
+async def connect(harness):
+    """Open a connection as a caller."""
+    host, port = harness.settings.listen.callers.split(':')
+    return await anyio.connect_tcp(host, int(port))
+
+
+async def read_to_end(stream):
+    """Return what arrives until the connection ends, and how it ended."""
+    received = b''
+    while True:
+        try:
+            received += await stream.receive()
+        except anyio.EndOfStream:
+            return received, 'closed'
+        except anyio.BrokenResourceError:
+            return received, 'reset'
+
+
+def list_final_lines(lines, request_id='r1'):
+    """Return the lines that tell how a request ended."""
+    return [
+        line
+        for line in lines
+        if line['event'] in FINAL_EVENTS and line['request'] == request_id
+    ]
+
+
+async def begin_stream(harness, *, deadline_ms=60000):
+    """Send a request whose answer begins and does not end."""
+    harness.endpoint.event_pause_s = 60
+    caller = await connect(harness)
+    await caller.send(build_head('/draft/1', deadline_ms=deadline_ms))
+    assert b'id: 1' in await read_until(caller, b'id: 1')
+    return caller
+
+
+async def read_until(stream, expected):
+    """Return what arrives until it contains the expected bytes."""
+    received = b''
+    while expected not in received:
+        received += await stream.receive()
+    return received
+
+
+# Guards against cuts by a stop that are logged as callers that left.
+async def test_a_stream_cut_by_the_stop_is_logged_as_cut():
+    async with run_logged_daemon(stop_s=1.5) as (harness, lines):
+        async with await begin_stream(harness) as caller:
+            await harness.daemon.close()
+            received, _ = await read_to_end(caller)
+            assert not received.endswith(b'0\r\n\r\n')
+        await wait_until(lambda: list_final_lines(lines))
+        (final,) = list_final_lines(lines)
+        assert (final['event'], final['reason']) == ('cut', 'stopping')
+        assert (final['endpoint'], final['events']) == ('e1', 1)
+        assert final['stopping']
+        stopped = next(line for line in lines if line['event'] == 'stopped')
+        assert stopped['cut'] == 1
+
+
+async def test_a_stream_cut_at_its_deadline_is_logged_as_cut():
+    async with run_logged_daemon() as (harness, lines):
+        async with await begin_stream(harness, deadline_ms=400) as caller:
+            await read_to_end(caller)
+        (final,) = list_final_lines(lines)
+        assert (final['event'], final['reason']) == ('cut', 'deadline')
+        assert not final['stopping']
+        metrics = await harness.get(harness.settings.listen.metrics, '/metrics')
+        expected = b'laurelwind_cut_answers_total{reason="deadline"} 1.0'
+        assert expected in metrics.content
+
+
+async def test_a_caller_that_leaves_is_logged_as_such():
+    async with run_logged_daemon() as (harness, lines):
+        async with await begin_stream(harness):
+            pass
+        await wait_until(lambda: list_final_lines(lines))
+        async with await connect(harness) as caller:
+            await caller.send(build_head('/book/1', 9, request_id='r2'))
+        await wait_until(lambda: list_final_lines(lines, 'r2'))
+        finals = list_final_lines(lines) + list_final_lines(lines, 'r2')
+        assert [line['event'] for line in finals] == ['caller_left'] * 2
+        assert [line['has_begun'] for line in finals] == [True, False]
