Tell in the log who ended an attempt, and what barred a move

A line `attempt_failed` didn't distinguish an endpoint that broke off from one that we gave up for its silence, and didn't say whether another endpoint could have taken the request at that moment. It now has `given_up`, `silent_s` and `obstacle`.

Placement can rule out endpoints in backoff, which it used when there was no other. No request is placed differently.

Retry-After delays move to retries.py; tests/test_relay.py imports them from there and is otherwise unchanged, apart from a test of the fields.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -13,7 +13,7 @@
 from laurelwind.coordination.rollouts.evidence import AnswerOutcome
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling.placement import Placement
-from laurelwind.coordination.sending import Sender
+from laurelwind.coordination.selection import EndpointSelector
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
     EndpointError,
@@ -46,7 +46,7 @@
 class DeliveryDependencies:
     """Collaborators of a :class:`Delivery`.
 
-    :ivar sender: decides whether a request may be retried.
+    :ivar selector: decides whether a request may be retried.
     :ivar placement: tracks the state of endpoints.
     :ivar rollouts: tracks the outcomes of versions.
     :ivar planner: decides which answers are escalated to a larger model.
@@ -54,7 +54,7 @@
     :ivar log: decision log.
     """
 
-    sender: Sender
+    selector: EndpointSelector
     placement: Placement
     rollouts: RolloutRegistry
     planner: ModelPlanner
@@ -132,7 +132,7 @@
         if is_server_error and job.route.is_repeatable:
             job.may_have_run = True
             job.excluded_endpoints.add(attempt.endpoint.name)
-            if self._dependencies.sender.can_retry(job):
+            if self._dependencies.selector.can_retry(job):
                 job.saved_failure = BufferedAnswer(head=head, body=body)
                 return False
         if len(body) < MAX_BUFFERED_BYTES:
@@ -182,10 +182,10 @@
         dependencies = self._dependencies
         if job.events or not job.has_larger_model:
             return
-        if not dependencies.sender.can_retry(job):
+        if not dependencies.selector.can_retry(job):
             return
         job.model_index += 1
-        wait_s = dependencies.sender.estimate_wait(job)
+        wait_s = dependencies.selector.estimate_wait(job)
         job.model_index -= 1
         if dependencies.planner.is_acceptable(job, head.confidence, wait_s):
             return
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -10,12 +10,9 @@
 )
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.relay_jobs import Attempt, Job
+from laurelwind.coordination.retries import draw_retry_after
 from laurelwind.coordination.scheduling.placement import Placement
-from laurelwind.coordination.sending import (
-    Sender,
-    SenderDependencies,
-    draw_retry_after,
-)
+from laurelwind.coordination.sending import Sender, SenderDependencies
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
@@ -67,7 +64,7 @@
     sender = Sender(dependencies=dependencies)
     delivery = Delivery(
         dependencies=DeliveryDependencies(
-            sender=sender,
+            selector=sender.selector,
             placement=dependencies.placement,
             rollouts=dependencies.rollouts,
             planner=planner,
@@ -239,6 +236,10 @@
         self, job: Job, attempt: Attempt, error: EndpointError
     ) -> None:
         dependencies = self._dependencies
+        is_silent = isinstance(error, EndpointSilentError)
+        obstacle = dependencies.sender.selector.find_obstacle(
+            job, attempt.endpoint
+        )
         backoff_s: float = 0
         if error.run is not RunState.NOT_RUN:
             job.may_have_run = True
@@ -247,7 +248,7 @@
             )
             # Silence indicates load or a network fault, not a fault of the
             # version.
-            if not isinstance(error, EndpointSilentError):
+            if not is_silent:
                 dependencies.delivery.record_answer(job, attempt, failed=True)
         job.excluded_endpoints.add(attempt.endpoint.name)
         dependencies.log.log_warning(
@@ -260,6 +261,9 @@
             reason=error.message,
             run=error.run,
             events=job.events,
+            given_up=is_silent,
+            silent_s=round(attempt.silent_s, 3),
+            obstacle=obstacle,
             paused_s=backoff_s,
             elapsed_ms=job.elapsed_ms,
         )
@@ -271,4 +275,4 @@
             raise error
         if answer.has_begun and not job.last_event_id:
             raise error
-        self._dependencies.sender.ensure_retry_allowed(job, error)
+        self._dependencies.sender.selector.ensure_retry_allowed(job, error)
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -212,6 +212,13 @@
         """Seconds since sending."""
         return read_monotonic_clock() - self.sent_at
 
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the endpoint last sent anything, or since sending."""
+        return read_monotonic_clock() - max(
+            self.sent_at, self.first_byte_at, self.last_event_at
+        )
+
     def record_events(self, count: int) -> float | None:
         """Record received events, and return the seconds per event.
 
--- a/laurelwind/coordination/retries.py
+++ b/laurelwind/coordination/retries.py
@@ -10,6 +10,12 @@
 _BASE_DELAY_S: Final = 0.01
 _MAX_DELAY_S: Final = 0.5
 _MAX_DOUBLINGS: Final = 8
+# Range of the Retry-After delay, in seconds, when no endpoint can serve a
+# request: long enough for an endpoint to finish a request, short compared with
+# latency goals.  The jitter keeps callers that were rejected together from
+# retrying together.
+MIN_RETRY_AFTER_S: Final = 0.5
+MAX_RETRY_AFTER_S: Final = 1.1
 
 
 class RetryBudget:
@@ -47,3 +53,8 @@
         _BASE_DELAY_S * (1 << min(attempt, _MAX_DOUBLINGS)), _MAX_DELAY_S
     )
     await anyio.sleep(random.uniform(0, max_delay_s))
+
+
+def draw_retry_after() -> float:
+    """Return a random Retry-After delay, in seconds."""
+    return random.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
--- a/laurelwind/coordination/scheduling/candidates.py
+++ b/laurelwind/coordination/scheduling/candidates.py
@@ -33,3 +33,16 @@
             affinity_key, endpoint.name
         ),
     )
+
+
+def find_by_name(
+    endpoints: Sequence[EndpointRecord], name: str
+) -> EndpointRecord | None:
+    """Return the endpoint of that name, or ``None``.
+
+    :param endpoints: the endpoints to search.
+    :param name: name of the endpoint.
+    """
+    return next(
+        (endpoint for endpoint in endpoints if endpoint.name == name), None
+    )
--- a/laurelwind/coordination/scheduling/placement.py
+++ b/laurelwind/coordination/scheduling/placement.py
@@ -13,7 +13,10 @@
 from collections.abc import Sequence
 from typing import Final
 
-from laurelwind.coordination.scheduling.candidates import limit_candidates
+from laurelwind.coordination.scheduling.candidates import (
+    find_by_name,
+    limit_candidates,
+)
 from laurelwind.coordination.scheduling.endpoint_states import (
     REMOTE_LOSS_WEIGHT,
     SERVER_ERROR_WEIGHT,
@@ -79,7 +82,7 @@
             cheapest = [
                 name for name, cost in costs.items() if cost == min_cost
             ]
-            return _find_by_name(endpoints, random.choice(cheapest))
+            return find_by_name(endpoints, random.choice(cheapest))
         max_cost = min_cost + AFFINITY_TOLERANCE_S + requirements.reuse_saving_s
         eligible = [name for name, cost in costs.items() if cost <= max_cost]
         preferred = max(
@@ -88,7 +91,7 @@
                 requirements.affinity_key, name
             ),
         )
-        return _find_by_name(endpoints, preferred)
+        return find_by_name(endpoints, preferred)
 
     def estimate_wait(
         self,
@@ -252,6 +255,8 @@
             for candidate in candidates
             if candidate[1].backoff_until <= now
         ]
+        if not available and not requirements.avoids_backoff:
+            available = candidates
         classes = (
             {}
             if requirements.scheduling_class is None
@@ -261,7 +266,7 @@
             [state.get_unit_latency(now) for _, state in candidates]
         )
         costs = {}
-        for endpoint, state in available or candidates:
+        for endpoint, state in available:
             cost = self._compute_cost(endpoint, state, now)
             cost += compute_slow_penalty(
                 state.get_unit_latency(now), baseline_s
@@ -290,11 +295,3 @@
             state = EndpointState()
             self._states[name] = state
         return state
-
-
-def _find_by_name(
-    endpoints: Sequence[EndpointRecord], name: str
-) -> EndpointRecord | None:
-    return next(
-        (endpoint for endpoint in endpoints if endpoint.name == name), None
-    )
--- a/laurelwind/coordination/scheduling/requirements.py
+++ b/laurelwind/coordination/scheduling/requirements.py
@@ -31,6 +31,8 @@
         prompt cache, or empty.
     :ivar reuse_saving_s: seconds of prefill that the cached prefix saves.
     :ivar excluded_endpoints: names of endpoints that failed the request.
+    :ivar avoids_backoff: whether endpoints in backoff are ruled out, rather
+        than used when there is no other.
     :ivar scheduling_class: class of the request, or ``None`` where classes are
         not separated.
     """
@@ -38,6 +40,7 @@
     affinity_key: str = ''
     reuse_saving_s: float = 0
     excluded_endpoints: frozenset[str] = frozenset()
+    avoids_backoff: bool = False
     scheduling_class: SchedulingClass | None = None
 
 
--- /dev/null
+++ b/laurelwind/coordination/selection.py
@@ -0,0 +1,200 @@
+"""Selects the endpoint of each attempt, and tells what rules one out."""
+
+import enum
+from collections.abc import Sequence
+from typing import Final
+
+from attrs import frozen
+
+from laurelwind.coordination.relay_jobs import Job
+from laurelwind.coordination.retries import draw_retry_after
+from laurelwind.coordination.rollouts.registry import RolloutRegistry
+from laurelwind.coordination.scheduling.fleet_retry_budget import (
+    FleetRetryBudget,
+)
+from laurelwind.coordination.scheduling.placement import Placement
+from laurelwind.coordination.scheduling.requirements import (
+    PlacementRequirements,
+)
+from laurelwind.errors import CapacityError, EndpointError, ErrorKind
+from laurelwind.state.directory import EndpointDirectory, EndpointRecord
+from laurelwind.state.leases import FreshnessLease
+
+# Minimum time to the deadline, in seconds, for a retry.
+MIN_REMAINING_S: Final = 0.05
+
+
+class RetryObstacle(enum.StrEnum):
+    """Why a request cannot move to another endpoint at the moment."""
+
+    NOT_REPEATABLE = 'not_repeatable'
+    NO_EVENT_ID = 'no_event_id'
+    ATTEMPTS = 'attempts'
+    DEADLINE = 'deadline'
+    RETRY_BUDGET = 'retry_budget'
+    TABLE_AGE = 'table_age'
+    NO_ENDPOINT = 'no_endpoint'
+
+
+@frozen(kw_only=True)
+class SelectorDependencies:
+    """Collaborators of an :class:`EndpointSelector`.
+
+    :ivar lease: freshness lease of the routing table.
+    :ivar directory: registered endpoints.
+    :ivar rollouts: selects the version for each request.
+    :ivar placement: selects endpoints.
+    :ivar retry_budget: retry budget.
+    """
+
+    lease: FreshnessLease
+    directory: EndpointDirectory
+    rollouts: RolloutRegistry
+    placement: Placement
+    retry_budget: FleetRetryBudget
+
+
+class EndpointSelector:
+    """Selects endpoints within the limits on retries.
+
+    :param dependencies: collaborators of the selector.
+    """
+
+    def __init__(self, *, dependencies: SelectorDependencies) -> None:
+        self._dependencies = dependencies
+
+    def choose(self, job: Job) -> EndpointRecord:
+        """Select the endpoint of the next attempt.
+
+        :param job: the request.
+        :raises LaurelwindError: if no endpoint is left, or every queue is
+            longer than the time to the deadline.
+        """
+        endpoint = self._dependencies.placement.choose(
+            self._list_ready(job), _build_requirements(job)
+        )
+        if endpoint is not None:
+            self._ensure_start_before_deadline(job, endpoint)
+            return endpoint
+        if job.may_have_run:
+            raise EndpointError(
+                ErrorKind.ENDPOINT_FAILED,
+                'no endpoint left: every endpoint tried failed',
+            )
+        raise CapacityError(
+            ErrorKind.NO_ENDPOINT,
+            'no ready endpoint is left for the request',
+            retry_after_s=draw_retry_after(),
+        )
+
+    def estimate_wait(self, job: Job) -> float:
+        """Estimate the seconds until a request would start.
+
+        :param job: the request.
+        """
+        return self._dependencies.placement.estimate_wait(
+            self._list_ready(job), _build_requirements(job)
+        )
+
+    def can_retry(self, job: Job) -> bool:
+        """Return whether limits and retry budget allow another attempt.
+
+        :param job: the request.
+        """
+        return self._find_limit(job) is None
+
+    def find_obstacle(
+        self, job: Job, endpoint: EndpointRecord
+    ) -> RetryObstacle | None:
+        """Return why a request cannot leave its endpoint, or ``None``.
+
+        :param job: the request.
+        :param endpoint: the endpoint that the request is at.
+        """
+        if not job.route.is_repeatable:
+            return RetryObstacle.NOT_REPEATABLE
+        if job.events and not job.last_event_id:
+            return RetryObstacle.NO_EVENT_ID
+        limit = self._find_limit(job)
+        if limit is not None:
+            return limit
+        if not self._dependencies.lease.is_valid:
+            return RetryObstacle.TABLE_AGE
+        other = self._dependencies.placement.choose(
+            self._list_ready(job),
+            _build_requirements(
+                job, excluded={endpoint.name}, avoids_backoff=True
+            ),
+        )
+        if other is None or self._is_queue_too_long(job, other):
+            return RetryObstacle.NO_ENDPOINT
+        return None
+
+    def ensure_retry_allowed(self, job: Job, error: EndpointError) -> None:
+        """Raise an error unless another attempt is allowed.
+
+        :param job: the request.
+        :param error: failure of the last attempt.
+        :raises LaurelwindError: if no further attempt is allowed.
+        """
+        if self.can_retry(job):
+            return
+        if job.may_have_run:
+            raise error
+        raise CapacityError(
+            ErrorKind.NO_ENDPOINT,
+            'no retry allowed: every endpoint tried refused the request',
+            retry_after_s=draw_retry_after(),
+        ) from error
+
+    def _list_ready(self, job: Job) -> Sequence[EndpointRecord]:
+        return self._dependencies.rollouts.filter_endpoints(
+            job.service,
+            job.sticky_key,
+            self._dependencies.directory.list_ready(job.service),
+        )
+
+    def _find_limit(self, job: Job) -> RetryObstacle | None:
+        if job.attempts >= job.route.max_attempts:
+            return RetryObstacle.ATTEMPTS
+        if job.remaining_s < MIN_REMAINING_S:
+            return RetryObstacle.DEADLINE
+        budget = self._dependencies.retry_budget
+        if budget.get_remaining_ratio(job.service) > 0:
+            return None
+        return RetryObstacle.RETRY_BUDGET
+
+    def _is_queue_too_long(self, job: Job, endpoint: EndpointRecord) -> bool:
+        delay_s = self._dependencies.placement.estimate_queue_delay(endpoint)
+        return delay_s >= job.remaining_s
+
+    def _ensure_start_before_deadline(
+        self, job: Job, endpoint: EndpointRecord
+    ) -> None:
+        """Reject a request that would wait in a queue past its deadline."""
+        if job.may_have_run or not self._is_queue_too_long(job, endpoint):
+            return
+        delay_s = self._dependencies.placement.estimate_queue_delay(endpoint)
+        raise CapacityError(
+            ErrorKind.OVERLOADED,
+            f'the shortest queue takes {delay_s:.1f} s, past the deadline',
+            retry_after_s=delay_s + draw_retry_after(),
+        )
+
+
+def _build_requirements(
+    job: Job, *, excluded: set[str] | None = None, avoids_backoff: bool = False
+) -> PlacementRequirements:
+    # The last part of a prompt is specific to the request or session, so only
+    # the parts before it are likely to be cached.
+    shared = job.request.parts[:-1] or job.request.parts
+    tokens = sum(part.tokens for part in shared)
+    return PlacementRequirements(
+        affinity_key=shared[-1].name if shared else '',
+        reuse_saving_s=job.estimate_prefill(tokens),
+        excluded_endpoints=frozenset(
+            job.excluded_endpoints.union(excluded or ())
+        ),
+        avoids_backoff=avoids_backoff,
+        scheduling_class=job.scheduling_class,
+    )
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -1,19 +1,20 @@
 """Selects endpoints and sends requests to them."""
 
-import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Final
 
 from attrs import frozen
 
 from laurelwind.coordination.relay_jobs import Attempt, Job
+from laurelwind.coordination.retries import draw_retry_after
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling.fleet_retry_budget import (
     FleetRetryBudget,
 )
 from laurelwind.coordination.scheduling.placement import Placement
-from laurelwind.coordination.scheduling.requirements import (
-    PlacementRequirements,
+from laurelwind.coordination.selection import (
+    EndpointSelector,
+    SelectorDependencies,
 )
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
@@ -29,14 +30,6 @@
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.state.load import read_monotonic_clock
 
-# Minimum time to the deadline, in seconds, for a retry.
-MIN_REMAINING_S: Final = 0.05
-# Range of the Retry-After delay, in seconds, when no endpoint can serve a
-# request: long enough for an endpoint to finish a request, short compared with
-# latency goals.  The jitter keeps callers that were rejected together from
-# retrying together.
-MIN_RETRY_AFTER_S: Final = 0.5
-MAX_RETRY_AFTER_S: Final = 1.1
 _MS_PER_S: Final = 1000
 
 
@@ -74,10 +67,20 @@
     """Sends requests to the endpoints selected by placement.
 
     :param dependencies: collaborators of the sender.
+    :ivar selector: selects the endpoints.
     """
 
     def __init__(self, *, dependencies: SenderDependencies) -> None:
         self._dependencies = dependencies
+        self.selector = EndpointSelector(
+            dependencies=SelectorDependencies(
+                lease=dependencies.lease,
+                directory=dependencies.directory,
+                rollouts=dependencies.rollouts,
+                placement=dependencies.placement,
+                retry_budget=dependencies.retry_budget,
+            )
+        )
 
     async def send(self, job: Job) -> Attempt:
         """Send a request to the first endpoint that accepts it.
@@ -87,94 +90,12 @@
             not be retried.
         """
         while True:
-            endpoint = self._choose_endpoint(job)
+            endpoint = self.selector.choose(job)
             try:
                 return await self._send_to_endpoint(job, endpoint)
             except EndpointError as error:
                 self._handle_unsent(job, endpoint, error)
 
-    def estimate_wait(self, job: Job) -> float:
-        """Estimate the seconds until a request would start.
-
-        :param job: the request.
-        """
-        endpoints, requirements = (
-            self._list_ready_endpoints(job),
-            _build_requirements(job),
-        )
-        return self._dependencies.placement.estimate_wait(
-            endpoints, requirements
-        )
-
-    def can_retry(self, job: Job) -> bool:
-        """Return whether limits and retry budget allow another attempt.
-
-        :param job: the request.
-        """
-        if (
-            job.attempts >= job.route.max_attempts
-            or job.remaining_s < MIN_REMAINING_S
-        ):
-            return False
-        return (
-            self._dependencies.retry_budget.get_remaining_ratio(job.service) > 0
-        )
-
-    def ensure_retry_allowed(self, job: Job, error: EndpointError) -> None:
-        """Raise an error unless another attempt is allowed.
-
-        :param job: the request.
-        :param error: failure of the last attempt.
-        :raises LaurelwindError: if no further attempt is allowed.
-        """
-        if self.can_retry(job):
-            return
-        if job.may_have_run:
-            raise error
-        raise CapacityError(
-            ErrorKind.NO_ENDPOINT,
-            'no retry allowed: every endpoint tried refused the request',
-            retry_after_s=draw_retry_after(),
-        ) from error
-
-    def _list_ready_endpoints(self, job: Job) -> Sequence[EndpointRecord]:
-        return self._dependencies.rollouts.filter_endpoints(
-            job.service,
-            job.sticky_key,
-            self._dependencies.directory.list_ready(job.service),
-        )
-
-    def _choose_endpoint(self, job: Job) -> EndpointRecord:
-        endpoint = self._dependencies.placement.choose(
-            self._list_ready_endpoints(job), _build_requirements(job)
-        )
-        if endpoint is not None:
-            self._ensure_start_before_deadline(job, endpoint)
-            return endpoint
-        if job.may_have_run:
-            raise EndpointError(
-                ErrorKind.ENDPOINT_FAILED,
-                'no endpoint left: every endpoint tried failed',
-            )
-        raise CapacityError(
-            ErrorKind.NO_ENDPOINT,
-            'no ready endpoint is left for the request',
-            retry_after_s=draw_retry_after(),
-        )
-
-    def _ensure_start_before_deadline(
-        self, job: Job, endpoint: EndpointRecord
-    ) -> None:
-        """Reject a request that would wait in a queue past its deadline."""
-        delay_s = self._dependencies.placement.estimate_queue_delay(endpoint)
-        if delay_s < job.remaining_s or job.may_have_run:
-            return
-        raise CapacityError(
-            ErrorKind.OVERLOADED,
-            f'the shortest queue takes {delay_s:.1f} s, past the deadline',
-            retry_after_s=delay_s + draw_retry_after(),
-        )
-
     async def _send_to_endpoint(
         self, job: Job, endpoint: EndpointRecord
     ) -> Attempt:
@@ -237,7 +158,7 @@
         job.may_have_run = True
         if not job.route.is_repeatable:
             raise error
-        self.ensure_retry_allowed(job, error)
+        self.selector.ensure_retry_allowed(job, error)
 
     def _log_sent(
         self, job: Job, endpoint: EndpointRecord, dispatch: Dispatch
@@ -258,11 +179,6 @@
         )
 
 
-def draw_retry_after() -> float:
-    """Return a random Retry-After delay, in seconds."""
-    return random.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
-
-
 def _build_dispatch(job: Job, endpoint: EndpointRecord) -> Dispatch:
     return Dispatch(
         address=endpoint.address,
@@ -276,19 +192,6 @@
     )
 
 
-def _build_requirements(job: Job) -> PlacementRequirements:
-    # The last part of a prompt is specific to the request or session, so only
-    # the parts before it are likely to be cached.
-    shared = job.request.parts[:-1] or job.request.parts
-    tokens = sum(part.tokens for part in shared)
-    return PlacementRequirements(
-        affinity_key=shared[-1].name if shared else '',
-        reuse_saving_s=job.estimate_prefill(tokens),
-        excluded_endpoints=frozenset(job.excluded_endpoints),
-        scheduling_class=job.scheduling_class,
-    )
-
-
 def _build_stale_error(job: Job) -> LaurelwindError:
     if job.may_have_run:
         return EndpointError(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,11 +1,12 @@
 """Guarantees of the relay to callers when endpoints fail."""
 
+import contextlib
 import random
 
 import anyio
 import pytest
 
-from laurelwind.coordination.sending import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
+from laurelwind.coordination.retries import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
 from laurelwind.errors import (
     CallerError,
     CapacityError,
@@ -327,3 +328,28 @@
         int((delay - MIN_RETRY_AFTER_S) / width * 4) for delay in delays
     }
     assert quarters == {0, 1, 2, 3}
+
+
+@pytest.mark.parametrize(
+    ('head', 'given_up', 'names', 'obstacle'),
+    [
+        (None, True, ('e1', 'e2'), None),
+        (build_broken_error(), False, ('e1',), 'no_endpoint'),
+    ],
+)
+async def test_a_failed_attempt_tells_who_ended_it_and_what_barred_a_move(
+    head, given_up, names, obstacle, monkeypatch
+):
+    harness = RelayHarness(EndpointScript(head=head), COMPLETE, names=names)
+    lines = []
+    monkeypatch.setattr(
+        harness.log, 'log_warning', lambda event, **line: lines.append(line)
+    )
+    monkeypatch.setattr(
+        'laurelwind.coordination.answer_heads.PLAIN_FIRST_BYTE_RATIO', 0.1
+    )
+    with contextlib.suppress(EndpointError):
+        await harness.serve(build_request('look'))
+    assert lines[0]['given_up'] == given_up
+    assert lines[0]['obstacle'] == obstacle
+    assert (lines[0]['silent_s'] >= 0.1) == given_up
