Keep an attempt at a silent endpoint until another one can take over

Callers saw begun streams cut off, and requests ended with 502, though their endpoint was only silent for a while and would have answered.

Cause: the attempt was ended at its time-out before it was known that another endpoint can take the request. The check came after the fact, so the request failed where no other endpoint was ready, all were in backoff or of another service, the retry budget or the attempts were used up, no event id had arrived, or the endpoints asked next refused: the silent endpoint was excluded for good. The last attempt of a stream was ended at its time-out without any other in view.

Plain answers whose head has arrived, and requests that must not be repeated, had no time-out and still have none.

Now SilenceMonitor ends an attempt at its time-out only if the selector finds no obstacle: limits, retry budget, age of the table, and another endpoint outside its backoff that was not tried. An endpoint left for its silence is used again if no other is left; attempts that were refused without running do not count against max_attempts there, and the endpoint count does not grow. The retry budget holds for it. The longer time-out of last attempts goes, as it served only to end them.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -4,16 +4,17 @@
 
 from attrs import frozen
 
-from laurelwind.coordination.answer_heads import (
-    HeadReader,
-    fail_after_silence,
-)
+from laurelwind.coordination.answer_heads import HeadReader
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.relay_jobs import Attempt, BufferedAnswer, Job
 from laurelwind.coordination.rollouts.evidence import AnswerOutcome
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.selection import EndpointSelector
+from laurelwind.coordination.silence_monitor import (
+    SilenceLimit,
+    SilenceMonitor,
+)
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
     EndpointError,
@@ -28,9 +29,9 @@
 # that a request whose answer breaks off can be retried.
 MAX_BUFFERED_BYTES: Final = 1_048_576
 # Time-out between the events of a stream, as a multiple of its gap goal; after
-# it the stream is resumed at another endpoint.  Shorter gaps are caused by long
-# prompts in the same batch; resuming then repeats the whole prefill and makes
-# such gaps longer.
+# it the stream is resumed at another endpoint if one can take it.  Shorter gaps
+# are caused by long prompts in the same batch; resuming then repeats the whole
+# prefill and makes such gaps longer.
 GAP_TIMEOUT_RATIO: Final = 2.0
 # Statuses by which callers may conclude that a request did not run.
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
@@ -47,6 +48,7 @@
     """Collaborators of a :class:`Delivery`.
 
     :ivar selector: decides whether a request may be retried.
+    :ivar monitor: decides when silence ends an attempt.
     :ivar placement: tracks the state of endpoints.
     :ivar rollouts: tracks the outcomes of versions.
     :ivar planner: decides which answers are escalated to a larger model.
@@ -55,6 +57,7 @@
     """
 
     selector: EndpointSelector
+    monitor: SilenceMonitor
     placement: Placement
     rollouts: RolloutRegistry
     planner: ModelPlanner
@@ -70,7 +73,9 @@
 
     def __init__(self, *, dependencies: DeliveryDependencies) -> None:
         self._dependencies = dependencies
-        self._heads = HeadReader(placement=dependencies.placement)
+        self._heads = HeadReader(
+            placement=dependencies.placement, monitor=dependencies.monitor
+        )
 
     async def deliver(
         self, job: Job, attempt: Attempt, answer: CallerAnswer
@@ -201,11 +206,15 @@
         raise LowConfidenceError
 
     async def _read_events(self, job: Job, attempt: Attempt) -> bytes:
-        wait_s = None
+        timeout_s = None
         if job.route.is_resumable and job.attempts < job.route.max_attempts:
-            wait_s = job.route.gap_goal_s * GAP_TIMEOUT_RATIO
-        with fail_after_silence(wait_s, awaited='event', run=RunState.RAN):
-            return await attempt.exchange.read_chunk()
+            timeout_s = job.route.gap_goal_s * GAP_TIMEOUT_RATIO
+        limit = SilenceLimit(
+            timeout_s=timeout_s, awaited='event', run=RunState.RAN
+        )
+        return await self._dependencies.monitor.read(
+            job, attempt, limit, attempt.exchange.read_chunk
+        )
 
     def _log_answered(self, job: Job, attempt: Attempt, status: int) -> None:
         metrics = self._dependencies.metrics
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -13,6 +13,7 @@
 from laurelwind.coordination.retries import draw_retry_after
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import Sender, SenderDependencies
+from laurelwind.coordination.silence_monitor import SilenceMonitor
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
@@ -65,6 +66,7 @@
     delivery = Delivery(
         dependencies=DeliveryDependencies(
             selector=sender.selector,
+            monitor=SilenceMonitor(sender=sender, log=dependencies.log),
             placement=dependencies.placement,
             rollouts=dependencies.rollouts,
             planner=planner,
@@ -250,7 +252,11 @@
             # version.
             if not is_silent:
                 dependencies.delivery.record_answer(job, attempt, failed=True)
-        job.excluded_endpoints.add(attempt.endpoint.name)
+        job.record_failure(
+            attempt.endpoint.name,
+            is_silent=is_silent,
+            is_refusal=error.run is RunState.NOT_RUN,
+        )
         dependencies.log.log_warning(
             'attempt_failed',
             request=job.request.request_id,
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -56,6 +56,9 @@
     :ivar attempts: number of endpoints that the request was sent to.
     :ivar may_have_run: whether an endpoint may have run the request.
     :ivar excluded_endpoints: names of endpoints that failed the request.
+    :ivar silent_endpoints: names of endpoints that the request left for their
+        silence; they are used again if no other one is left.
+    :ivar refusals: number of attempts that did not run.
     :ivar saved_failure: complete failure answer of an endpoint, delivered if
         every later attempt fails as well.
     :ivar last_event_id: id of the last stream event that the caller has.
@@ -76,6 +79,8 @@
     attempts: int = 0
     may_have_run: bool = False
     excluded_endpoints: set[str] = field(factory=set)
+    silent_endpoints: set[str] = field(factory=set)
+    refusals: int = 0
     saved_failure: BufferedAnswer | None = None
     last_event_id: str = ''
     events: int = 0
@@ -162,6 +167,21 @@
         share = (self.model.cost or highest_cost) / highest_cost
         return tokens / PREFILL_TOKENS_PER_S * share
 
+    def record_failure(
+        self, endpoint: str, *, is_silent: bool, is_refusal: bool
+    ) -> None:
+        """Record a failed attempt.
+
+        :param endpoint: name of the endpoint.
+        :param is_silent: whether it was left for its silence.
+        :param is_refusal: whether the request did not run there.
+        """
+        self.refusals += int(is_refusal)
+        if is_silent:
+            self.silent_endpoints.add(endpoint)
+        else:
+            self.excluded_endpoints.add(endpoint)
+
     def record_events(self, count: int, last_event_id: str) -> None:
         """Record events delivered to the caller.
 
--- a/laurelwind/coordination/scheduling/silence.py
+++ b/laurelwind/coordination/scheduling/silence.py
@@ -17,7 +17,6 @@
 # rises in a burst, which delays most answers.
 WAIT_QUANTILE: Final = 0.75
 QUANTILE_FACTOR: Final = 3.0
-LAST_ATTEMPT_FACTOR: Final = 2.0
 # Bounds of the time-out beyond the expected delay, as shares of the latency
 # goal. Before enough waits are known, the upper one applies.
 MIN_GOAL_RATIO: Final = 0.25
@@ -66,25 +65,3 @@
             quantile_s * QUANTILE_FACTOR, latency_goal_s * MIN_GOAL_RATIO
         )
         return expected_delay_s + min(excess_s, max_excess_s)
-
-    def compute_last_timeout(
-        self,
-        group: tuple[str, str],
-        expected_delay_s: float,
-        latency_goal_s: float,
-    ) -> float:
-        """Return the same for the last attempt of a request.
-
-        It is longer, as a false alarm costs the request.
-
-        :param group: route and model.
-        :param expected_delay_s: delay expected at sending, in seconds.
-        :param latency_goal_s: latency goal of the route, in seconds.
-        """
-        excess_s = (
-            self.compute_timeout(group, expected_delay_s, latency_goal_s)
-            - expected_delay_s
-        )
-        return expected_delay_s + max(
-            excess_s * LAST_ATTEMPT_FACTOR, latency_goal_s
-        )
--- a/laurelwind/coordination/selection.py
+++ b/laurelwind/coordination/selection.py
@@ -70,9 +70,7 @@
         :raises LaurelwindError: if no endpoint is left, or every queue is
             longer than the time to the deadline.
         """
-        endpoint = self._dependencies.placement.choose(
-            self._list_ready(job), _build_requirements(job)
-        )
+        endpoint = self._choose_untried(job) or self._choose_silent(job)
         if endpoint is not None:
             self._ensure_start_before_deadline(job, endpoint)
             return endpoint
@@ -101,7 +99,10 @@
 
         :param job: the request.
         """
-        return self._find_limit(job) is None
+        return (
+            job.attempts < job.route.max_attempts
+            and self._find_limit(job) is None
+        )
 
     def find_obstacle(
         self, job: Job, endpoint: EndpointRecord
@@ -115,17 +116,12 @@
             return RetryObstacle.NOT_REPEATABLE
         if job.events and not job.last_event_id:
             return RetryObstacle.NO_EVENT_ID
+        if job.attempts >= job.route.max_attempts:
+            return RetryObstacle.ATTEMPTS
         limit = self._find_limit(job)
         if limit is not None:
             return limit
-        if not self._dependencies.lease.is_valid:
-            return RetryObstacle.TABLE_AGE
-        other = self._dependencies.placement.choose(
-            self._list_ready(job),
-            _build_requirements(
-                job, excluded={endpoint.name}, avoids_backoff=True
-            ),
-        )
+        other = self._choose_untried(job, endpoint)
         if other is None or self._is_queue_too_long(job, other):
             return RetryObstacle.NO_ENDPOINT
         return None
@@ -137,7 +133,7 @@
         :param error: failure of the last attempt.
         :raises LaurelwindError: if no further attempt is allowed.
         """
-        if self.can_retry(job):
+        if self.can_retry(job) or self._can_return(job):
             return
         if job.may_have_run:
             raise error
@@ -154,11 +150,44 @@
             self._dependencies.directory.list_ready(job.service),
         )
 
-    def _find_limit(self, job: Job) -> RetryObstacle | None:
+    def _choose_untried(
+        self, job: Job, current: EndpointRecord | None = None
+    ) -> EndpointRecord | None:
         if job.attempts >= job.route.max_attempts:
-            return RetryObstacle.ATTEMPTS
+            return None
+        excluded = set(job.silent_endpoints)
+        if current is not None:
+            excluded.add(current.name)
+        return self._dependencies.placement.choose(
+            self._list_ready(job),
+            _build_requirements(
+                job, excluded=excluded, avoids_backoff=current is not None
+            ),
+        )
+
+    def _choose_silent(self, job: Job) -> EndpointRecord | None:
+        if job.attempts - job.refusals >= job.route.max_attempts:
+            return None
+        return self._dependencies.placement.choose(
+            [
+                endpoint
+                for endpoint in self._list_ready(job)
+                if endpoint.name in job.silent_endpoints
+            ],
+            _build_requirements(job),
+        )
+
+    def _can_return(self, job: Job) -> bool:
+        return (
+            self._find_limit(job) is None
+            and self._choose_silent(job) is not None
+        )
+
+    def _find_limit(self, job: Job) -> RetryObstacle | None:
         if job.remaining_s < MIN_REMAINING_S:
             return RetryObstacle.DEADLINE
+        if not self._dependencies.lease.is_valid:
+            return RetryObstacle.TABLE_AGE
         budget = self._dependencies.retry_budget
         if budget.get_remaining_ratio(job.service) > 0:
             return None
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -122,16 +122,30 @@
         return self.is_newest
 
 
+@define
+class Pause:
+    """Silence of an endpoint, which a cancelled read does not prolong."""
+
+    seconds: float
+    ends_at: float = 0
+
+    async def wait(self):
+        self.ends_at = self.ends_at or anyio.current_time() + self.seconds
+        await anyio.sleep_until(self.ends_at)
+
+
 @define
 class EndpointScript:
     """Scripted behaviour of an endpoint for one request.
 
-    A head or chunk that is an exception is raised; ``None`` hangs.
+    A head or chunk that is an exception is raised; ``None`` hangs, and a
+    :class:`Pause` delays what follows.
     """
 
     head: object = field(factory=lambda: AnswerHead(status=200))
     chunks: list = field(factory=list)
     refuses_connection: bool = False
+    pause: Pause = field(factory=lambda: Pause(0))
 
 
 class FakeExchange(EndpointExchange):
@@ -141,12 +155,18 @@
         self.is_closed = False
 
     async def read_head(self):
+        await self._script.pause.wait()
         return await _play(self._script.head)
 
     async def read_chunk(self):
+        while self._chunks and isinstance(self._chunks[0], Pause):
+            await self._chunks[0].wait()
+            self._chunks.pop(0)
         if not self._chunks:
             return b''
-        return await _play(self._chunks.pop(0))
+        chunk = await _play(self._chunks[0])
+        self._chunks.pop(0)
+        return chunk
 
     async def close(self):
         self.is_closed = True
--- /dev/null
+++ b/tests/test_sound_silence.py
@@ -0,0 +1,202 @@
+"""Endpoints that fall silent for a while and then go on.
+
+Guards against answers that are ended for silence although no other endpoint
+can take them over.
+"""
+
+import anyio
+import pytest
+
+from laurelwind.protocol.exchanges import AnswerHead
+from laurelwind.state.routes import RequestKind
+from tests.relay_helpers import (
+    EndpointScript,
+    Pause,
+    RelayHarness,
+    build_endpoint_record,
+    build_request,
+    build_route,
+    build_routing_table,
+)
+
+pytestmark = pytest.mark.anyio
+
+GOAL_S = 0.1
+SILENCE_S = 0.7
+TIMES = {
+    'timeout_s': 5.0,
+    'latency_goal_s': GOAL_S,
+    'gap_goal_s': GOAL_S,
+}
+REFUSAL = EndpointScript(head=AnswerHead(status=503, did_not_run=True))
+
+
+def events(first, last):
+    return b''.join(
+        b'id: %d\ndata: x%d\n\n' % (number, number)
+        for number in range(first, last + 1)
+    )
+
+
+def build_harness(*scripts, max_attempts=3, **fields):
+    harness = RelayHarness(*scripts, **fields)
+    limits = {**TIMES, 'max_attempts': max_attempts}
+    harness.tracker.table = build_routing_table(
+        routes=(
+            build_route('look', RequestKind.IDEMPOTENT, **limits),
+            build_route(
+                'draft', RequestKind.STREAMING, is_resumable=True, **limits
+            ),
+        )
+    )
+    return harness
+
+
+def build_paused_stream(seconds=SILENCE_S):
+    return EndpointScript(chunks=[events(1, 2), Pause(seconds), events(3, 4)])
+
+
+def spend_retry_budget(harness):
+    for _ in range(40):
+        harness.retry_budget.record_retry('pool')
+
+
+def drain_others(harness):
+    """Let the other endpoints leave."""
+    busy = harness.gateway.sent[0].endpoint
+    for name in ('e1', 'e2', 'e3'):
+        if name != busy:
+            harness.directory.apply(
+                name,
+                build_endpoint_record(name, is_draining=True, sequence=2),
+                offset=10,
+            )
+
+
+def pause_others(harness):
+    for name in ('e1', 'e2', 'e3'):
+        if name != harness.gateway.sent[0].endpoint:
+            for _ in range(3):
+                harness.placement.record_failure(build_endpoint_record(name))
+
+
+def move_others(harness):
+    """Let the other endpoints serve another service."""
+    busy = harness.gateway.sent[0].endpoint
+    for name in ('e1', 'e2', 'e3'):
+        if name != busy:
+            harness.directory.apply(
+                name,
+                build_endpoint_record(name, service='other', sequence=2),
+                offset=10,
+            )
+
+
+async def serve_with_change(harness, name, change):
+    """Serve a request, and apply a change shortly after it was sent."""
+    answers = []
+
+    async def serve():
+        answers.append(await harness.serve(build_request(name)))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(serve)
+        await anyio.sleep(GOAL_S / 2)
+        change(harness)
+    return answers[0]
+
+
+@pytest.mark.parametrize(
+    'change',
+    [drain_others, pause_others, move_others, spend_retry_budget],
+)
+async def test_a_begun_stream_is_kept_while_no_endpoint_can_take_it(change):
+    harness = build_harness(build_paused_stream())
+    answer = await serve_with_change(harness, 'draft', change)
+    assert answer.body == events(1, 4)
+    assert len(harness.gateway.sent) == 1
+
+
+async def test_a_stream_of_the_only_endpoint_outlasts_its_silence():
+    harness = build_harness(build_paused_stream(), names=('e1',))
+    answer = await harness.serve(build_request('draft'))
+    assert answer.body == events(1, 4)
+
+
+async def test_a_begun_stream_without_event_ids_outlasts_its_silence():
+    chunks = [b'data: a\n\n', Pause(SILENCE_S), b'data: b\n\n']
+    harness = build_harness(EndpointScript(chunks=chunks))
+    answer = await harness.serve(build_request('draft'))
+    assert answer.body == b'data: a\n\ndata: b\n\n'
+
+
+@pytest.mark.parametrize('name', ['look', 'draft'])
+async def test_the_first_byte_is_awaited_while_no_endpoint_can_take_over(name):
+    script = EndpointScript(pause=Pause(SILENCE_S), chunks=[events(1, 1)])
+    harness = build_harness(script, names=('e1',))
+    assert (await harness.serve(build_request(name))).is_whole
+
+
+async def test_the_last_attempt_of_a_stream_is_not_ended_for_silence():
+    script = EndpointScript(pause=Pause(SILENCE_S), chunks=[events(1, 1)])
+    harness = build_harness(script, max_attempts=1)
+    assert (await harness.serve(build_request('draft'))).is_whole
+
+
+async def test_a_silent_endpoint_is_left_once_another_is_ready():
+    harness = build_harness(
+        EndpointScript(chunks=[events(1, 2), None]),
+        EndpointScript(chunks=[events(3, 4)]),
+        names=('e1',),
+    )
+
+    def add_endpoint(_):
+        harness.directory.apply('e2', build_endpoint_record('e2'), offset=9)
+
+    answer = await serve_with_change(harness, 'draft', add_endpoint)
+    assert answer.body == events(1, 4)
+    assert harness.gateway.sent[1].endpoint == 'e2'
+
+
+@pytest.mark.parametrize('max_attempts', [2, 3])
+@pytest.mark.parametrize(
+    'refusal', [REFUSAL, EndpointScript(refuses_connection=True)]
+)
+async def test_a_refused_move_returns_to_the_silent_endpoint(
+    refusal, max_attempts
+):
+    harness = build_harness(
+        EndpointScript(chunks=[events(1, 2), None]),
+        refusal,
+        EndpointScript(chunks=[events(3, 4)]),
+        names=('e1', 'e2'),
+        max_attempts=max_attempts,
+    )
+    answer = await harness.serve(build_request('draft'))
+    assert answer.body == events(1, 4)
+    sent = harness.gateway.sent
+    assert sent[0].endpoint == sent[-1].endpoint
+    assert sent[-1].last_event_id == '2'
+
+
+async def test_a_mute_endpoint_is_left_at_its_time_out():
+    harness = build_harness(
+        EndpointScript(head=None), EndpointScript(chunks=[events(1, 1)])
+    )
+    started_at = anyio.current_time()
+    assert (await harness.serve(build_request('draft'))).is_whole
+    assert anyio.current_time() - started_at < SILENCE_S
+
+
+async def test_a_tolerated_silence_is_logged_with_its_reason(monkeypatch):
+    harness = build_harness(build_paused_stream(), names=('e1',))
+    lines = {}
+    for method in ('log_info', 'log_warning'):
+        monkeypatch.setattr(
+            harness.log,
+            method,
+            lambda event, **line: lines.update({event: line}),
+        )
+    await harness.serve(build_request('draft'))
+    assert lines['silence_tolerated']['obstacle'] == 'no_endpoint'
+    assert lines['silence_ended']['silent_s'] >= SILENCE_S
