--- a/laurelwind/coordination/admission.py
+++ b/laurelwind/coordination/admission.py
@@ -8,7 +8,7 @@
 
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.relay_jobs import Job
-from laurelwind.coordination.sending import draw_retry_after
+from laurelwind.coordination.retries import draw_retry_after
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import CallerError, CapacityError, ErrorKind
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -15,10 +15,8 @@
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.relay_jobs import Attempt, Job
 from laurelwind.coordination.scheduling.placement import Placement
-from laurelwind.coordination.sending import (
-    Sender,
-    SenderDependencies,
-)
+from laurelwind.coordination.sending import Sender, SenderDependencies
+from laurelwind.coordination.silence_monitor import SilenceMonitor
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
     CapacityError,
@@ -62,7 +60,8 @@
     sender = Sender(dependencies=dependencies)
     delivery = Delivery(
         dependencies=DeliveryDependencies(
-            sender=sender,
+            selector=sender.selector,
+            monitor=SilenceMonitor(sender=sender, log=dependencies.log),
             placement=dependencies.placement,
             rollouts=dependencies.rollouts,
             planner=planner,
@@ -183,6 +182,10 @@
         self, job: Job, attempt: Attempt, error: EndpointError
     ) -> None:
         dependencies = self._dependencies
+        is_silent = isinstance(error, EndpointSilentError)
+        obstacle = dependencies.sender.selector.find_obstacle(
+            job, attempt.endpoint
+        )
         backoff_s: float = 0
         if error.run is not RunState.NOT_RUN:
             job.may_have_run = True
@@ -191,9 +194,13 @@
             )
             # Silence indicates load or a network fault, not a fault of the
             # version.
-            if not isinstance(error, EndpointSilentError):
+            if not is_silent:
                 dependencies.delivery.record_answer(job, attempt, failed=True)
-        job.excluded_endpoints.add(attempt.endpoint.name)
+        job.record_failure(
+            attempt.endpoint.name,
+            is_silent=is_silent,
+            is_refusal=error.run is RunState.NOT_RUN,
+        )
         dependencies.log.log_warning(
             'attempt_failed',
             request=job.request.request_id,
@@ -204,6 +211,9 @@
             reason=error.message,
             run=error.run,
             events=job.events,
+            given_up=is_silent,
+            silent_s=round(attempt.silent_s, 3),
+            obstacle=obstacle,
             paused_s=backoff_s,
             elapsed_ms=job.elapsed_ms,
         )
@@ -215,4 +225,4 @@
             raise error
         if answer.has_begun and not job.last_event_id:
             raise error
-        self._dependencies.sender.ensure_retry_allowed(job, error)
+        self._dependencies.sender.selector.ensure_retry_allowed(job, error)
--- a/laurelwind/transport/server.py
+++ b/laurelwind/transport/server.py
@@ -1,5 +1,6 @@
 """HTTP server that runs an ASGI application in the daemon's task group."""
 
+import asyncio
 import contextlib
 import socket
 from collections.abc import Iterator
@@ -9,6 +10,7 @@
 import uvicorn
 from anyio.abc import TaskGroup
 from starlette.types import ASGIApp
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from laurelwind.errors import ErrorKind, ListenError
 from laurelwind.settings import TlsSettings
