Log fields that orjson cannot encode

A line with an integer of more than 64 bits, or with a lone surrogate, raised TypeError out of the decision log into the task that logged it. In the reader of the operators' topic that is the whole daemon: its background tasks and its servers share one task group, so callers saw every request in hand end without an answer. A table whose version is beyond 64 bits does it.

Such a line is now encoded by the json module, with surrogates replaced.

Before: test_a_field_that_orjson_cannot_encode_raises_no_error TypeError: Integer exceeds 64-bit range

--- a/laurelwind/decisions.py
+++ b/laurelwind/decisions.py
@@ -1,5 +1,6 @@
 """Structured, rate-limited and non-blocking log on standard output."""
 
+import json
 import os
 import time
 from collections.abc import Callable, Mapping
@@ -91,9 +92,7 @@
         }
         if self.dropped_lines:
             line['lines_left_out'] = self.dropped_lines
-        encoded = orjson.dumps(
-            line, default=str, option=orjson.OPT_APPEND_NEWLINE
-        )
+        encoded = _encode_line(line)
         if self._write_bytes(encoded):
             self.dropped_lines = 0
         else:
@@ -115,3 +114,12 @@
             return False
         self._unsent = pending[sent:]
         return True
+
+
+def _encode_line(line: Mapping[str, Any]) -> bytes:
+    try:
+        return orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
+    except orjson.JSONEncodeError:
+        # Integers of more than 64 bits, or lone surrogates.
+        text = json.dumps(line, default=str, ensure_ascii=False)
+        return f'{text}\n'.encode(errors='replace')
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 import orjson
+import pytest
 
 from laurelwind import decisions
 from laurelwind.decisions import DecisionLog
@@ -84,3 +85,11 @@
     os.close(reader)
     log.log_warning('refused')
     assert log.dropped_lines == 1
+
+
+def test_a_field_that_orjson_cannot_encode_raises_no_error():
+    """An integer of more than 64 bits ended the task that logged it."""
+    log, reader = open_log()
+    log.log_info('odd', tokens=10**30, text='\ud800')
+    (line,) = read_lines(reader)
+    assert line['tokens'] == pytest.approx(10**30)
