Refuse documents whose fields a request could not use

Callers saw an internal error (500), and at worst a daemon that ended with all requests in hand, where the store held a document with a field of another type: the decoder checked presence but not types. A version of 1e30, a prefix that is a list, a service that is a number, a tenant's priority that is a text, or the port 99999 passed it, and raised later, in admission, in the socket or in the log. A text of keys in place of a list admitted each of its characters as a key. A name with a line break would have split the head that is sent to the endpoint.

Each field that the code uses is now checked for its type, as finite and without control characters, and arithmetic errors count as malformed, too. A document that does not pass is refused as before: the table in force stays until its lease ends, and an endpoint is not used.

Ruled out with the same variants: orders, statuses, shifts and reports raised nothing but ConfigurationError before, and still do.

--- /dev/null
+++ b/laurelwind/platform/fields.py
@@ -0,0 +1,98 @@
+"""Checked fields of the platform's documents."""
+
+import math
+import re
+from collections.abc import Sequence
+from typing import Any, Final
+
+import orjson
+
+from laurelwind.errors import ConfigurationError, ErrorKind
+
+# Raised where a document has an unexpected structure.
+STRUCTURE_ERRORS: Final = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    IndexError,
+    ArithmeticError,
+)
+_CONTROL_CHARACTER: Final = re.compile(r'[\x00-\x1f\x7f]')
+
+
+def parse_object(body: bytes) -> dict[str, Any]:
+    """Parse a document that is a JSON object.
+
+    :param body: the document.
+    :raises ConfigurationError: if it is anything else.
+    """
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise build_error(error) from error
+    if not isinstance(document, dict):
+        raise build_error(TypeError('expected a JSON object'))
+    return document
+
+
+def parse_text(field: Any) -> str:
+    """Return a non-empty string without control characters.
+
+    :param field: the field of a document.
+    :raises TypeError: if it is anything else.
+    :raises ValueError: if it has control characters.
+    """
+    if not isinstance(field, str) or not field:
+        raise TypeError('expected a non-empty string')
+    # Texts become header lines, which a control character would split.
+    if _CONTROL_CHARACTER.search(field):
+        raise ValueError('expected a string without control characters')
+    return field
+
+
+def parse_number(field: Any) -> float:
+    """Return a finite number.
+
+    :param field: the field of a document.
+    :raises TypeError: if it is anything else.
+    :raises ValueError: if it is not finite.
+    """
+    if not isinstance(field, int | float) or isinstance(field, bool):
+        raise TypeError('expected a number')
+    if not math.isfinite(field):
+        raise ValueError('expected a finite number')
+    return float(field)
+
+
+def parse_list(field: Any) -> Sequence[Any]:
+    """Return a list.
+
+    :param field: the field of a document.
+    :raises TypeError: if it is anything else.
+    """
+    if not isinstance(field, list):
+        raise TypeError('expected a list')
+    return field
+
+
+def parse_count(field: Any) -> int:
+    """Return a non-negative integer.
+
+    :param field: the field of a document.
+    :raises TypeError: if it is anything else.
+    """
+    if not isinstance(field, int) or isinstance(field, bool) or field < 0:
+        raise TypeError('expected a non-negative integer')
+    return field
+
+
+def build_error(error: Exception) -> ConfigurationError:
+    """Build the error of a document that cannot be used.
+
+    :param error: what its structure raised.
+    """
+    return ConfigurationError(
+        ErrorKind.CONFIGURATION_INVALID,
+        f'invalid document ({type(error).__name__}: {error})',
+    )
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,153 @@
+"""Documents of the store whose fields are missing or of another type."""
+
+import copy
+
+import orjson
+import pytest
+
+from laurelwind.errors import ConfigurationError
+from laurelwind.platform.documents import PlatformDocuments
+from laurelwind.protocol.keyed_store import Topic
+from tests.helpers import wait_until
+from tests.test_platform import TABLE
+from tests.test_tracker import build_endpoint, build_table, run_check
+
+pytestmark = pytest.mark.anyio
+CODEC = PlatformDocuments()
+ODD_VALUES = (
+    None,
+    True,
+    -1,
+    0,
+    1.5,
+    1e308,
+    10**18,
+    '',
+    'nan',
+    'a\r\nb: c',
+    '\N{ARABIC-INDIC DIGIT THREE}',
+    '10.0.0.1:99999',
+    [],
+    [1],
+    {},
+    ['x'],
+)
+DOCUMENTS = {
+    'table': TABLE,
+    'endpoint': build_endpoint(4),
+    'order': {'service': 'pool', 'target': 'v2', 'duration_s': 10},
+    'status': {'state': 'active', 'target': 'v2'},
+    'shift': {'target': 'v2', 'shift_at_s': 1.5},
+    'report': {
+        'target': 'v2',
+        'elapsed_s': 1.0,
+        'tallies': {'r1': [1, 2, 3]},
+        'old': [1, 2, 3],
+    },
+}
+DECODERS = {
+    'table': CODEC.decode_table,
+    'endpoint': lambda body: CODEC.decode_endpoint('e1', body),
+    'order': CODEC.decode_order,
+    'status': lambda body: CODEC.decode_status('rollout/pool', body),
+    'shift': lambda body: CODEC.decode_shift('laurelwind/shift/pool', body),
+    'report': lambda body: CODEC.decode_report(
+        'laurelwind/report/pool/d1', body
+    ),
+}
+
+
+def list_paths(document, path=()):
+    yield path
+    if isinstance(document, dict):
+        children = document.items()
+    elif isinstance(document, list):
+        children = enumerate(document)
+    else:
+        children = ()
+    for key, child in children:
+        yield from list_paths(child, (*path, key))
+
+
+def list_variants(document):
+    """List copies of a document with one field missing or replaced."""
+    for *parents, key in list(list_paths(document))[1:]:
+        for odd_value in (*ODD_VALUES, KeyError):
+            variant = copy.deepcopy(document)
+            parent = variant
+            for name in parents:
+                parent = parent[name]
+            if odd_value is KeyError:
+                del parent[key]
+            else:
+                parent[key] = odd_value
+            yield orjson.dumps(variant)
+
+
+@pytest.mark.parametrize('kind', DOCUMENTS)
+def test_odd_documents_are_refused_and_never_raise_anything_else(kind):
+    """A daemon ended, with all its requests, at a document it misread."""
+    refused = 0
+    for body in list_variants(DOCUMENTS[kind]):
+        try:
+            DECODERS[kind](body)
+        except ConfigurationError:
+            refused += 1
+    assert refused
+
+
+@pytest.mark.parametrize(
+    ('path', 'odd_value'),
+    [
+        (('version',), 1e30),
+        (('routes', 0, 'path_prefix'), []),
+        (('routes', 1, 'service'), None),
+        (('routes', 0, 'backends', 0, 'service'), 7),
+        (('tenants', 0, 'name'), 'a\r\nb: c'),
+        (('tenants', 0, 'priority'), 'high'),
+        (('tenants', 0, 'api_keys'), 'k1'),
+    ],
+)
+def test_a_table_that_no_request_could_use_is_refused(path, odd_value):
+    """Requests on a misread route failed with an internal error."""
+    document = copy.deepcopy(TABLE)
+    parent = document
+    for key in path[:-1]:
+        parent = parent[key]
+    parent[path[-1]] = odd_value
+    with pytest.raises(ConfigurationError):
+        CODEC.decode_table(orjson.dumps(document))
+
+
+@pytest.mark.parametrize('name', ['', 'a\r\nx-injected: 1', '\x00'])
+def test_an_endpoint_whose_name_is_no_header_text_is_refused(name):
+    """The name is sent in a header, which a line break would split."""
+    with pytest.raises(ConfigurationError):
+        CODEC.decode_endpoint(name, orjson.dumps(build_endpoint(1)))
+
+
+def test_an_endpoint_with_an_impossible_port_is_refused():
+    """Requests failed with an internal error: the socket refuses the port."""
+    entry = build_endpoint(1, address='10.0.0.1:99999')
+    with pytest.raises(ConfigurationError):
+        CODEC.decode_endpoint('e1', orjson.dumps(entry))
+
+
+async def test_odd_documents_do_not_end_the_daemon():
+    """An exception in a reader ended the daemon with all its requests."""
+
+    async def check(harness, store):
+        store.put(Topic.OPERATORS, 'config', build_table(1))
+        await wait_until(lambda: harness.tracker.is_ready)
+        for version in (1e30, 2**64 - 1, 'x', None):
+            store.put(Topic.OPERATORS, 'config', build_table(version))
+        for body in list_variants(DOCUMENTS['order']):
+            store.put(Topic.OPERATORS, 'rollout/pool', orjson.loads(body))
+        for body in list_variants(DOCUMENTS['endpoint']):
+            store.put(Topic.ENDPOINTS, 'e1', orjson.loads(body))
+        store.put(Topic.ENDPOINTS, 'e2', build_endpoint(1))
+        await wait_until(lambda: 'e2' in harness.ready_names)
+        store.put(Topic.OPERATORS, 'config', build_table(2**64 - 1))
+        await wait_until(lambda: harness.version == 2**64 - 1)
+
+    await run_check(check)
