Refuse requests on a route whose weights are all zero

Callers of such a route got an internal error (500), which promises nothing: choose_service indexes an empty list of shares. They now get a 503 at once, which says truly that the request did not run.

Before: test_a_route_without_weights_refuses_at_once IndexError: tuple index out of range

--- a/laurelwind/coordination/admission.py
+++ b/laurelwind/coordination/admission.py
@@ -71,6 +71,13 @@
             raise CallerError(
                 match, 'the routing table has no such route or key'
             )
+        route, _ = match
+        if not route.shares:
+            raise CapacityError(
+                ErrorKind.NO_ENDPOINT,
+                f'route {route.name} has no service with a weight above zero',
+                retry_after_s=draw_retry_after(),
+            )
         return self._build_job(request, match, arrived_at)
 
     async def _confirm_table(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,8 +5,15 @@
 
 from laurelwind.errors import CapacityError
 from laurelwind.protocol.keyed_store import Topic
+from laurelwind.state.routes import RequestKind
 from tests.helpers import wait_until
-from tests.relay_helpers import FakeTracker, RelayHarness, build_request
+from tests.relay_helpers import (
+    FakeTracker,
+    RelayHarness,
+    build_request,
+    build_route,
+    build_routing_table,
+)
 from tests.test_tracker import FakeStore, build_table, run_check
 
 pytestmark = pytest.mark.anyio
@@ -115,3 +122,13 @@
         assert len(reads) == 2
 
     await run_check(check)
+
+
+async def test_a_route_without_weights_refuses_at_once():
+    """Requests on a route of zero weights failed with an internal error."""
+    harness = RelayHarness()
+    route = build_route('book', RequestKind.NON_IDEMPOTENT, shares=())
+    harness.tracker.table = build_routing_table(routes=(route,))
+    with pytest.raises(CapacityError) as caught:
+        await harness.serve(build_request('book'))
+    assert caught.value.status == 503
