Decode a large routing table without holding the event loop

Beside a change of a large table, timers fired late and requests stood still on every daemon at once: decoding lists the costs of all models again for each route, so its time grows with routes times models. A table that was read twice, by a confirmation and by the reader, was decoded twice, and a lookup scanned all routes of a host.

The costs are listed once, a record equal to the last one is not decoded again, and routes are looked up by host and prefix, once for each length that a prefix of the host has.

--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -94,6 +94,7 @@
         self.max_absence_age_s: float = 0
         self._dependencies = dependencies
         self._is_table_unreadable = False
+        self._table_body: bytes | None = None
         self._confirmations = SharedRead(
             read=self._confirm,
             timeout_s=CONFIRM_TIMEOUT_S,
@@ -231,7 +232,7 @@
         kind = documents.get_kind(Topic.OPERATORS, record.key)
         try:
             if kind is DocumentKind.ROUTING_TABLE:
-                self._apply_table(documents.decode_table(record.body), record)
+                self._read_table(record, record.body)
             elif kind is DocumentKind.ROLLOUT_ORDER:
                 order = documents.decode_order(record.body)
                 self._dependencies.rollouts.apply_order(order)
@@ -242,6 +243,15 @@
                 'document_unreadable', key=record.key, reason=error.message
             )
 
+    def _read_table(self, record: KeyedRecord, body: bytes) -> None:
+        # Confirmations, and readers that lost history, read a record again.
+        if body == self._table_body:
+            return
+        self._table_body = body
+        self._apply_table(
+            self._dependencies.documents.decode_table(body), record
+        )
+
     def _apply_table(self, table: RoutingTable, record: KeyedRecord) -> None:
         self._is_table_unreadable = False
         if self.table is not None and table.version <= self.table.version:
--- a/laurelwind/platform/tables.py
+++ b/laurelwind/platform/tables.py
@@ -33,13 +33,11 @@
     :raises Exception: one of ``STRUCTURE_ERRORS`` if a field is missing or of
         another type.
     """
+    costs = list_costs(document)
     limits = document.get('limits') or {}
     return RoutingTable(
         version=parse_count(document['version']),
-        routes=[
-            _build_route(row, _list_costs(document))
-            for row in document['routes']
-        ],
+        routes=[_build_route(row, costs) for row in document['routes']],
         services={
             parse_text(row['name']): _build_service(row)
             for row in document.get('services') or ()
@@ -67,7 +65,11 @@
     return workspaces
 
 
-def _list_costs(document: Mapping[str, Any]) -> dict[str, float]:
+def list_costs(document: Mapping[str, Any]) -> dict[str, float]:
+    """List the costs of the models of all services, by model.
+
+    :param document: the parsed document of a table.
+    """
     return {
         parse_text(model['name']): parse_number(model.get('cost', 0))
         for row in document.get('services') or ()
--- a/laurelwind/state/routes.py
+++ b/laurelwind/state/routes.py
@@ -155,19 +155,22 @@
     workspaces: Mapping[str, Workspace] = field(factory=dict, repr=False)
     requires_key: bool = False
     limits: CallerLimits = field(factory=CallerLimits)
-    _routes_by_host: dict[str, list[Route]] = field(
+    _routes_by_prefix: dict[tuple[str, str], Route] = field(
+        factory=dict, init=False, repr=False, eq=False
+    )
+    _prefix_lengths: dict[str, list[int]] = field(
         factory=dict, init=False, repr=False, eq=False
     )
 
     def __attrs_post_init__(self) -> None:
-        """Index the routes by host, longest prefix first."""
-        longest_first = sorted(
-            self.routes, key=lambda route: len(route.path_prefix), reverse=True
-        )
-        for route in longest_first:
-            self._routes_by_host.setdefault(route.host.lower(), []).append(
-                route
-            )
+        """Index the routes by host and prefix."""
+        lengths: dict[str, set[int]] = {}
+        for route in self.routes:
+            host = route.host.lower()
+            self._routes_by_prefix.setdefault((host, route.path_prefix), route)
+            lengths.setdefault(host, set()).add(len(route.path_prefix))
+        for host, host_lengths in lengths.items():
+            self._prefix_lengths[host] = sorted(host_lengths, reverse=True)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Find the route with the longest matching path prefix.
@@ -176,8 +179,9 @@
         :param path: path of the request, without the query.
         """
         host_name = host.partition(':')[0].lower()
-        for route in self._routes_by_host.get(host_name, ()):
-            if path.startswith(route.path_prefix):
+        for length in self._prefix_lengths.get(host_name, ()):
+            route = self._routes_by_prefix.get((host_name, path[:length]))
+            if route is not None:
                 return route
         return None
 
