Bound callers' connections by the limits of the table

Callers saw connections closed without an answer in four cases, which share a cause: two fixed timers per connection, started once, that know neither the operator's limits nor what the connection is doing.

- A connection without a request yet was closed after the time-out of heads, 10 s; a first request sent then crossed the close.
It is idle, and has the idle time-out now.
- An idle limit above 60 s, or a header limit above 10 s, in the table was ignored.
Callers reuse connections by these limits.
A limit that a new table raises now holds for waits that have begun.
- The time-out of a pipelined head cut the answer before it, though that answer's progress is what keeps the later head unread.
- A late head was answered by a reset, which promises nothing.
It gets a 408: nothing of it was run.

The fixed times stay as the least ones. Callers may still go by a longer limit of an earlier table, and an idle connection costs little.

Ruled out: a whole request that waits behind a stalled loop. A wait that expires is still checked once more after a read.

test_slow_headers_close_the_connection asserted that the connection closes without a byte; it now asserts the 408 and its connection: close, which is stricter.

--- a/laurelwind/daemon.py
+++ b/laurelwind/daemon.py
@@ -52,7 +52,7 @@
 )
 from laurelwind.transport.server import HttpServer
 from laurelwind.transport.services import ServiceHandlers
-from laurelwind.transport.timed_protocol import ConnectionPolicy
+from laurelwind.transport.timed_protocol import limit_head_times
 
 
 @frozen(kw_only=True)
@@ -97,9 +97,7 @@
         self.caller_server = HttpServer(
             address=settings.daemon.caller_address,
             tls=settings.tls,
-            policy=ConnectionPolicy(
-                header_timeout_s=settings.limits.header_timeout_s
-            ),
+            policy=limit_head_times(settings.limits.header_timeout_s),
         )
         self.admin_server = HttpServer(
             address=settings.daemon.admin_address, tls=settings.tls
--- a/laurelwind/platform/tables.py
+++ b/laurelwind/platform/tables.py
@@ -34,7 +34,6 @@
         another type.
     """
     costs = list_costs(document)
-    limits = document.get('limits') or {}
     return RoutingTable(
         version=parse_count(document['version']),
         routes=[_build_route(row, costs) for row in document['routes']],
@@ -44,11 +43,18 @@
         },
         workspaces=_build_workspaces(document),
         requires_key='tenants' in document,
-        limits=CallerLimits(
-            body_bytes=int(
-                limits.get('max_body_bytes', CallerLimits().body_bytes)
-            ),
-        ),
+        limits=_build_limits(document.get('limits') or {}),
+    )
+
+
+def _build_limits(limits: Mapping[str, Any]) -> CallerLimits:
+    default = CallerLimits()
+    return CallerLimits(
+        body_bytes=int(limits.get('max_body_bytes', default.body_bytes)),
+        header_timeout_s=parse_number(limits.get('header_timeout_ms', 0))
+        / _MS_PER_S,
+        idle_timeout_s=parse_number(limits.get('idle_timeout_ms', 0))
+        / _MS_PER_S,
     )
 
 
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -19,6 +19,7 @@
 from laurelwind.coordination.sending import SenderDependencies
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ConfigurationError
+from laurelwind.relay_limits import TableLimits
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.relay_settings import RelaySettings
 from laurelwind.relay_tracking import (
@@ -29,7 +30,6 @@
 )
 from laurelwind.state.directory import EndpointDirectory
 from laurelwind.state.leases import FreshnessLease
-from laurelwind.state.routes import CallerLimits
 from laurelwind.transport.gateway import HttpGateway
 from laurelwind.transport.hints import HintListener, WorkHints
 from laurelwind.transport.relay_application import RelayApplication
@@ -113,13 +113,14 @@
             ),
             log=self.log,
         )
+        self._limits = TableLimits(tracker=self.tracker)
         self.relay = self._build_relay()
         self.application = RelayApplication(
             relay=self.relay,
             codec=adapters.headers,
             log=self.log,
             metrics=self.metrics,
-            read_body_limit=self._read_body_limit,
+            read_body_limit=self._limits.read_body_limit,
         )
         self._register_gauges()
         self._servers: list[HttpServer] = []
@@ -170,7 +171,10 @@
             self.settings.listen.peers: TopicApplication(copies=self.copies),
             **other_applications,
         }
-        policy = ConnectionPolicy(record_timeout=self._log_timeout)
+        policy = ConnectionPolicy(
+            read_limits=self._limits.read_connection_limits,
+            record_timeout=self._log_timeout,
+        )
         for address, application in applications.items():
             server = HttpServer(address=address, policy=policy)
             self._servers.append(server)
@@ -291,9 +295,5 @@
     def _log_timeout(self, kind: TimeoutKind) -> None:
         self.log.log_info('connection_timed_out', kind=kind)
 
-    def _read_body_limit(self) -> int:
-        table = self.tracker.table
-        return (CallerLimits() if table is None else table.limits).body_bytes
-
     def _discard_removed_endpoints(self) -> None:
         self.placement.retain_endpoints(self.directory.list_names())
--- /dev/null
+++ b/laurelwind/relay_limits.py
@@ -0,0 +1,41 @@
+"""Limits on callers, from the routing table in force."""
+
+from laurelwind.coordination.tracker import Tracker
+from laurelwind.state.routes import CallerLimits
+from laurelwind.transport.timed_protocol import (
+    HEADER_TIMEOUT_S,
+    IDLE_TIMEOUT_S,
+    ConnectionLimits,
+)
+
+
+class TableLimits:
+    """Reads the limits on callers from the routing table in force.
+
+    :param tracker: holds the table.
+    """
+
+    def __init__(self, *, tracker: Tracker) -> None:
+        self._tracker = tracker
+
+    def read_body_limit(self) -> int:
+        """Return the maximum size of a request body in bytes."""
+        return self._limits.body_bytes
+
+    def read_connection_limits(self) -> ConnectionLimits:
+        """Return how long callers may take.
+
+        The defaults are the least, since a caller may still go by the limits of
+        an earlier table.
+        """
+        return ConnectionLimits(
+            header_timeout_s=max(
+                self._limits.header_timeout_s, HEADER_TIMEOUT_S
+            ),
+            idle_timeout_s=max(self._limits.idle_timeout_s, IDLE_TIMEOUT_S),
+        )
+
+    @property
+    def _limits(self) -> CallerLimits:
+        table = self._tracker.table
+        return CallerLimits() if table is None else table.limits
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -184,7 +184,8 @@
         answer = await send_slowly(
             address, b'POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n'
         )
-        assert answer == b''
+        assert answer.startswith(b'HTTP/1.1 408 ')
+        assert b'connection: close\r\n' in answer
 
 
 async def test_malformed_http_is_rejected():
