Hold SIGHUP while a daemon starts or ends

A daemon that got SIGHUP while it started ended by itself: the handler is installed after the imports, and the default action of the signal ends the process. No request is in hand then, but callers miss a daemon until it is started again. Signals that overlap with restarts do it.

The entry point now blocks the signal before the imports, in a module of its own, and the program unblocks it when its handler is in place, so a signal that came earlier reloads the settings. It is blocked again before the handler goes, so that it does not change the exit status of a stop. SIGTERM keeps its default action until then: nothing listens yet.

The program moves from platform/__main__.py to platform/program.py, and the imports of two tests and a benchmark follow it.

--- a/benchmarks/logging_cost.py
+++ b/benchmarks/logging_cost.py
@@ -28,7 +28,7 @@
 _SILENT_PROGRAM = """
 from laurelwind import decisions
 decisions.DecisionLog._write = lambda *parts: None
-from laurelwind.platform.__main__ import run
+from laurelwind.platform.program import run
 run()
 """
 
--- a/laurelwind/relay_program.py
+++ b/laurelwind/relay_program.py
@@ -13,7 +13,8 @@
 from laurelwind.relay_daemon import RelayDaemon
 from laurelwind.relay_settings import RelaySettings
 
-_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+_RELOAD_SIGNALS: Final = (signal.SIGHUP,)
+_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, *_RELOAD_SIGNALS)
 # Seconds of ``bounds.stop_s`` that remain when the process is ended by force.
 FORCED_EXIT_MARGIN_S: Final = 0.5
 FORCED_EXIT_STATUS: Final = 70
@@ -64,11 +65,14 @@
     """
     async with anyio.create_task_group() as group:
         with anyio.open_signal_receiver(*_SIGNALS) as signals:
+            # Blocked since the start of the program, and again until its end.
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, _RELOAD_SIGNALS)
             await daemon.start(group, other_applications)
             async for signal_number in signals:
-                if signal_number is not signal.SIGHUP:
+                if signal_number not in _RELOAD_SIGNALS:
                     break
                 daemon.reload(load_settings)
             watchdog.start(daemon.settings.bounds.stop_s - FORCED_EXIT_MARGIN_S)
             await daemon.close()
+            signal.pthread_sigmask(signal.SIG_BLOCK, _RELOAD_SIGNALS)
         group.cancel_scope.cancel()
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -9,7 +9,7 @@
 REQUIREMENTS = Path(__file__).parent.parent / 'deploy' / 'requirements.txt'
 LIST_IMPORTS = """
 import sys
-import laurelwind.platform.__main__
+import laurelwind.platform.program
 print(*{name.partition('.')[0] for name in sys.modules})
 """
 
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -10,9 +10,9 @@
 
 from laurelwind import relay_daemon
 from laurelwind.errors import ConfigurationError
-from laurelwind.platform.__main__ import build_other_applications
 from laurelwind.platform.documents import PlatformDocuments
 from laurelwind.platform.headers import PLATFORM_HEADERS
+from laurelwind.platform.program import build_other_applications
 from laurelwind.protocol.headers import NamedHeaderCodec
 from laurelwind.protocol.keyed_store import Topic
 from laurelwind.relay_daemon import RelayDaemon
