Keep the settings when their file is not UTF-8 or not finite

SIGHUP beside a settings file that is not UTF-8, such as one that is being written, raised UnicodeDecodeError out of the reload and so ended the program's task group: callers got no answer to any request in hand. A bound of nan or inf was accepted; with revocation_s = nan every request is refused, with inf a revoked key stays valid for ever.

Both are now errors of the settings. They are logged, and the settings in force stay. Ruled out, refused as before: a missing file, an empty one, one cut in the middle of a line, and one nested too deeply.

Before: test_settings_that_cannot_be_used_leave_the_current_ones [not UTF-8] UnicodeDecodeError: invalid start byte [nan] [inf] AssertionError: the daemon has other settings

--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -1,5 +1,6 @@
 """Settings of a relay daemon, read from a TOML file."""
 
+import math
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -115,7 +116,7 @@
         'bounds.retry_window_s': bounds.retry_window_s,
     }
     for path, number in positive.items():
-        if number <= 0:
+        if not 0 < number < math.inf:
             yield Fault(path=path, expected=EXPECTED_POSITIVE)
     shares = {
         'bounds.retry_share': bounds.retry_share,
@@ -123,7 +124,7 @@
         'bounds.exposure_share': bounds.exposure_share,
     }
     for path, number in shares.items():
-        if number < 0:
+        if not 0 <= number < math.inf:
             yield Fault(path=path, expected=EXPECTED_NOT_NEGATIVE)
 
 
--- a/laurelwind/settings.py
+++ b/laurelwind/settings.py
@@ -160,6 +160,11 @@
             ErrorKind.CONFIGURATION_INVALID,
             f'{path} cannot be read: {error.strerror}',
         ) from None
+    except UnicodeDecodeError as error:
+        raise ConfigurationError(
+            ErrorKind.CONFIGURATION_INVALID,
+            f'{path} is not UTF-8: {error.reason} at byte {error.start}',
+        ) from None
 
 
 def check_settings(
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -9,7 +9,9 @@
 
 from laurelwind import relay_daemon
 from laurelwind.relay_program import StopWatchdog, run_relay
+from laurelwind.relay_settings import load_relay_settings
 from tests.helpers import wait_until
+from tests.test_listening import SETTINGS
 from tests.test_relay_path import DaemonHarness
 
 pytestmark = pytest.mark.anyio
@@ -65,3 +67,26 @@
     signal.raise_signal(signal.SIGHUP)
     assert len(loads) == 1
     assert signal.SIGHUP in signal.sigpending()
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        None,
+        b'',
+        b'\xff\xfe',
+        b'store = "127.0.0.1:9"\n[daem',
+        b'[' * 5000,
+        SETTINGS.encode() + b'[bounds]\nstop_s = nan\n',
+        SETTINGS.encode() + b'[bounds]\nrevocation_s = inf\n',
+    ],
+)
+def test_settings_that_cannot_be_used_leave_the_current_ones(tmp_path, text):
+    """SIGHUP beside a file that is not UTF-8 ended all requests in hand."""
+    path = tmp_path / 'daemon.toml'
+    if text is not None:
+        path.write_bytes(text)
+    daemon = DaemonHarness('127.0.0.1:1').daemon
+    settings = daemon.settings
+    daemon.reload(lambda: load_relay_settings(path))
+    assert daemon.settings is settings
