Treat header numbers of any length as malformed, not as an error

A caller whose token counts had more than 4,300 digits got the server's plain 500, outside of any error handling, as int() refuses such texts; from about 310 digits on, the number failed later as a float. The same holds for the load that an endpoint reports: its answer, which had run, became an internal error.

Numbers of more than 18 digits now count as absent, like other texts that are no count.

--- a/laurelwind/protocol/headers.py
+++ b/laurelwind/protocol/headers.py
@@ -34,6 +34,8 @@
 _EVENT_STREAM_TYPE: Final = b'text/event-stream'
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _MS_PER_S: Final = 1000
+# Longer numbers count as malformed: they fit no integer of 64 bits.
+_MAX_DIGITS: Final = 18
 
 
 @frozen(kw_only=True)
@@ -224,14 +226,17 @@
 
 
 def _parse_length(text: bytes | None) -> int | None:
-    if text is None or not text.isdigit():
-        return None
-    return int(text)
+    digits = (text or b'').decode('latin-1')
+    return int(digits) if _is_count(digits) else None
+
+
+def _is_count(text: str) -> bool:
+    return text.isdecimal() and len(text) <= _MAX_DIGITS
 
 
 def _parse_count(text: str) -> int:
     stripped = text.strip()
-    return int(stripped) if stripped.isdecimal() else 0
+    return int(stripped) if _is_count(stripped) else 0
 
 
 def _parse_tokens(text: bytes | None) -> tuple[int, int]:
@@ -253,7 +258,7 @@
 def _parse_load(text: bytes | None) -> LoadReport | None:
     counts = (text or b'').decode('latin-1').split(',')
     if len(counts) != 3 or not all(
-        count.strip().isdecimal() for count in counts
+        _is_count(count.strip()) for count in counts
     ):
         return None
     running, waiting, slots = (int(count) for count in counts)
--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -1,5 +1,7 @@
 """Codec of the headers exchanged with callers and endpoints."""
 
+import pytest
+
 from laurelwind.platform.headers import PLATFORM_HEADERS
 from laurelwind.protocol.exchanges import Dispatch, PromptPart
 from laurelwind.protocol.headers import NamedHeaderCodec
@@ -148,3 +150,31 @@
     )
     assert decode_caller_request(invalid).deadline_s is None
     assert decode_caller_request(invalid).prompt_tokens == 0
+
+
+@pytest.mark.parametrize('digits', [400, 5000])
+def test_numbers_without_bound_count_as_malformed(digits):
+    """A caller's or an endpoint's long number was an internal error."""
+    number = b'9' * digits
+    request = CODEC.decode_request(
+        'POST',
+        b'/',
+        (
+            (b'x-token-usage', number + b',' + number),
+            (b'x-prefix-hash', b'5c:' + number),
+            (b'x-deadline-ms', number),
+        ),
+        b'',
+    )
+    assert (request.prompt_tokens, request.output_tokens) == (0, 0)
+    assert request.parts == (PromptPart(name='5c', tokens=0),)
+    assert request.deadline_s is None
+    head = CODEC.decode_answer_head(
+        200,
+        (
+            (b'x-instance-load', b'1,2,' + number),
+            (b'content-length', number),
+        ),
+    )
+    assert head.load is None
+    assert head.length is None
