Count a request as in progress from its head to the end of its answer

A caller whose body was still on the way when the last other request ended got a reset: a stop counted only the requests that the relay was serving, found none and aborted the connection. A body that arrived after the daemon had begun to refuse requests was still passed on, too late for its answer.

The application now tracks exchanges from the head on, the stop and the gauge `laurelwind_in_flight` use this count, and whether requests are refused is checked again when the body is complete.

The test failed before: the caller received nothing.

assert received.startswith(b'HTTP/1.1 503 ') AssertionError: assert False

--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -175,10 +175,11 @@
 
     async def close(self) -> None:
         """Stop gracefully: drain requests up to the time-out, then close."""
-        self.log.log_warning('stopping', in_flight=self.relay.in_flight)
+        self.log.log_warning(
+            'stopping', in_flight=self.application.exchanges.count
+        )
         drain = Drain(
             application=self.application,
-            relay=self.relay,
             servers=self._servers,
             times=self.plan_stop(),
         )
@@ -260,8 +261,8 @@
         add_gauge = self.metrics.add_gauge
         add_gauge(
             'laurelwind_in_flight',
-            'Requests being served now.',
-            lambda: self.relay.in_flight,
+            'Requests from their head to the end of their answer.',
+            lambda: self.application.exchanges.count,
         )
         add_gauge(
             'laurelwind_table_age_seconds',
--- a/laurelwind/transport/draining.py
+++ b/laurelwind/transport/draining.py
@@ -5,7 +5,6 @@
 
 import anyio
 
-from laurelwind.coordination.relay import Relay
 from laurelwind.transport.relay_application import RelayApplication
 from laurelwind.transport.server import HttpServer
 from laurelwind.transport.stop_times import StopTimes
@@ -19,7 +18,6 @@
     The times count from its construction.
 
     :param application: receives the requests.
-    :param relay: serves the requests.
     :param servers: servers to close.
     :param times: moments of the stop.
     :ivar cut: number of requests that were ended without a complete answer.
@@ -30,12 +28,10 @@
         self,
         *,
         application: RelayApplication,
-        relay: Relay,
         servers: Sequence[HttpServer],
         times: StopTimes,
     ) -> None:
         self._application = application
-        self._relay = relay
         self._servers = servers
         self._times = times
         self._started_at = anyio.current_time()
@@ -55,9 +51,8 @@
         self._application.rejects_requests = True
         await anyio.sleep_until(self._started_at + times.listening_s)
         with self._stop_waiting_after(times.cut_s):
-            while self._relay.in_flight:
-                await anyio.sleep(_POLL_S)
-        self.cut = self._relay.in_flight
+            await self._application.exchanges.wait_for_none()
+        self.cut = self._application.exchanges.count
         with self._stop_waiting_after(times.abort_s):
             await self._close_connections()
         self._abort_connections()
--- a/laurelwind/transport/relay_application.py
+++ b/laurelwind/transport/relay_application.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 import anyio
+from attrs import evolve
 from starlette.types import Receive, Scope, Send
 
 from laurelwind.coordination.relay import Relay
@@ -18,6 +19,7 @@
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.transport.caller_exchange import CallerExchange
+from laurelwind.transport.open_exchanges import OpenExchanges
 from laurelwind.transport.request_outcomes import CutReason, RequestOutcomes
 
 _CLOSE: Final = (b'connection', b'close')
@@ -71,6 +73,7 @@
     :param metrics: counts error answers.
     :param read_body_limit: returns the maximum size of a request body in
         bytes.
+    :ivar exchanges: exchanges in progress.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
             log=log, metrics=metrics, is_stopping=lambda: self.is_draining
         )
         self._read_body_limit = read_body_limit
+        self.exchanges = OpenExchanges()
         self.is_draining = False
         self.rejects_requests = False
         self.is_aborting = False
@@ -104,7 +108,7 @@
         :param send: ASGI callable that sends a message of the answer.
         """
         arrived_at = read_monotonic_clock()
-        request = self._read_request(scope, b'')
+        request = self._read_request(scope)
         exchange = CallerExchange(
             scope=scope,
             receive=receive,
@@ -113,9 +117,16 @@
         )
         if self.is_draining:
             exchange.extra_headers.append(_CLOSE)
+        with self.exchanges.track(exchange):
+            await self._receive_and_serve(exchange, request, arrived_at)
+        if exchange.is_truncated:
+            raise TruncatedAnswerError
+
+    async def _receive_and_serve(
+        self, exchange: CallerExchange, request: RelayRequest, arrived_at: float
+    ) -> None:
         try:
-            self._check_open()
-            body = await exchange.read_body(self._read_body_limit())
+            body = await self._read_body(exchange)
         except LaurelwindError as error:
             answer = ExchangeAnswer(exchange=exchange)
             if exchange.has_left:
@@ -127,7 +138,7 @@
             )
             return
         if body:
-            request = self._read_request(scope, body)
+            request = evolve(request, body=body)
         await self._serve_until_disconnect(exchange, request, arrived_at)
 
     async def _serve_until_disconnect(
@@ -144,8 +155,6 @@
             group.cancel_scope.cancel()
         if not is_served:
             self._record_disconnect(request, answer, arrived_at)
-        elif exchange.is_truncated:
-            raise TruncatedAnswerError
 
     async def _serve(
         self,
@@ -209,6 +218,13 @@
             headers=headers,
         )
 
+    async def _read_body(self, exchange: CallerExchange) -> bytes:
+        self._check_open()
+        body = await exchange.read_body(self._read_body_limit())
+        # The daemon may have begun to refuse requests in the meantime.
+        self._check_open()
+        return body
+
     def _check_open(self) -> None:
         if self.rejects_requests:
             raise CapacityError(
@@ -217,13 +233,13 @@
                 retry_after_s=STOPPING_RETRY_AFTER_S,
             )
 
-    def _read_request(self, scope: Scope, body: bytes) -> RelayRequest:
+    def _read_request(self, scope: Scope) -> RelayRequest:
         target: bytes = scope['raw_path']
         query: bytes = scope.get('query_string', b'')
         if query:
             target = b'%s?%s' % (target, query)
         return self._codec.decode_request(
-            scope['method'], target, scope['headers'], body
+            scope['method'], target, scope['headers'], b''
         )
 
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -177,3 +177,23 @@
         assert end == 'closed'
         (stopped,) = (line for line in lines if line['event'] == 'stopped')
         assert (stopped['cut'], stopped['unsent_bytes']) == (0, 0)
+
+
+# Guards against a request that a stop ends while its body is being read.
+async def test_a_request_whose_body_arrives_during_the_stop_is_answered():
+    async with run_logged_daemon() as (harness, lines):
+        async with (
+            await connect(harness) as caller,
+            anyio.create_task_group() as group,
+        ):
+            await caller.send(build_head('/book/1', 6) + b'hal')
+            await anyio.sleep(0.1)
+            group.start_soon(harness.daemon.close)
+            await anyio.sleep(0.6)
+            await caller.send(b'l 3')
+            received, end = await read_to_end(caller)
+        assert received.startswith(b'HTTP/1.1 503 ')
+        assert end == 'closed'
+        assert not harness.endpoint.requests
+        (final,) = list_final_lines(lines)
+        assert (final['event'], final['kind']) == ('refused', 'stopping')
