Answer every request that a stop ends

Callers whose request was still in progress at the end of the time for a stop got no answer, not even where none had begun: the daemon aborted their connections, and they could not tell whether the request had run.

Shortly before the answers that have begun are cut, every request without one now gets a final answer: 504, outcome unknown, if it was passed to the relay, or 503, not run, if its body had not arrived. Streams that have begun may still finish until the cut, which is as late as before; they end after a whole event, so that callers can resume them. The daemon ends the exchanges itself, so `caller_left` now means callers only.

The tests failed before: the callers received nothing.

--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from anyio.abc import TaskGroup
-from attrs import evolve
+from attrs import asdict, evolve
 from starlette.types import ASGIApp
 
 from laurelwind.coordination.entry_lists import choose_entries
@@ -183,13 +183,11 @@
             servers=self._servers,
             times=self.plan_stop(),
         )
-        await drain.run(self.membership.leave)
+        outcome = await drain.run(self.membership.leave)
         await self.gateway.close()
         await self._peers.close()
         await self.hints.close()
-        self.log.log_warning(
-            'stopped', cut=drain.cut, unsent_bytes=drain.unsent_bytes
-        )
+        self.log.log_warning('stopped', **asdict(outcome))
 
     def plan_stop(self) -> StopTimes:
         """Plan a stop within ``bounds.stop_s``."""
--- a/laurelwind/transport/caller_exchange.py
+++ b/laurelwind/transport/caller_exchange.py
@@ -25,6 +25,11 @@
     :param receive: ASGI callable that returns the next message of the request.
     :param send: ASGI callable that sends a message of the answer.
     :param request_id: identifies the request in the answer and in logs.
+    :ivar has_body: whether the request's body has been read completely.
+    :ivar has_left: whether the caller left before that.
+    :ivar has_begun: whether the head of the answer has been sent.
+    :ivar is_complete: whether the whole answer has been sent.
+    :ivar is_truncated: whether the answer must end before it is complete.
     """
 
     def __init__(
@@ -37,7 +42,9 @@
     ) -> None:
         self.request_id = request_id
         self.has_begun = False
+        self.is_complete = False
         self.is_truncated = False
+        self.has_body = False
         self.has_left = False
         self.extra_headers: list[tuple[bytes, bytes]] = []
         self._scope = scope
@@ -180,6 +187,7 @@
                 'more_body': not is_last,
             }
         )
+        self.is_complete = is_last
 
     async def send_complete(
         self,
@@ -228,6 +236,7 @@
             if len(body) > limit:
                 raise _build_size_error(limit)
             if not message.get('more_body', False):
+                self.has_body = True
                 return body
 
     async def send_error(self, error: LaurelwindError) -> None:
--- a/laurelwind/transport/draining.py
+++ b/laurelwind/transport/draining.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 import anyio
+from attrs import frozen
 
 from laurelwind.transport.relay_application import RelayApplication
 from laurelwind.transport.server import HttpServer
@@ -12,6 +13,20 @@
 _POLL_S: Final = 0.02
 
 
+@frozen(kw_only=True)
+class DrainOutcome:
+    """What could not be finished in time.
+
+    :ivar failed: number of requests that got an error answer at the end.
+    :ivar cut: number of answers that were ended before they were complete.
+    :ivar unsent_bytes: bytes of answers that could not be sent.
+    """
+
+    failed: int
+    cut: int
+    unsent_bytes: int
+
+
 class Drain:
     """Finishes requests in time, refuses new ones, and closes connections.
 
@@ -20,8 +35,6 @@
     :param application: receives the requests.
     :param servers: servers to close.
     :param times: moments of the stop.
-    :ivar cut: number of requests that were ended without a complete answer.
-    :ivar unsent_bytes: bytes of answers that could not be sent in time.
     """
 
     def __init__(
@@ -35,10 +48,8 @@
         self._servers = servers
         self._times = times
         self._started_at = anyio.current_time()
-        self.cut = 0
-        self.unsent_bytes = 0
 
-    async def run(self, leave: Callable[[], Awaitable[None]]) -> None:
+    async def run(self, leave: Callable[[], Awaitable[None]]) -> DrainOutcome:
         """Drain, and return when all connections are closed.
 
         :param leave: tells the other daemons that this one stops.
@@ -50,12 +61,19 @@
             await anyio.sleep_forever()
         self._application.rejects_requests = True
         await anyio.sleep_until(self._started_at + times.listening_s)
+        exchanges = self._application.exchanges
+        with self._stop_waiting_after(times.error_s):
+            await exchanges.wait_for_none()
+        failed = exchanges.end_unanswered()
         with self._stop_waiting_after(times.cut_s):
-            await self._application.exchanges.wait_for_none()
-        self.cut = self._application.exchanges.count
+            await exchanges.wait_for_none()
+        cut = exchanges.end_all()
         with self._stop_waiting_after(times.abort_s):
             await self._close_connections()
-        self._abort_connections()
+        unsent_bytes = sum(server.unsent_bytes for server in self._servers)
+        for server in self._servers:
+            server.abort_connections()
+        return DrainOutcome(failed=failed, cut=cut, unsent_bytes=unsent_bytes)
 
     def _stop_waiting_after(self, time_s: float) -> anyio.CancelScope:
         return anyio.CancelScope(deadline=self._started_at + time_s)
@@ -68,9 +86,3 @@
 
     def _has_connections(self) -> bool:
         return any(server.has_connections for server in self._servers)
-
-    def _abort_connections(self) -> None:
-        self.unsent_bytes = sum(server.unsent_bytes for server in self._servers)
-        self._application.is_aborting = True
-        for server in self._servers:
-            server.abort_connections()
--- a/laurelwind/transport/open_exchanges.py
+++ b/laurelwind/transport/open_exchanges.py
@@ -12,31 +12,54 @@
     """Exchanges from the head of the request to the end of the answer."""
 
     def __init__(self) -> None:
-        self._exchanges: set[CallerExchange] = set()
+        self._scopes: dict[CallerExchange, anyio.CancelScope] = {}
         self._has_none = anyio.Event()
         self._has_none.set()
 
     @property
     def count(self) -> int:
         """Number of exchanges in progress."""
-        return len(self._exchanges)
+        return len(self._scopes)
 
     @contextlib.contextmanager
-    def track(self, exchange: CallerExchange) -> Iterator[None]:
+    def track(self, exchange: CallerExchange) -> Iterator[anyio.CancelScope]:
         """Count an exchange as in progress within the ``with`` statement.
 
         :param exchange: the exchange.
+        :returns: scope for its work, which is cancelled to end the exchange.
         """
-        if not self._exchanges:
+        if not self._scopes:
             self._has_none = anyio.Event()
-        self._exchanges.add(exchange)
+        scope = anyio.CancelScope()
+        self._scopes[exchange] = scope
         try:
-            yield
+            yield scope
         finally:
-            self._exchanges.discard(exchange)
-            if not self._exchanges:
+            self._scopes.pop(exchange)
+            if not self._scopes:
                 self._has_none.set()
 
     async def wait_for_none(self) -> None:
         """Wait until no exchange is in progress."""
         await self._has_none.wait()
+
+    def end_unanswered(self) -> int:
+        """End the exchanges whose answers have not begun; return their number.
+
+        Their callers get an error answer.
+        """
+        unanswered = [
+            scope
+            for exchange, scope in self._scopes.items()
+            if not exchange.has_begun
+        ]
+        for scope in unanswered:
+            scope.cancel()
+        return len(unanswered)
+
+    def end_all(self) -> int:
+        """End all exchanges; return how many answers are cut by that."""
+        cut = sum(not exchange.is_complete for exchange in self._scopes)
+        for scope in self._scopes.values():
+            scope.cancel()
+        return cut
--- a/laurelwind/transport/relay_application.py
+++ b/laurelwind/transport/relay_application.py
@@ -9,7 +9,12 @@
 
 from laurelwind.coordination.relay import Relay
 from laurelwind.decisions import DecisionLog
-from laurelwind.errors import CapacityError, ErrorKind, LaurelwindError
+from laurelwind.errors import (
+    CapacityError,
+    EndpointError,
+    ErrorKind,
+    LaurelwindError,
+)
 from laurelwind.protocol.exchanges import (
     CallerAnswer,
     HeaderCodec,
@@ -95,7 +100,6 @@
         self.exchanges = OpenExchanges()
         self.is_draining = False
         self.rejects_requests = False
-        self.is_aborting = False
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -117,20 +121,29 @@
         )
         if self.is_draining:
             exchange.extra_headers.append(_CLOSE)
-        with self.exchanges.track(exchange):
-            await self._receive_and_serve(exchange, request, arrived_at)
+        answer = ExchangeAnswer(exchange=exchange)
+        with self.exchanges.track(exchange) as work:
+            with work:
+                await self._receive_and_serve(
+                    exchange, request, answer, arrived_at
+                )
+            if work.cancelled_caught and not exchange.is_complete:
+                await self._end_at_stop(exchange, request, answer, arrived_at)
         if exchange.is_truncated:
             raise TruncatedAnswerError
 
     async def _receive_and_serve(
-        self, exchange: CallerExchange, request: RelayRequest, arrived_at: float
+        self,
+        exchange: CallerExchange,
+        request: RelayRequest,
+        answer: ExchangeAnswer,
+        arrived_at: float,
     ) -> None:
         try:
             body = await self._read_body(exchange)
         except LaurelwindError as error:
-            answer = ExchangeAnswer(exchange=exchange)
             if exchange.has_left:
-                self._record_disconnect(request, answer, arrived_at)
+                self._outcomes.record_caller_left(request, answer, arrived_at)
                 return
             exchange.extra_headers.append(_CLOSE)
             await self._handle_error(
@@ -139,12 +152,6 @@
             return
         if body:
             request = evolve(request, body=body)
-        await self._serve_until_disconnect(exchange, request, arrived_at)
-
-    async def _serve_until_disconnect(
-        self, exchange: CallerExchange, request: RelayRequest, arrived_at: float
-    ) -> None:
-        answer = ExchangeAnswer(exchange=exchange)
         is_served = False
         async with anyio.create_task_group() as group:
             group.start_soon(
@@ -154,7 +161,7 @@
             is_served = True
             group.cancel_scope.cancel()
         if not is_served:
-            self._record_disconnect(request, answer, arrived_at)
+            self._outcomes.record_caller_left(request, answer, arrived_at)
 
     async def _serve(
         self,
@@ -182,19 +189,31 @@
                 exchange, request, answer, internal_error, arrived_at
             )
 
-    def _record_disconnect(
-        self, request: RelayRequest, answer: CallerAnswer, arrived_at: float
+    async def _end_at_stop(
+        self,
+        exchange: CallerExchange,
+        request: RelayRequest,
+        answer: ExchangeAnswer,
+        arrived_at: float,
     ) -> None:
-        if not self.is_aborting:
-            self._outcomes.record_caller_left(request, answer, arrived_at)
+        """End an exchange whose time is up as the daemon stops."""
+        if exchange.has_begun:
+            self._outcomes.record_cut(
+                request,
+                answer,
+                CutReason.STOPPING,
+                arrived_at,
+                detail='the daemon stopped before the answer was complete',
+            )
+            exchange.is_truncated = True
             return
-        self._outcomes.record_cut(
-            request,
-            answer,
-            CutReason.STOPPING,
-            arrived_at,
-            detail='the daemon stopped before the answer was complete',
-        )
+        error: LaurelwindError = _build_stopping_error()
+        if exchange.has_body:
+            error = EndpointError(
+                ErrorKind.DEADLINE_EXCEEDED,
+                'the daemon stopped before an endpoint had answered',
+            )
+        await self._handle_error(exchange, request, answer, error, arrived_at)
 
     async def _handle_error(
         self,
@@ -227,11 +246,7 @@
 
     def _check_open(self) -> None:
         if self.rejects_requests:
-            raise CapacityError(
-                ErrorKind.STOPPING,
-                'this daemon is stopping; retry on another daemon',
-                retry_after_s=STOPPING_RETRY_AFTER_S,
-            )
+            raise _build_stopping_error()
 
     def _read_request(self, scope: Scope) -> RelayRequest:
         target: bytes = scope['raw_path']
@@ -243,6 +258,14 @@
         )
 
 
+def _build_stopping_error() -> CapacityError:
+    return CapacityError(
+        ErrorKind.STOPPING,
+        'this daemon is stopping; retry on another daemon',
+        retry_after_s=STOPPING_RETRY_AFTER_S,
+    )
+
+
 async def _cancel_on_disconnect(
     exchange: CallerExchange, scope: anyio.CancelScope
 ) -> None:
--- a/laurelwind/transport/stop_times.py
+++ b/laurelwind/transport/stop_times.py
@@ -8,8 +8,9 @@
 # a stop, and its maximum in seconds.
 EXIT_MARGIN_SHARE: Final = 0.125
 MAX_EXIT_MARGIN_S: Final = 1.0
-# Shares of that margin: for sending what is buffered after the last answers,
-# and until the process is ended by force.
+# Shares of that margin: for error answers before answers are cut, then for
+# sending what is still buffered, and until the process is ended by force.
+ERROR_ANSWER_SHARE: Final = 0.3
 FLUSH_SHARE: Final = 0.2
 FORCED_EXIT_SHARE: Final = 0.5
 # Share of the time for answers after which new requests are refused at the
@@ -25,6 +26,7 @@
         be finished in time.
     :ivar listening_s: the daemon listens at least until then, so that callers
         can switch to another one.
+    :ivar error_s: requests whose answers have not begun get an error answer.
     :ivar cut_s: answers that are still incomplete are cut.
     :ivar abort_s: connections whose bytes could not be sent are aborted.
     :ivar forced_exit_s: the process is ended by force.
@@ -32,6 +34,7 @@
 
     refusal_s: float
     listening_s: float
+    error_s: float
     cut_s: float
     abort_s: float
     forced_exit_s: float
@@ -48,9 +51,11 @@
     """
     margin_s = min(stop_s * EXIT_MARGIN_SHARE, MAX_EXIT_MARGIN_S)
     cut_s = stop_s - margin_s
+    error_s = cut_s - margin_s * ERROR_ANSWER_SHARE
     return StopTimes(
-        refusal_s=min(refusal_s, cut_s * MAX_REFUSAL_SHARE),
-        listening_s=min(listening_s, cut_s),
+        refusal_s=min(refusal_s, error_s * MAX_REFUSAL_SHARE),
+        listening_s=min(listening_s, error_s),
+        error_s=error_s,
         cut_s=cut_s,
         abort_s=cut_s + margin_s * FLUSH_SHARE,
         forced_exit_s=cut_s + margin_s * FORCED_EXIT_SHARE,
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -197,3 +197,38 @@
         assert not harness.endpoint.requests
         (final,) = list_final_lines(lines)
         assert (final['event'], final['kind']) == ('refused', 'stopping')
+
+
+# Guards against a request that gets no answer at the end of a stop.
+async def test_a_request_that_a_stop_ends_gets_an_answer():
+    async with run_logged_daemon(stop_s=2.0) as (harness, lines):
+        harness.endpoint.event_pause_s = 60
+        async with (
+            await connect(harness) as caller,
+            anyio.create_task_group() as group,
+        ):
+            await caller.send(build_head('/book/1'))
+            await wait_until(lambda: harness.endpoint.requests)
+            group.start_soon(harness.daemon.close)
+            received, end = await read_to_end(caller)
+        assert received.startswith(b'HTTP/1.1 504 ')
+        assert b'"run":"unknown"' in received
+        assert end == 'closed'
+        (final,) = list_final_lines(lines)
+        assert (final['event'], final['stopping']) == ('failed', True)
+
+
+async def test_a_body_that_the_stop_ends_is_refused_as_not_run():
+    async with run_logged_daemon(stop_s=2.0) as (harness, lines):
+        async with (
+            await connect(harness) as caller,
+            anyio.create_task_group() as group,
+        ):
+            await caller.send(build_head('/book/1', 6) + b'hal')
+            await anyio.sleep(0.1)
+            group.start_soon(harness.daemon.close)
+            received, _ = await read_to_end(caller)
+        assert received.startswith(b'HTTP/1.1 503 ')
+        assert b'"run":"not_run"' in received
+        (final,) = list_final_lines(lines)
+        assert (final['event'], final['kind']) == ('refused', 'stopping')
