Close connections after answers that begin during a stop

A caller whose request was in progress when the stop began got an answer without `Connection: close`, sent its next request on that connection and lost it when the daemon closed all connections. The header was chosen when the request arrived, not when the head of its answer is sent.

A stop now marks all exchanges whose heads have not been sent. It is sent once: a refusal during a stop had it twice. Streams that have begun keep their connections until the daemon has finished; a next request is served or refused there, with the header.

--- a/laurelwind/transport/caller_exchange.py
+++ b/laurelwind/transport/caller_exchange.py
@@ -13,6 +13,7 @@
 BODY_TIMEOUT_S: Final = 10.0
 _BEARER: Final = 'bearer '
 _STATUS_OK: Final = 200
+_CLOSE: Final = (b'connection', b'close')
 _JSON_CONTENT_TYPE: Final = (b'content-type', b'application/json')
 
 HeaderPairs = Sequence[tuple[bytes, bytes]]
@@ -28,6 +29,8 @@
     :ivar has_body: whether the request's body has been read completely.
     :ivar has_left: whether the caller left before that.
     :ivar has_begun: whether the head of the answer has been sent.
+    :ivar closes_connection: whether the answer's head tells the caller to use
+        the connection no more.
     :ivar is_complete: whether the whole answer has been sent.
     :ivar is_truncated: whether the answer must end before it is complete.
     """
@@ -42,6 +45,7 @@
     ) -> None:
         self.request_id = request_id
         self.has_begun = False
+        self.closes_connection = False
         self.is_complete = False
         self.is_truncated = False
         self.has_body = False
@@ -162,6 +166,7 @@
         :param headers: pairs of a name in lower case and its text.
         """
         self.has_begun = True
+        closing = (_CLOSE,) if self.closes_connection else ()
         await self._send(
             {
                 'type': 'http.response.start',
@@ -170,6 +175,7 @@
                     *headers,
                     (b'x-request-id', self.request_id.encode()),
                     *self.extra_headers,
+                    *closing,
                 ],
             }
         )
--- a/laurelwind/transport/draining.py
+++ b/laurelwind/transport/draining.py
@@ -55,7 +55,7 @@
         :param leave: tells the other daemons that this one stops.
         """
         times = self._times
-        self._application.is_draining = True
+        self._application.start_draining()
         with self._stop_waiting_after(times.refusal_s):
             await leave()
             await anyio.sleep_forever()
--- a/laurelwind/transport/open_exchanges.py
+++ b/laurelwind/transport/open_exchanges.py
@@ -43,6 +43,11 @@
         """Wait until no exchange is in progress."""
         await self._has_none.wait()
 
+    def close_connections(self) -> None:
+        """Close the connections of answers that have not begun after them."""
+        for exchange in self._scopes:
+            exchange.closes_connection = True
+
     def end_unanswered(self) -> int:
         """End the exchanges whose answers have not begun; return their number.
 
--- a/laurelwind/transport/relay_application.py
+++ b/laurelwind/transport/relay_application.py
@@ -27,9 +27,6 @@
 from laurelwind.transport.open_exchanges import OpenExchanges
 from laurelwind.transport.request_outcomes import CutReason, RequestOutcomes
 
-_CLOSE: Final = (b'connection', b'close')
-
-
 # Retry-After of a daemon that is stopping: callers may retry on another daemon.
 STOPPING_RETRY_AFTER_S: Final = 0.05
 
@@ -101,6 +98,11 @@
         self.is_draining = False
         self.rejects_requests = False
 
+    def start_draining(self) -> None:
+        """Close the connection of each answer that begins from now on."""
+        self.is_draining = True
+        self.exchanges.close_connections()
+
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
@@ -119,8 +121,7 @@
             send=send,
             request_id=request.request_id,
         )
-        if self.is_draining:
-            exchange.extra_headers.append(_CLOSE)
+        exchange.closes_connection = self.is_draining
         answer = ExchangeAnswer(exchange=exchange)
         with self.exchanges.track(exchange) as work:
             with work:
@@ -145,7 +146,7 @@
             if exchange.has_left:
                 self._outcomes.record_caller_left(request, answer, arrived_at)
                 return
-            exchange.extra_headers.append(_CLOSE)
+            exchange.closes_connection = True
             await self._handle_error(
                 exchange, request, answer, error, arrived_at
             )
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -232,3 +232,19 @@
         assert b'"run":"not_run"' in received
         (final,) = list_final_lines(lines)
         assert (final['event'], final['kind']) == ('refused', 'stopping')
+
+
+# Guards against further requests on a connection that is about to be closed.
+async def test_an_answer_that_begins_during_a_stop_closes_its_connection():
+    async with run_logged_daemon() as (harness, _):
+        harness.endpoint.event_pause_s = 0.1
+        async with (
+            await connect(harness) as caller,
+            anyio.create_task_group() as group,
+        ):
+            await caller.send(build_head('/book/1'))
+            await wait_until(lambda: harness.endpoint.requests)
+            group.start_soon(harness.daemon.close)
+            received, _ = await read_to_end(caller)
+        assert received.startswith(b'HTTP/1.1 200 ')
+        assert b'connection: close' in received
