Read on after a refusal, so that a reset does not destroy it

A caller that was still sending its body when it was refused (503 of a stopping daemon, 413) got a reset in the middle of its upload, and may have lost the answer: the daemon closed the connection at once, and the kernel resets a connection that is closed with unread input and drops what it has not sent yet.

The refusal is still sent at once and is complete by its length. The rest of the body is then read and dropped, for 2 s and 8 MiB at most, before the server closes the connection. Answers on connections that are kept need none of this, as the server reads on there.

The tests failed before, for 413 and 503, while sending the body:

BrokenPipeError: [Errno 32] Broken pipe anyio.BrokenResourceError

--- a/laurelwind/transport/caller_exchange.py
+++ b/laurelwind/transport/caller_exchange.py
@@ -11,6 +11,9 @@
 from laurelwind.state.conversion import dump_json
 
 BODY_TIMEOUT_S: Final = 10.0
+# Limits of the rest of a request body that is read after an early answer.
+DISCARD_TIMEOUT_S: Final = 2.0
+MAX_DISCARDED_BYTES: Final = 8_388_608
 _BEARER: Final = 'bearer '
 _STATUS_OK: Final = 200
 _CLOSE: Final = (b'connection', b'close')
@@ -209,7 +212,14 @@
         """
         length = (b'content-length', str(len(body)).encode())
         await self.begin(status, (*headers, length))
-        await self.send_chunk(body, is_last=True)
+        if self.has_body or not self.closes_connection:
+            await self.send_chunk(body, is_last=True)
+            return
+        # The server closes the connection once it has the last chunk.
+        await self.send_chunk(body)
+        self.is_complete = True
+        await self.discard_body()
+        await self.send_chunk(b'', is_last=True)
 
     async def send_json(
         self,
@@ -228,6 +238,21 @@
             status, (_JSON_CONTENT_TYPE, *headers), dump_json(document)
         )
 
+    async def discard_body(self) -> None:
+        """Read the rest of the request body, within limits, and drop it.
+
+        Closing a connection with unread input resets it, which can destroy an
+        answer before the caller has read it.
+        """
+        discarded = 0
+        with anyio.move_on_after(DISCARD_TIMEOUT_S):
+            while not self.has_body and discarded < MAX_DISCARDED_BYTES:
+                message = await self._receive()
+                if message['type'] == 'http.disconnect':
+                    return
+                discarded += len(message.get('body', b''))
+                self.has_body = not message.get('more_body', False)
+
     async def _collect_body(self, limit: int) -> bytes:
         body = b''
         while True:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -248,3 +248,22 @@
             received, _ = await read_to_end(caller)
         assert received.startswith(b'HTTP/1.1 200 ')
         assert b'connection: close' in received
+
+
+# Guards against a refusal that a reset destroys while the body is being sent.
+@pytest.mark.parametrize(
+    ('status', 'length'), [(413, 5_000_000), (503, 50_000)]
+)
+async def test_a_refusal_before_the_body_was_read_reaches_the_caller(
+    status, length
+):
+    async with run_logged_daemon() as (harness, _):
+        harness.daemon.application.rejects_requests = status == 503
+        async with await connect(harness) as caller:
+            await caller.send(build_head('/book/1', length))
+            received = await read_until(caller, b'}}')
+            assert received.startswith(b'HTTP/1.1 %d ' % status)
+            for _ in range(10):
+                await caller.send(bytes(length // 10))
+                await anyio.sleep(0.01)
+            assert await read_to_end(caller) == (b'', 'closed')
