Answer requests that have arrived before closing their connections

A caller whose request reached an idle connection in the moment in which a stopping daemon closed it got a reset, although the daemon still ran. The daemon closed idle connections without looking for input that its event loop had not read yet; on a loaded daemon that is the delay of the loop. The kernel resets a connection that is closed with unread input.

Connections with unread input now stay open until it has been read and answered (with a refusal, at that time), within the time for sending buffered bytes.

The test failed before, as the caller received nothing:

AssertionError: assert False + where <built-in method startswith of bytes object at 0x7f7ed7b508a8> = b''.startswith

--- a/laurelwind/transport/draining.py
+++ b/laurelwind/transport/draining.py
@@ -80,8 +80,10 @@
 
     async def _close_connections(self) -> None:
         for server in self._servers:
-            server.start_closing()
+            server.stop_listening()
         while self._has_connections():
+            for server in self._servers:
+                server.close_connections()
             await anyio.sleep(_POLL_S)
 
     def _has_connections(self) -> bool:
--- a/laurelwind/transport/server.py
+++ b/laurelwind/transport/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from collections.abc import Iterator
 from typing import Any, Final
@@ -111,14 +112,14 @@
     @property
     def has_connections(self) -> bool:
         """Whether connections are open, or still send their last bytes."""
-        return bool(self._list_transports())
+        return bool(self._list_connections())
 
     @property
     def unsent_bytes(self) -> int:
         """Bytes of answers that wait to be sent on its connections."""
         return sum(
-            transport.get_write_buffer_size()
-            for transport in self._list_transports()
+            connection.transport.get_write_buffer_size()
+            for connection in self._list_connections()
         )
 
     async def start(self, group: TaskGroup, application: ASGIApp) -> None:
@@ -147,29 +148,34 @@
             self._server.force_exit = True
         await self.close()
 
-    def start_closing(self) -> None:
-        """Stop listening, and close each connection after its answer."""
+    def stop_listening(self) -> None:
+        """Accept no further connections."""
         if self._server is None:
             return
         for listener in self._server.servers:
             listener.close()
-        for connection in tuple(self._server.server_state.connections):
-            connection.shutdown()
+
+    def close_connections(self) -> None:
+        """Close connections, busy ones after their answer.
+
+        A connection with unread input stays open, as closing it would reset
+        it: the caller then gets an answer, and another call closes it.
+        """
+        for connection in self._list_connections():
+            if not _has_input(connection.transport):
+                connection.shutdown()
 
     def abort_connections(self) -> None:
         """Abort all connections, including requests in progress."""
-        if self._server is None:
-            return
-        for listener in self._server.servers:
-            listener.close()
-        for transport in self._list_transports():
-            transport.abort()
+        self.stop_listening()
+        for connection in self._list_connections():
+            connection.transport.abort()
 
-    def _list_transports(self) -> list[asyncio.Transport]:
+    def _list_connections(self) -> list[HttpToolsProtocol]:
         if self._server is None:
             return []
         return [
-            connection.transport
+            connection
             for connection in self._server.server_state.connections
             if isinstance(connection, HttpToolsProtocol)
             and connection.transport is not None
@@ -205,6 +211,15 @@
             self._stopped.set()
 
 
+def _has_input(transport: asyncio.Transport) -> bool:
+    descriptor = transport.get_extra_info('socket').fileno()
+    if transport.is_closing() or descriptor < 0:
+        return False
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _create_listener(host: str, port: int) -> socket.socket:
     """Bind and listen, so that no other socket can share the port."""
     # asyncio disables Nagle's algorithm only on sockets created with an
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,17 +1,19 @@
 """What callers get, and what the log tells, while a daemon stops."""
 
 import contextlib
+import os
 import socket
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute
 from attrs import astuple, evolve
 
 from laurelwind import relay_daemon
 from laurelwind.transport import server
 from laurelwind.transport.stop_times import plan_stop
 from tests.helpers import wait_until
-from tests.test_relay_path import KEY, run_daemon
+from tests.test_relay_path import KEY, RecordingEndpoint, run_daemon
 
 pytestmark = pytest.mark.anyio
 FINAL_EVENTS = {'answered', 'refused', 'failed', 'caller_left', 'cut'}
@@ -267,3 +269,27 @@
                 await caller.send(bytes(length // 10))
                 await anyio.sleep(0.01)
             assert await read_to_end(caller) == (b'', 'closed')
+
+
+# Guards against the reset of a connection on which a request has arrived.
+async def test_a_request_that_arrives_as_connections_close_is_answered():
+    endpoint = RecordingEndpoint()
+    async with anyio.create_task_group() as group:
+        listening = server.HttpServer(address='127.0.0.1:0')
+        await listening.start(group, endpoint)
+        host, port = listening.address.split(':')
+        async with await anyio.connect_tcp(host, int(port)) as caller:
+            await caller.send(build_head('/book/1'))
+            await read_until(caller, b'0\r\n\r\n')
+            raw_socket = caller.extra(SocketAttribute.raw_socket)
+            os.write(raw_socket.fileno(), build_head('/book/2'))
+            # The request waits in the kernel, as this task has not yielded.
+            listening.stop_listening()
+            while listening.has_connections:
+                listening.close_connections()
+                await anyio.sleep(0.01)
+            received, end = await read_to_end(caller)
+        group.cancel_scope.cancel()
+    assert received.startswith(b'HTTP/1.1 200 ')
+    assert end == 'closed'
+    assert len(endpoint.requests) == 2
