Test that further signals during a stop cut no request

SIGHUP, SIGTERM, SIGHUP and SIGTERM in a row reach a daemon that relays a stream: the stop goes on and the stream ends whole. This passed before as well; it keeps the order of signals from becoming a cause of cut answers.

--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import signal
 import socket
 
 import anyio
@@ -10,10 +11,16 @@
 from attrs import astuple, evolve
 
 from laurelwind import relay_daemon
+from laurelwind.relay_program import StopWatchdog, run_relay
 from laurelwind.transport import server
 from laurelwind.transport.stop_times import plan_stop
 from tests.helpers import wait_until
-from tests.test_relay_path import KEY, RecordingEndpoint, run_daemon
+from tests.test_relay_path import (
+    KEY,
+    DaemonHarness,
+    RecordingEndpoint,
+    run_daemon,
+)
 
 pytestmark = pytest.mark.anyio
 FINAL_EVENTS = {'answered', 'refused', 'failed', 'caller_left', 'cut'}
@@ -293,3 +300,31 @@
     assert received.startswith(b'HTTP/1.1 200 ')
     assert end == 'closed'
     assert len(endpoint.requests) == 2
+
+
+# Guards against a further signal that cuts the requests of a stopping daemon.
+async def test_signals_during_a_stop_cut_no_request():
+    endpoint = RecordingEndpoint()
+    endpoint.event_pause_s = 0.2
+    watchdog = StopWatchdog()
+    async with anyio.create_task_group() as group:
+        listening = server.HttpServer(address='127.0.0.1:0')
+        await listening.start(group, endpoint)
+        harness = DaemonHarness(listening.address)
+        settings = harness.daemon.settings
+        group.start_soon(
+            run_relay, harness.daemon, {}, lambda: settings, watchdog
+        )
+        with anyio.fail_after(10):
+            await wait_until(lambda: harness.daemon.is_ready)
+            async with await connect(harness) as caller:
+                await caller.send(build_head('/draft/1'))
+                await read_until(caller, b'id: 1')
+                for number in (signal.SIGHUP, signal.SIGTERM) * 2:
+                    signal.raise_signal(number)
+                    await anyio.sleep(0.02)
+                received, end = await read_to_end(caller)
+        watchdog.close()
+        group.cancel_scope.cancel()
+    assert received.endswith(b'id: 4\ndata: x\n\n\r\n0\r\n\r\n')
+    assert end == 'closed'
