--- a/laurelwind/relay_program.py
+++ b/laurelwind/relay_program.py
@@ -15,8 +15,6 @@
 
 _RELOAD_SIGNALS: Final = (signal.SIGHUP,)
 _SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, *_RELOAD_SIGNALS)
-# Seconds of ``bounds.stop_s`` that remain when the process is ended by force.
-FORCED_EXIT_MARGIN_S: Final = 0.5
 FORCED_EXIT_STATUS: Final = 70
 
 
@@ -72,7 +70,7 @@
                 if signal_number not in _RELOAD_SIGNALS:
                     break
                 daemon.reload(load_settings)
-            watchdog.start(daemon.settings.bounds.stop_s - FORCED_EXIT_MARGIN_S)
+            watchdog.start(daemon.plan_stop().forced_exit_s)
             await daemon.close()
             signal.pthread_sigmask(signal.SIG_BLOCK, _RELOAD_SIGNALS)
         group.cancel_scope.cancel()
--- a/laurelwind/transport/caller_exchange.py
+++ b/laurelwind/transport/caller_exchange.py
@@ -11,8 +11,12 @@
 from laurelwind.state.conversion import dump_json
 
 BODY_TIMEOUT_S: Final = 10.0
+# Limits of the rest of a request body that is read after an early answer.
+DISCARD_TIMEOUT_S: Final = 2.0
+MAX_DISCARDED_BYTES: Final = 8_388_608
 _BEARER: Final = 'bearer '
 _STATUS_OK: Final = 200
+_CLOSE: Final = (b'connection', b'close')
 _JSON_CONTENT_TYPE: Final = (b'content-type', b'application/json')
 
 HeaderPairs = Sequence[tuple[bytes, bytes]]
@@ -25,6 +29,13 @@
     :param receive: ASGI callable that returns the next message of the request.
     :param send: ASGI callable that sends a message of the answer.
     :param request_id: identifies the request in the answer and in logs.
+    :ivar has_body: whether the request's body has been read completely.
+    :ivar has_left: whether the caller left before that.
+    :ivar has_begun: whether the head of the answer has been sent.
+    :ivar closes_connection: whether the answer's head tells the caller to use
+        the connection no more.
+    :ivar is_complete: whether the whole answer has been sent.
+    :ivar is_truncated: whether the answer must end before it is complete.
     """
 
     def __init__(
@@ -37,7 +48,10 @@
     ) -> None:
         self.request_id = request_id
         self.has_begun = False
+        self.closes_connection = False
+        self.is_complete = False
         self.is_truncated = False
+        self.has_body = False
         self.has_left = False
         self.extra_headers: list[tuple[bytes, bytes]] = []
         self._scope = scope
@@ -155,6 +169,7 @@
         :param headers: pairs of a name in lower case and its text.
         """
         self.has_begun = True
+        closing = (_CLOSE,) if self.closes_connection else ()
         await self._send(
             {
                 'type': 'http.response.start',
@@ -163,6 +178,7 @@
                     *headers,
                     (b'x-request-id', self.request_id.encode()),
                     *self.extra_headers,
+                    *closing,
                 ],
             }
         )
@@ -180,6 +196,7 @@
                 'more_body': not is_last,
             }
         )
+        self.is_complete = is_last
 
     async def send_complete(
         self,
@@ -195,7 +212,14 @@
         """
         length = (b'content-length', str(len(body)).encode())
         await self.begin(status, (*headers, length))
-        await self.send_chunk(body, is_last=True)
+        if self.has_body or not self.closes_connection:
+            await self.send_chunk(body, is_last=True)
+            return
+        # The server closes the connection once it has the last chunk.
+        await self.send_chunk(body)
+        self.is_complete = True
+        await self.discard_body()
+        await self.send_chunk(b'', is_last=True)
 
     async def send_json(
         self,
@@ -214,6 +238,21 @@
             status, (_JSON_CONTENT_TYPE, *headers), dump_json(document)
         )
 
+    async def discard_body(self) -> None:
+        """Read the rest of the request body, within limits, and drop it.
+
+        Closing a connection with unread input resets it, which can destroy an
+        answer before the caller has read it.
+        """
+        discarded = 0
+        with anyio.move_on_after(DISCARD_TIMEOUT_S):
+            while not self.has_body and discarded < MAX_DISCARDED_BYTES:
+                message = await self._receive()
+                if message['type'] == 'http.disconnect':
+                    return
+                discarded += len(message.get('body', b''))
+                self.has_body = not message.get('more_body', False)
+
     async def _collect_body(self, limit: int) -> bytes:
         body = b''
         while True:
@@ -228,6 +267,7 @@
             if len(body) > limit:
                 raise _build_size_error(limit)
             if not message.get('more_body', False):
+                self.has_body = True
                 return body
 
     async def send_error(self, error: LaurelwindError) -> None:
--- a/laurelwind/transport/relay_application.py
+++ b/laurelwind/transport/relay_application.py
@@ -4,11 +4,17 @@
 from typing import Final
 
 import anyio
+from attrs import evolve
 from starlette.types import Receive, Scope, Send
 
 from laurelwind.coordination.relay import Relay
 from laurelwind.decisions import DecisionLog
-from laurelwind.errors import CapacityError, ErrorKind, LaurelwindError
+from laurelwind.errors import (
+    CapacityError,
+    EndpointError,
+    ErrorKind,
+    LaurelwindError,
+)
 from laurelwind.protocol.exchanges import (
     CallerAnswer,
     HeaderCodec,
@@ -18,11 +24,9 @@
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.transport.caller_exchange import CallerExchange
+from laurelwind.transport.open_exchanges import OpenExchanges
 from laurelwind.transport.request_outcomes import CutReason, RequestOutcomes
 
-_CLOSE: Final = (b'connection', b'close')
-
-
 # Retry-After of a daemon that is stopping: callers may retry on another daemon.
 STOPPING_RETRY_AFTER_S: Final = 0.05
 
@@ -71,6 +75,7 @@
     :param metrics: counts error answers.
     :param read_body_limit: returns the maximum size of a request body in
         bytes.
+    :ivar exchanges: exchanges in progress.
     """
 
     def __init__(
@@ -89,9 +94,14 @@
             log=log, metrics=metrics, is_stopping=lambda: self.is_draining
         )
         self._read_body_limit = read_body_limit
+        self.exchanges = OpenExchanges()
         self.is_draining = False
         self.rejects_requests = False
-        self.is_aborting = False
+
+    def start_draining(self) -> None:
+        """Close the connection of each answer that begins from now on."""
+        self.is_draining = True
+        self.exchanges.close_connections()
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -104,36 +114,45 @@
         :param send: ASGI callable that sends a message of the answer.
         """
         arrived_at = read_monotonic_clock()
-        request = self._read_request(scope, b'')
+        request = self._read_request(scope)
         exchange = CallerExchange(
             scope=scope,
             receive=receive,
             send=send,
             request_id=request.request_id,
         )
-        if self.is_draining:
-            exchange.extra_headers.append(_CLOSE)
+        exchange.closes_connection = self.is_draining
+        answer = ExchangeAnswer(exchange=exchange)
+        with self.exchanges.track(exchange) as work:
+            with work:
+                await self._receive_and_serve(
+                    exchange, request, answer, arrived_at
+                )
+            if work.cancelled_caught and not exchange.is_complete:
+                await self._end_at_stop(exchange, request, answer, arrived_at)
+        if exchange.is_truncated:
+            raise TruncatedAnswerError
+
+    async def _receive_and_serve(
+        self,
+        exchange: CallerExchange,
+        request: RelayRequest,
+        answer: ExchangeAnswer,
+        arrived_at: float,
+    ) -> None:
         try:
-            self._check_open()
-            body = await exchange.read_body(self._read_body_limit())
+            body = await self._read_body(exchange)
         except LaurelwindError as error:
-            answer = ExchangeAnswer(exchange=exchange)
             if exchange.has_left:
-                self._record_disconnect(request, answer, arrived_at)
+                self._outcomes.record_caller_left(request, answer, arrived_at)
                 return
-            exchange.extra_headers.append(_CLOSE)
+            exchange.closes_connection = True
             await self._handle_error(
                 exchange, request, answer, error, arrived_at
             )
             return
         if body:
-            request = self._read_request(scope, body)
-        await self._serve_until_disconnect(exchange, request, arrived_at)
-
-    async def _serve_until_disconnect(
-        self, exchange: CallerExchange, request: RelayRequest, arrived_at: float
-    ) -> None:
-        answer = ExchangeAnswer(exchange=exchange)
+            request = evolve(request, body=body)
         is_served = False
         async with anyio.create_task_group() as group:
             group.start_soon(
@@ -143,9 +162,7 @@
             is_served = True
             group.cancel_scope.cancel()
         if not is_served:
-            self._record_disconnect(request, answer, arrived_at)
-        elif exchange.is_truncated:
-            raise TruncatedAnswerError
+            self._outcomes.record_caller_left(request, answer, arrived_at)
 
     async def _serve(
         self,
@@ -173,19 +190,31 @@
                 exchange, request, answer, internal_error, arrived_at
             )
 
-    def _record_disconnect(
-        self, request: RelayRequest, answer: CallerAnswer, arrived_at: float
+    async def _end_at_stop(
+        self,
+        exchange: CallerExchange,
+        request: RelayRequest,
+        answer: ExchangeAnswer,
+        arrived_at: float,
     ) -> None:
-        if not self.is_aborting:
-            self._outcomes.record_caller_left(request, answer, arrived_at)
+        """End an exchange whose time is up as the daemon stops."""
+        if exchange.has_begun:
+            self._outcomes.record_cut(
+                request,
+                answer,
+                CutReason.STOPPING,
+                arrived_at,
+                detail='the daemon stopped before the answer was complete',
+            )
+            exchange.is_truncated = True
             return
-        self._outcomes.record_cut(
-            request,
-            answer,
-            CutReason.STOPPING,
-            arrived_at,
-            detail='the daemon stopped before the answer was complete',
-        )
+        error: LaurelwindError = _build_stopping_error()
+        if exchange.has_body:
+            error = EndpointError(
+                ErrorKind.DEADLINE_EXCEEDED,
+                'the daemon stopped before an endpoint had answered',
+            )
+        await self._handle_error(exchange, request, answer, error, arrived_at)
 
     async def _handle_error(
         self,
@@ -209,24 +238,35 @@
             headers=headers,
         )
 
+    async def _read_body(self, exchange: CallerExchange) -> bytes:
+        self._check_open()
+        body = await exchange.read_body(self._read_body_limit())
+        # The daemon may have begun to refuse requests in the meantime.
+        self._check_open()
+        return body
+
     def _check_open(self) -> None:
         if self.rejects_requests:
-            raise CapacityError(
-                ErrorKind.STOPPING,
-                'this daemon is stopping; retry on another daemon',
-                retry_after_s=STOPPING_RETRY_AFTER_S,
-            )
+            raise _build_stopping_error()
 
-    def _read_request(self, scope: Scope, body: bytes) -> RelayRequest:
+    def _read_request(self, scope: Scope) -> RelayRequest:
         target: bytes = scope['raw_path']
         query: bytes = scope.get('query_string', b'')
         if query:
             target = b'%s?%s' % (target, query)
         return self._codec.decode_request(
-            scope['method'], target, scope['headers'], body
+            scope['method'], target, scope['headers'], b''
         )
 
 
+def _build_stopping_error() -> CapacityError:
+    return CapacityError(
+        ErrorKind.STOPPING,
+        'this daemon is stopping; retry on another daemon',
+        retry_after_s=STOPPING_RETRY_AFTER_S,
+    )
+
+
 async def _cancel_on_disconnect(
     exchange: CallerExchange, scope: anyio.CancelScope
 ) -> None:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,14 +1,26 @@
 """What callers get, and what the log tells, while a daemon stops."""
 
 import contextlib
+import os
+import signal
+import socket
 
 import anyio
 import pytest
-from attrs import evolve
+from anyio.abc import SocketAttribute
+from attrs import astuple, evolve
 
 from laurelwind import relay_daemon
+from laurelwind.relay_program import StopWatchdog, run_relay
+from laurelwind.transport import server
+from laurelwind.transport.stop_times import plan_stop
 from tests.helpers import wait_until
-from tests.test_relay_path import KEY, run_daemon
+from tests.test_relay_path import (
+    KEY,
+    DaemonHarness,
+    RecordingEndpoint,
+    run_daemon,
+)
 
 pytestmark = pytest.mark.anyio
 FINAL_EVENTS = {'answered', 'refused', 'failed', 'caller_left', 'cut'}
@@ -129,3 +141,190 @@
         finals = list_final_lines(lines) + list_final_lines(lines, 'r2')
         assert [line['event'] for line in finals] == ['caller_left'] * 2
         assert [line['has_begun'] for line in finals] == [True, False]
+
+
+@pytest.fixture
+def small_send_buffers(monkeypatch):
+    """Make the kernel take few bytes at once, as on a slow link."""
+    create_listener = server._create_listener
+
+    def create_small_listener(host, port):
+        listener = create_listener(host, port)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return listener
+
+    monkeypatch.setattr(server, '_create_listener', create_small_listener)
+
+
+# Guards against a stop that is not over when the process is killed.
+@pytest.mark.parametrize('stop_s', [1, 4, 8, 30])
+def test_a_stop_keeps_its_order_and_ends_within_its_bound(stop_s):
+    times = plan_stop(stop_s, refusal_s=2.9, listening_s=3.2)
+    moments = astuple(times)
+    assert list(moments) == sorted(moments)
+    assert 0 < times.refusal_s < times.cut_s
+    assert times.cut_s > stop_s * 5 / 6
+    assert times.forced_exit_s < stop_s
+
+
+# Guards against an answer cut by a stop while its bytes wait to be sent.
+@pytest.mark.usefixtures('small_send_buffers')
+async def test_a_stop_sends_all_bytes_of_a_complete_answer():
+    async with run_logged_daemon() as (harness, lines):
+        harness.endpoint.event_text = b'x' * 200_000
+        async with (
+            await connect(harness) as caller,
+            anyio.create_task_group() as group,
+        ):
+            await caller.send(build_head('/book/1'))
+            await wait_until(lambda: list_final_lines(lines))
+            group.start_soon(harness.daemon.close)
+            await anyio.sleep(0.6)
+            received, end = await read_to_end(caller)
+        assert received.count(b'\ndata: ') == 4
+        assert received.endswith(b'x\n\n')
+        assert end == 'closed'
+        (stopped,) = (line for line in lines if line['event'] == 'stopped')
+        assert (stopped['cut'], stopped['unsent_bytes']) == (0, 0)
+
+
+# Guards against a request that a stop ends while its body is being read.
+async def test_a_request_whose_body_arrives_during_the_stop_is_answered():
+    async with run_logged_daemon() as (harness, lines):
+        async with (
+            await connect(harness) as caller,
+            anyio.create_task_group() as group,
+        ):
+            await caller.send(build_head('/book/1', 6) + b'hal')
+            await anyio.sleep(0.1)
+            group.start_soon(harness.daemon.close)
+            await anyio.sleep(0.6)
+            await caller.send(b'l 3')
+            received, end = await read_to_end(caller)
+        assert received.startswith(b'HTTP/1.1 503 ')
+        assert end == 'closed'
+        assert not harness.endpoint.requests
+        (final,) = list_final_lines(lines)
+        assert (final['event'], final['kind']) == ('refused', 'stopping')
+
+
+# Guards against a request that gets no answer at the end of a stop.
+async def test_a_request_that_a_stop_ends_gets_an_answer():
+    async with run_logged_daemon(stop_s=2.0) as (harness, lines):
+        harness.endpoint.event_pause_s = 60
+        async with (
+            await connect(harness) as caller,
+            anyio.create_task_group() as group,
+        ):
+            await caller.send(build_head('/book/1'))
+            await wait_until(lambda: harness.endpoint.requests)
+            group.start_soon(harness.daemon.close)
+            received, end = await read_to_end(caller)
+        assert received.startswith(b'HTTP/1.1 504 ')
+        assert b'"run":"unknown"' in received
+        assert end == 'closed'
+        (final,) = list_final_lines(lines)
+        assert (final['event'], final['stopping']) == ('failed', True)
+
+
+async def test_a_body_that_the_stop_ends_is_refused_as_not_run():
+    async with run_logged_daemon(stop_s=2.0) as (harness, lines):
+        async with (
+            await connect(harness) as caller,
+            anyio.create_task_group() as group,
+        ):
+            await caller.send(build_head('/book/1', 6) + b'hal')
+            await anyio.sleep(0.1)
+            group.start_soon(harness.daemon.close)
+            received, _ = await read_to_end(caller)
+        assert received.startswith(b'HTTP/1.1 503 ')
+        assert b'"run":"not_run"' in received
+        (final,) = list_final_lines(lines)
+        assert (final['event'], final['kind']) == ('refused', 'stopping')
+
+
+# Guards against further requests on a connection that is about to be closed.
+async def test_an_answer_that_begins_during_a_stop_closes_its_connection():
+    async with run_logged_daemon() as (harness, _):
+        harness.endpoint.event_pause_s = 0.1
+        async with (
+            await connect(harness) as caller,
+            anyio.create_task_group() as group,
+        ):
+            await caller.send(build_head('/book/1'))
+            await wait_until(lambda: harness.endpoint.requests)
+            group.start_soon(harness.daemon.close)
+            received, _ = await read_to_end(caller)
+        assert received.startswith(b'HTTP/1.1 200 ')
+        assert b'connection: close' in received
+
+
+# Guards against a refusal that a reset destroys while the body is being sent.
+@pytest.mark.parametrize(
+    ('status', 'length'), [(413, 5_000_000), (503, 50_000)]
+)
+async def test_a_refusal_before_the_body_was_read_reaches_the_caller(
+    status, length
+):
+    async with run_logged_daemon() as (harness, _):
+        harness.daemon.application.rejects_requests = status == 503
+        async with await connect(harness) as caller:
+            await caller.send(build_head('/book/1', length))
+            received = await read_until(caller, b'}}')
+            assert received.startswith(b'HTTP/1.1 %d ' % status)
+            for _ in range(10):
+                await caller.send(bytes(length // 10))
+                await anyio.sleep(0.01)
+            assert await read_to_end(caller) == (b'', 'closed')
+
+
+# Guards against the reset of a connection on which a request has arrived.
+async def test_a_request_that_arrives_as_connections_close_is_answered():
+    endpoint = RecordingEndpoint()
+    async with anyio.create_task_group() as group:
+        listening = server.HttpServer(address='127.0.0.1:0')
+        await listening.start(group, endpoint)
+        host, port = listening.address.split(':')
+        async with await anyio.connect_tcp(host, int(port)) as caller:
+            await caller.send(build_head('/book/1'))
+            await read_until(caller, b'0\r\n\r\n')
+            raw_socket = caller.extra(SocketAttribute.raw_socket)
+            os.write(raw_socket.fileno(), build_head('/book/2'))
+            # The request waits in the kernel, as this task has not yielded.
+            listening.stop_listening()
+            while listening.has_connections:
+                listening.close_connections()
+                await anyio.sleep(0.01)
+            received, end = await read_to_end(caller)
+        group.cancel_scope.cancel()
+    assert received.startswith(b'HTTP/1.1 200 ')
+    assert end == 'closed'
+    assert len(endpoint.requests) == 2
+
+
+# Guards against a further signal that cuts the requests of a stopping daemon.
+async def test_signals_during_a_stop_cut_no_request():
+    endpoint = RecordingEndpoint()
+    endpoint.event_pause_s = 0.2
+    watchdog = StopWatchdog()
+    async with anyio.create_task_group() as group:
+        listening = server.HttpServer(address='127.0.0.1:0')
+        await listening.start(group, endpoint)
+        harness = DaemonHarness(listening.address)
+        settings = harness.daemon.settings
+        group.start_soon(
+            run_relay, harness.daemon, {}, lambda: settings, watchdog
+        )
+        with anyio.fail_after(10):
+            await wait_until(lambda: harness.daemon.is_ready)
+            async with await connect(harness) as caller:
+                await caller.send(build_head('/draft/1'))
+                await read_until(caller, b'id: 1')
+                for number in (signal.SIGHUP, signal.SIGTERM) * 2:
+                    signal.raise_signal(number)
+                    await anyio.sleep(0.02)
+                received, end = await read_to_end(caller)
+        watchdog.close()
+        group.cancel_scope.cancel()
+    assert received.endswith(b'id: 4\ndata: x\n\n\r\n0\r\n\r\n')
+    assert end == 'closed'
