Don't blame endpoints for time-outs that expire in a blocked event loop

Callers saw attempts at sound endpoints given up, and connections to them fail, when the daemon's event loop had been blocked (a large table is decoded on half a core) or its machine had been suspended.

Cause: the timers are due as soon as the loop runs again, before what the endpoint sent meanwhile is read, or a few milliseconds before it arrives. With a loop blocked for 0.7 s, every connection that was being opened failed with TimeoutError, and its endpoint was put in backoff here and reported to the other daemons.

Now a wait whose time-out expired is repeated once before it counts: for 0.01 s, or for 0.25 s if the timer fired over 0.1 s late. A connection is tried once more if its time-out fired late. Reads are cancelled and repeated for this; a test over loopback shows that nothing is lost.

--- a/laurelwind/coordination/silence_monitor.py
+++ b/laurelwind/coordination/silence_monitor.py
@@ -4,16 +4,20 @@
 from typing import Final, TypeVar
 
 import anyio
-from attrs import frozen
+from attrs import define, frozen
 
 from laurelwind.coordination.relay_jobs import Attempt, Job
 from laurelwind.coordination.selection import RetryObstacle
 from laurelwind.coordination.sending import Sender
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import EndpointSilentError, ErrorKind, RunState
+from laurelwind.state.load import read_monotonic_clock
+from laurelwind.state.timers import is_timer_late
 
 # Interval, in seconds, at which a tolerated silence is reviewed.
 REVIEW_INTERVAL_S: Final = 0.25
+# Time, in seconds, to read what arrived together with a time-out.
+SECOND_READ_S: Final = 0.01
 
 _Received = TypeVar('_Received')
 
@@ -64,14 +68,16 @@
         :raises EndpointError: if the endpoint is silent for too long and
             another one can take over, or its connection breaks.
         """
-        timeout_s = limit.timeout_s
+        timer = _Timer(timeout_s=limit.timeout_s)
         is_tolerated = False
         while True:
-            with anyio.move_on_after(timeout_s):
+            with timer.start():
                 received = await receive()
                 if is_tolerated:
                     self._log_end(job, attempt)
                 return received
+            if timer.must_repeat():
+                continue
             obstacle = self._sender.selector.find_obstacle(
                 job, attempt.endpoint
             )
@@ -84,7 +90,7 @@
             if not is_tolerated:
                 self._record_tolerated(job, attempt, obstacle)
             is_tolerated = True
-            timeout_s = REVIEW_INTERVAL_S
+            timer.timeout_s = REVIEW_INTERVAL_S
 
     def _record_tolerated(
         self, job: Job, attempt: Attempt, obstacle: RetryObstacle
@@ -112,3 +118,29 @@
             silent_s=round(attempt.silent_s, 3),
             events=job.events,
         )
+
+
+@define(kw_only=True)
+class _Timer:
+    """Time-out of a wait, repeated once before it counts.
+
+    :ivar timeout_s: length in seconds, or ``None`` for no limit.
+    :ivar started_at: moment of the last start, on the monotonic clock.
+    :ivar is_repeated: whether it was repeated.
+    """
+
+    timeout_s: float | None
+    started_at: float = 0
+    is_repeated: bool = False
+
+    def start(self) -> anyio.CancelScope:
+        self.started_at = read_monotonic_clock()
+        return anyio.move_on_after(self.timeout_s)
+
+    def must_repeat(self) -> bool:
+        if self.is_repeated or self.timeout_s is None:
+            return False
+        is_late = is_timer_late(self.started_at, self.timeout_s)
+        self.timeout_s = REVIEW_INTERVAL_S if is_late else SECOND_READ_S
+        self.is_repeated = True
+        return True
--- a/laurelwind/protocol/exchanges.py
+++ b/laurelwind/protocol/exchanges.py
@@ -139,7 +139,10 @@
 
 
 class EndpointExchange(abc.ABC):
-    """A request sent to one endpoint, and its answer."""
+    """A request sent to one endpoint, and its answer.
+
+    A wait that is cancelled loses nothing and may be repeated.
+    """
 
     @abc.abstractmethod
     async def read_head(self) -> AnswerHead:
--- a/laurelwind/transport/connection.py
+++ b/laurelwind/transport/connection.py
@@ -18,6 +18,8 @@
 
 from laurelwind.errors import EndpointError, ErrorKind, RunState
 from laurelwind.protocol.exchanges import HeaderPairs
+from laurelwind.state.load import read_monotonic_clock
+from laurelwind.state.timers import is_timer_late
 from laurelwind.transport.network import split_address
 
 # Time-out of the TCP handshake.  It is short because a handshake that waits for
@@ -78,10 +80,8 @@
         :raises EndpointError: when it is not accepted within
             ``CONNECT_TIMEOUT_S``.
         """
-        host, port = split_address(address)
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(host, port)
+            stream = await _connect(address)
         except (OSError, TimeoutError) as error:
             raise EndpointError(
                 ErrorKind.ENDPOINT_FAILED,
@@ -246,6 +246,18 @@
             ) from error
 
 
+async def _connect(address: str, *, is_repeated: bool = False) -> SocketStream:
+    host, port = split_address(address)
+    started_at = read_monotonic_clock()
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            return await anyio.connect_tcp(host, port)
+    except TimeoutError:
+        if is_repeated or not is_timer_late(started_at, CONNECT_TIMEOUT_S):
+            raise
+    return await _connect(address, is_repeated=True)
+
+
 def _parse_idle_timeout(header_value: bytes) -> float | None:
     for parameter in header_value.split(b','):
         name, _, seconds = parameter.strip().partition(b'=')
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -1,6 +1,7 @@
 """In-memory fakes of the collaborators of a relay."""
 
 import os
+from collections.abc import Callable
 
 import anyio
 from attrs import define, field
@@ -138,8 +139,8 @@
 class EndpointScript:
     """Scripted behaviour of an endpoint for one request.
 
-    A head or chunk that is an exception is raised; ``None`` hangs, and a
-    :class:`Pause` delays what follows.
+    A head or chunk that is an exception is raised; ``None`` hangs, a
+    :class:`Pause` delays what follows, and a callable chunk is called.
     """
 
     head: object = field(factory=lambda: AnswerHead(status=200))
@@ -159,9 +160,12 @@
         return await _play(self._script.head)
 
     async def read_chunk(self):
-        while self._chunks and isinstance(self._chunks[0], Pause):
-            await self._chunks[0].wait()
-            self._chunks.pop(0)
+        while self._chunks and isinstance(self._chunks[0], Pause | Callable):
+            if isinstance(self._chunks[0], Pause):
+                await self._chunks[0].wait()
+                self._chunks.pop(0)
+            else:
+                self._chunks.pop(0)()
         if not self._chunks:
             return b''
         chunk = await _play(self._chunks[0])
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -1,11 +1,15 @@
 """Malformed, cut-off and surplus answers of endpoints, over loopback."""
 
+import time
+
 import anyio
 import pytest
 
 from laurelwind.errors import EndpointError, RunState
 from laurelwind.protocol.exchanges import Dispatch
 from laurelwind.protocol.headers import HeaderNames, NamedHeaderCodec
+from laurelwind.state.timers import MAX_LATENESS_S
+from laurelwind.transport.connection import CONNECT_TIMEOUT_S, Connection
 from laurelwind.transport.gateway import HttpGateway
 from tests.relay_helpers import build_request
 
@@ -241,3 +245,46 @@
     with pytest.raises(EndpointError) as raised:
         await gateway.send(build_request('book'), dispatch)
     assert raised.value.run is RunState.NOT_RUN
+
+
+async def test_a_blocked_event_loop_is_not_taken_for_a_dead_endpoint():
+    """Guards against connect time-outs blamed on sound endpoints."""
+
+    async def check(fixture):
+        async with anyio.create_task_group() as group:
+            group.start_soon(fixture.send_request)
+            await anyio.lowlevel.checkpoint()
+            time.sleep(CONNECT_TIMEOUT_S + 2 * MAX_LATENESS_S)
+
+    await run_with_endpoint([(build_answer(), False)], check)
+
+
+async def test_a_cancelled_read_loses_nothing():
+    """Guards against answers damaged by the review of a silent endpoint."""
+
+    async def serve(stream):
+        async with stream:
+            await stream.receive()
+            for start in range(0, len(answer), 20):
+                await stream.send(answer[start : start + 20])
+                await anyio.sleep(0.02)
+
+    async def read(receive):
+        while True:
+            with anyio.move_on_after(0.001):
+                return await receive()
+
+    answer = build_answer()
+    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, serve)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        connection = await Connection.open(f'127.0.0.1:{port}')
+        await connection.send(b'GET / HTTP/1.1\r\n\r\n', b'', method='GET')
+        assert (await read(connection.read_head))[0] == 200
+        body = b''
+        while chunk := await read(connection.read_chunk):
+            body += chunk
+        assert body == b'body'
+        await connection.close()
+        group.cancel_scope.cancel()
--- a/tests/test_sound_silence.py
+++ b/tests/test_sound_silence.py
@@ -4,6 +4,8 @@
 can take them over.
 """
 
+import time
+
 import anyio
 import pytest
 
@@ -23,11 +25,7 @@
 
 GOAL_S = 0.1
 SILENCE_S = 0.7
-TIMES = {
-    'timeout_s': 5.0,
-    'latency_goal_s': GOAL_S,
-    'gap_goal_s': GOAL_S,
-}
+TIMEOUT_S = 5.0
 REFUSAL = EndpointScript(head=AnswerHead(status=503, did_not_run=True))
 
 
@@ -38,9 +36,14 @@
     )
 
 
-def build_harness(*scripts, max_attempts=3, **fields):
+def build_harness(*scripts, max_attempts=3, goal_s=GOAL_S, **fields):
     harness = RelayHarness(*scripts, **fields)
-    limits = {**TIMES, 'max_attempts': max_attempts}
+    limits = {
+        'timeout_s': TIMEOUT_S,
+        'latency_goal_s': goal_s,
+        'gap_goal_s': GOAL_S,
+        'max_attempts': max_attempts,
+    }
     harness.tracker.table = build_routing_table(
         routes=(
             build_route('look', RequestKind.IDEMPOTENT, **limits),
@@ -52,8 +55,12 @@
     return harness
 
 
-def build_paused_stream(seconds=SILENCE_S):
-    return EndpointScript(chunks=[events(1, 2), Pause(seconds), events(3, 4)])
+def build_paused_stream(seconds=SILENCE_S, action=None):
+    """Build a stream with a silence, and an action at its beginning."""
+    chunks = [events(1, 2), Pause(seconds), events(3, 4)]
+    if action is not None:
+        chunks.insert(1, action)
+    return EndpointScript(chunks=chunks)
 
 
 def spend_retry_budget(harness):
@@ -92,27 +99,13 @@
             )
 
 
-async def serve_with_change(harness, name, change):
-    """Serve a request, and apply a change shortly after it was sent."""
-    answers = []
-
-    async def serve():
-        answers.append(await harness.serve(build_request(name)))
-
-    async with anyio.create_task_group() as group:
-        group.start_soon(serve)
-        await anyio.sleep(GOAL_S / 2)
-        change(harness)
-    return answers[0]
-
-
 @pytest.mark.parametrize(
     'change',
     [drain_others, pause_others, move_others, spend_retry_budget],
 )
 async def test_a_begun_stream_is_kept_while_no_endpoint_can_take_it(change):
-    harness = build_harness(build_paused_stream())
-    answer = await serve_with_change(harness, 'draft', change)
+    harness = build_harness(build_paused_stream(action=lambda: change(harness)))
+    answer = await harness.serve(build_request('draft'))
     assert answer.body == events(1, 4)
     assert len(harness.gateway.sent) == 1
 
@@ -144,16 +137,17 @@
 
 
 async def test_a_silent_endpoint_is_left_once_another_is_ready():
+    def add_endpoint():
+        harness.directory.apply('e2', build_endpoint_record('e2'), offset=9)
+
     harness = build_harness(
-        EndpointScript(chunks=[events(1, 2), None]),
+        EndpointScript(
+            chunks=[events(1, 2), Pause(SILENCE_S), add_endpoint, None]
+        ),
         EndpointScript(chunks=[events(3, 4)]),
         names=('e1',),
     )
-
-    def add_endpoint(_):
-        harness.directory.apply('e2', build_endpoint_record('e2'), offset=9)
-
-    answer = await serve_with_change(harness, 'draft', add_endpoint)
+    answer = await harness.serve(build_request('draft'))
     assert answer.body == events(1, 4)
     assert harness.gateway.sent[1].endpoint == 'e2'
 
@@ -185,7 +179,7 @@
     )
     started_at = anyio.current_time()
     assert (await harness.serve(build_request('draft'))).is_whole
-    assert anyio.current_time() - started_at < SILENCE_S
+    assert anyio.current_time() - started_at < TIMEOUT_S / 2
 
 
 async def test_a_tolerated_silence_is_logged_with_its_reason(monkeypatch):
@@ -200,3 +194,20 @@
     await harness.serve(build_request('draft'))
     assert lines['silence_tolerated']['obstacle'] == 'no_endpoint'
     assert lines['silence_ended']['silent_s'] >= SILENCE_S
+
+
+async def test_a_blocked_event_loop_is_not_taken_for_silence():
+    """The event arrives just after the loop is free, past the time-out."""
+    harness = build_harness(
+        build_paused_stream(0.1, action=lambda: time.sleep(4 * GOAL_S))
+    )
+    answer = await harness.serve(build_request('draft'))
+    assert answer.body == events(1, 4)
+    assert len(harness.gateway.sent) == 1
+
+
+async def test_an_answer_that_has_arrived_is_read_past_its_time_out():
+    """Guards against attempts that are given up before their answer is read."""
+    harness = build_harness(EndpointScript(chunks=[events(1, 1)]), goal_s=0)
+    assert (await harness.serve(build_request('draft'))).is_whole
+    assert len(harness.gateway.sent) == 1
