Resume a begun stream once its obstacle is gone, not only at once

Callers saw begun streams cut off within milliseconds, with seconds left to their deadline, when their endpoint broke off and at that moment no other was registered, the retry budget was spent, or the table could not be confirmed. A service of one endpoint lost each stream whose connection was reset, though the endpoint was sound.

Cause: the retry was decided once, at the failure. The endpoint that broke off was ruled out for the rest of the request. And a table that was too old was reported as a failure of the endpoint chosen: all endpoints of the service were put in backoff in turn.

Evidence: on the code before, the new tests fail: EndpointError: no endpoint left: every endpoint tried failed EndpointError: broken (four cases; a stream that has not begun still fails without a wait.)

Like an endpoint left for its silence, one that broke off a begun stream is used again if no other is left, within max_attempts and the retry budget. Requests whose answer has not begun are rejected at once, as before. Choosing an endpoint checks the age of the table, so that it is blamed on no endpoint.

--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -56,8 +56,8 @@
     :ivar attempts: number of endpoints that the request was sent to.
     :ivar may_have_run: whether an endpoint may have run the request.
     :ivar excluded_endpoints: names of endpoints that failed the request.
-    :ivar silent_endpoints: names of endpoints that the request left for their
-        silence; they are used again if no other one is left.
+    :ivar fallback_endpoints: names of endpoints that fell silent, or broke off
+        a begun answer; they are used again if no other one is left.
     :ivar refusals: number of attempts that did not run.
     :ivar saved_failure: complete failure answer of an endpoint, delivered if
         every later attempt fails as well.
@@ -79,7 +79,7 @@
     attempts: int = 0
     may_have_run: bool = False
     excluded_endpoints: set[str] = field(factory=set)
-    silent_endpoints: set[str] = field(factory=set)
+    fallback_endpoints: set[str] = field(factory=set)
     refusals: int = 0
     saved_failure: BufferedAnswer | None = None
     last_event_id: str = ''
@@ -177,8 +177,8 @@
         :param is_refusal: whether the request did not run there.
         """
         self.refusals += int(is_refusal)
-        if is_silent:
-            self.silent_endpoints.add(endpoint)
+        if is_silent or (self.events and not is_refusal):
+            self.fallback_endpoints.add(endpoint)
         else:
             self.excluded_endpoints.add(endpoint)
 
--- a/laurelwind/coordination/selection.py
+++ b/laurelwind/coordination/selection.py
@@ -16,7 +16,12 @@
 from laurelwind.coordination.scheduling.requirements import (
     PlacementRequirements,
 )
-from laurelwind.errors import CapacityError, EndpointError, ErrorKind
+from laurelwind.errors import (
+    CapacityError,
+    EndpointError,
+    ErrorKind,
+    LaurelwindError,
+)
 from laurelwind.state.directory import EndpointDirectory, EndpointRecord
 from laurelwind.state.leases import FreshnessLease
 
@@ -67,10 +72,14 @@
         """Select the endpoint of the next attempt.
 
         :param job: the request.
-        :raises LaurelwindError: if no endpoint is left, or every queue is
-            longer than the time to the deadline.
+        :raises LaurelwindError: if no endpoint is left, every queue is longer
+            than the time to the deadline, or the table is too old.
         """
-        endpoint = self._choose_untried(job) or self._choose_silent(job)
+        if not self._dependencies.lease.is_valid:
+            raise _build_stale_error(job)
+        endpoint = None
+        if not job.events or self._find_limit(job) is None:
+            endpoint = self._choose_untried(job) or self._choose_fallback(job)
         if endpoint is not None:
             self._ensure_start_before_deadline(job, endpoint)
             return endpoint
@@ -104,6 +113,17 @@
             and self._find_limit(job) is None
         )
 
+    def can_wait(self, job: Job) -> bool:
+        """Return whether a begun answer may wait until it can be resumed.
+
+        :param job: the request.
+        """
+        return (
+            bool(job.events)
+            and job.attempts - job.refusals < job.route.max_attempts
+            and job.remaining_s >= MIN_REMAINING_S
+        )
+
     def find_obstacle(
         self, job: Job, endpoint: EndpointRecord
     ) -> RetryObstacle | None:
@@ -133,7 +153,7 @@
         :param error: failure of the last attempt.
         :raises LaurelwindError: if no further attempt is allowed.
         """
-        if self.can_retry(job) or self._can_return(job):
+        if self.can_retry(job) or self._can_return(job) or self.can_wait(job):
             return
         if job.may_have_run:
             raise error
@@ -155,7 +175,7 @@
     ) -> EndpointRecord | None:
         if job.attempts >= job.route.max_attempts:
             return None
-        excluded = set(job.silent_endpoints)
+        excluded = set(job.fallback_endpoints)
         if current is not None:
             excluded.add(current.name)
         return self._dependencies.placement.choose(
@@ -165,14 +185,14 @@
             ),
         )
 
-    def _choose_silent(self, job: Job) -> EndpointRecord | None:
+    def _choose_fallback(self, job: Job) -> EndpointRecord | None:
         if job.attempts - job.refusals >= job.route.max_attempts:
             return None
         return self._dependencies.placement.choose(
             [
                 endpoint
                 for endpoint in self._list_ready(job)
-                if endpoint.name in job.silent_endpoints
+                if endpoint.name in job.fallback_endpoints
             ],
             _build_requirements(job),
         )
@@ -180,7 +200,7 @@
     def _can_return(self, job: Job) -> bool:
         return (
             self._find_limit(job) is None
-            and self._choose_silent(job) is not None
+            and self._choose_fallback(job) is not None
         )
 
     def _find_limit(self, job: Job) -> RetryObstacle | None:
@@ -211,6 +231,19 @@
         )
 
 
+def _build_stale_error(job: Job) -> LaurelwindError:
+    if job.may_have_run:
+        return EndpointError(
+            ErrorKind.ENDPOINT_FAILED,
+            'the attempt failed and the routing table is too old for a retry',
+        )
+    return CapacityError(
+        ErrorKind.NOT_READY,
+        'the freshness lease of the routing table has expired',
+        retry_after_s=draw_retry_after(),
+    )
+
+
 def _build_requirements(
     job: Job, *, excluded: set[str] | None = None, avoids_backoff: bool = False
 ) -> PlacementRequirements:
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from typing import Final
 
+import anyio
 from attrs import frozen
 
 from laurelwind.coordination.relay_jobs import Attempt, Job
-from laurelwind.coordination.retries import draw_retry_after
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling.fleet_retry_budget import (
     FleetRetryBudget,
@@ -19,17 +19,22 @@
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
-    CapacityError,
     EndpointError,
-    ErrorKind,
-    LaurelwindError,
     RunState,
 )
 from laurelwind.protocol.exchanges import Dispatch, EndpointGateway
-from laurelwind.state.directory import EndpointDirectory, EndpointRecord
+from laurelwind.state.directory import (
+    LAPSE_GRACE_S,
+    EndpointDirectory,
+    EndpointRecord,
+)
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.state.load import read_monotonic_clock
 
+# Longest wait of a begun answer until it can be resumed, in seconds, and the
+# interval of its checks: endpoints that lapsed are back within this time.
+MAX_RESUME_WAIT_S: Final = LAPSE_GRACE_S
+RESUME_INTERVAL_S: Final = 0.1
 _MS_PER_S: Final = 1000
 
 
@@ -90,18 +95,37 @@
             not be retried.
         """
         while True:
-            endpoint = self.selector.choose(job)
+            endpoint = await self._choose_endpoint(job)
             try:
                 return await self._send_to_endpoint(job, endpoint)
             except EndpointError as error:
                 self._handle_unsent(job, endpoint, error)
 
+    async def _choose_endpoint(self, job: Job) -> EndpointRecord:
+        try:
+            return self.selector.choose(job)
+        except EndpointError as error:
+            # An answer that has begun can't be rejected, so it waits.
+            if not self.selector.can_wait(job):
+                raise
+            self._log_wait(job, error)
+        return await self._await_endpoint(job)
+
+    async def _await_endpoint(self, job: Job) -> EndpointRecord:
+        wait_until = read_monotonic_clock() + MAX_RESUME_WAIT_S
+        while True:
+            await anyio.sleep(RESUME_INTERVAL_S)
+            try:
+                return self.selector.choose(job)
+            except EndpointError:
+                is_over = read_monotonic_clock() > wait_until
+                if is_over or not self.selector.can_wait(job):
+                    raise
+
     async def _send_to_endpoint(
         self, job: Job, endpoint: EndpointRecord
     ) -> Attempt:
         dependencies = self._dependencies
-        if not dependencies.lease.is_valid:
-            raise _build_stale_error(job)
         if job.attempts:
             dependencies.retry_budget.record_retry(job.service)
         else:
@@ -160,6 +184,15 @@
             raise error
         self.selector.ensure_retry_allowed(job, error)
 
+    def _log_wait(self, job: Job, error: EndpointError) -> None:
+        self._dependencies.log.log_info(
+            'resume_awaited',
+            request=job.request.request_id,
+            reason=error.message,
+            events=job.events,
+            left_s=round(job.remaining_s, 3),
+        )
+
     def _log_sent(
         self, job: Job, endpoint: EndpointRecord, dispatch: Dispatch
     ) -> None:
@@ -190,16 +223,3 @@
         last_event_id=job.last_event_id,
         is_repeatable=job.route.is_repeatable,
     )
-
-
-def _build_stale_error(job: Job) -> LaurelwindError:
-    if job.may_have_run:
-        return EndpointError(
-            ErrorKind.ENDPOINT_FAILED,
-            'the attempt failed and the routing table is too old for a retry',
-        )
-    return CapacityError(
-        ErrorKind.NOT_READY,
-        'the freshness lease of the routing table has expired',
-        retry_after_s=draw_retry_after(),
-    )
--- a/tests/test_sound_silence.py
+++ b/tests/test_sound_silence.py
@@ -9,12 +9,14 @@
 import anyio
 import pytest
 
+from laurelwind.errors import EndpointError
 from laurelwind.protocol.exchanges import AnswerHead
 from laurelwind.state.routes import RequestKind
 from tests.relay_helpers import (
     EndpointScript,
     Pause,
     RelayHarness,
+    build_broken_error,
     build_endpoint_record,
     build_request,
     build_route,
@@ -211,3 +213,73 @@
     harness = build_harness(EndpointScript(chunks=[events(1, 1)]), goal_s=0)
     assert (await harness.serve(build_request('draft'))).is_whole
     assert len(harness.gateway.sent) == 1
+
+
+async def test_a_broken_stream_returns_to_its_endpoint_if_no_other_is_left():
+    """Guards against streams cut off as only their endpoint is in service."""
+    harness = build_harness(
+        EndpointScript(chunks=[events(1, 2), build_broken_error()]),
+        EndpointScript(chunks=[events(3, 4)]),
+        names=('e1',),
+    )
+    answer = await harness.serve(build_request('draft'))
+    assert answer.body == events(1, 4)
+
+
+def add_retry_budget(harness):
+    for _ in range(80):
+        harness.retry_budget.record_request('pool')
+
+
+def add_endpoint(harness):
+    harness.directory.apply('e2', build_endpoint_record('e2'), offset=9)
+
+
+def expire_lease(harness):
+    harness.lease.duration_s = 0
+
+
+def extend_lease(harness):
+    harness.lease.duration_s = 60
+
+
+def remove_endpoint(harness):
+    harness.directory.apply('e1', None, offset=8)
+
+
+@pytest.mark.parametrize(
+    ('lose', 'recover'),
+    [
+        (spend_retry_budget, add_retry_budget),
+        (remove_endpoint, add_endpoint),
+        (expire_lease, extend_lease),
+    ],
+)
+async def test_a_begun_stream_waits_until_it_can_be_resumed(lose, recover):
+    """Guards against streams cut off by a lack that lasts a moment."""
+    harness = build_harness(
+        EndpointScript(
+            chunks=[events(1, 2), lambda: lose(harness), build_broken_error()]
+        ),
+        EndpointScript(chunks=[events(3, 4)]),
+        names=('e1',),
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(recover_later, harness, recover)
+        answer = await harness.serve(build_request('draft'))
+    assert answer.body == events(1, 4)
+
+
+async def recover_later(harness, recover):
+    await anyio.sleep(SILENCE_S)
+    recover(harness)
+
+
+async def test_a_stream_that_has_not_begun_fails_without_a_wait():
+    harness = build_harness(
+        EndpointScript(head=build_broken_error()), names=('e1',)
+    )
+    started_at = anyio.current_time()
+    with pytest.raises(EndpointError):
+        await harness.serve(build_request('draft'))
+    assert anyio.current_time() - started_at < SILENCE_S
