Heed departures and pauses that endpoints announce in answers

A departure is a fact of one process, by name and start time: the directory leaves the endpoint out from then on, also if an outdated list names it as ready, and the daemons of the zone are told with the work hints. A pause is between one daemon and one endpoint: placement leaves the endpoint out, a request that was waiting for its connection is placed again, and callers are refused at once with a Retry-After behind the first return. The cost of an endpoint falls only gradually after its pause.

Tests, on the unfixed code: announces_its_stop: AssertionError: assert 200 == 503 asks_for_a_pause: AssertionError: assert 1.03 > 3

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -8,6 +8,7 @@
     HeadReader,
     fail_after_silence,
 )
+from laurelwind.coordination.endpoint_notices import EndpointNotices
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.relay_jobs import Attempt, BufferedAnswer, Job
 from laurelwind.coordination.rollouts.evidence import AnswerOutcome
@@ -48,6 +49,7 @@
 
     :ivar sender: decides whether a request may be retried.
     :ivar placement: tracks the state of endpoints.
+    :ivar notices: applies what endpoints report of themselves.
     :ivar rollouts: tracks the outcomes of versions.
     :ivar planner: decides which answers are escalated to a larger model.
     :ivar metrics: latency metrics.
@@ -56,6 +58,7 @@
 
     sender: Sender
     placement: Placement
+    notices: EndpointNotices
     rollouts: RolloutRegistry
     planner: ModelPlanner
     metrics: RelayMetrics
@@ -85,10 +88,7 @@
             model.
         """
         head = await self._heads.read(job, attempt)
-        if head.load is not None:
-            self._dependencies.placement.record_report(
-                attempt.endpoint, head.load
-            )
+        self._dependencies.notices.apply(attempt.endpoint, head)
         _check_head(head)
         if head.is_success and job.is_stream:
             self._check_confidence(job, attempt, head)
--- /dev/null
+++ b/laurelwind/coordination/endpoint_notices.py
@@ -0,0 +1,81 @@
+"""What endpoints tell of themselves in the heads of their answers."""
+
+import math
+from collections.abc import Callable
+from typing import Final
+
+from attrs import frozen
+
+from laurelwind.coordination.scheduling.placement import Placement
+from laurelwind.decisions import DecisionLog
+from laurelwind.protocol.exchanges import AnswerHead
+from laurelwind.state.directory import EndpointDirectory, EndpointRecord
+
+# Longest pause that an endpoint is granted, in seconds. An endpoint that asks
+# for more is asked again after this time.
+MAX_PAUSE_S: Final = 60.0
+
+
+@frozen(kw_only=True)
+class EndpointNotices:
+    """Applies the load, the pauses and the departures that endpoints report.
+
+    :param placement: tracks the load and the pauses.
+    :param directory: tracks which endpoints are leaving.
+    :param notify_leaving: notifies other daemons of the name of an endpoint
+        that is about to stop, and the start time of its process.
+    :param log: decision log.
+    """
+
+    placement: Placement
+    directory: EndpointDirectory
+    notify_leaving: Callable[[str, int], None]
+    log: DecisionLog
+
+    def apply(self, endpoint: EndpointRecord, head: AnswerHead) -> None:
+        """Apply what the head of an answer tells of its endpoint.
+
+        :param endpoint: the endpoint that answers.
+        :param head: head of any answer, also of a refusal.
+        """
+        if head.load is not None:
+            self.placement.record_report(endpoint, head.load)
+        if head.is_leaving:
+            self._record_leaving(endpoint)
+        if head.retry_after:
+            self._record_pause(endpoint, head.retry_after)
+
+    def _record_leaving(self, endpoint: EndpointRecord) -> None:
+        if self.directory.record_leaving(endpoint.name, endpoint.started_ms):
+            self.notify_leaving(endpoint.name, endpoint.started_ms)
+            self.log.log_warning(
+                'endpoint_leaving',
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                started_ms=endpoint.started_ms,
+            )
+
+    def _record_pause(self, endpoint: EndpointRecord, text: str) -> None:
+        pause_s = parse_pause(text)
+        self.log.log_warning(
+            'endpoint_paused' if pause_s else 'pause_ignored',
+            endpoint=endpoint.name,
+            asked=text,
+            pause_s=pause_s,
+        )
+        if pause_s:
+            self.placement.record_pause(endpoint, pause_s)
+
+
+def parse_pause(text: str) -> float:
+    """Return the seconds of a pause, at most ``MAX_PAUSE_S``.
+
+    :param text: number of seconds; anything else, such as a date, gives zero.
+    """
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0
+    if math.isnan(seconds):
+        return 0
+    return min(max(seconds, 0), MAX_PAUSE_S)
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -8,6 +8,7 @@
     DeliveryDependencies,
     LowConfidenceError,
 )
+from laurelwind.coordination.endpoint_notices import EndpointNotices
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.relay_jobs import Attempt, Job
 from laurelwind.coordination.scheduling.placement import Placement
@@ -69,6 +70,12 @@
         dependencies=DeliveryDependencies(
             sender=sender,
             placement=dependencies.placement,
+            notices=EndpointNotices(
+                placement=dependencies.placement,
+                directory=dependencies.directory,
+                notify_leaving=dependencies.notify_leaving,
+                log=dependencies.log,
+            ),
             rollouts=dependencies.rollouts,
             planner=planner,
             metrics=metrics,
--- a/laurelwind/coordination/scheduling/endpoint_states.py
+++ b/laurelwind/coordination/scheduling/endpoint_states.py
@@ -42,6 +42,8 @@
     :ivar unit_latency_s: seconds per event, as of ``unit_latency_at``.
     :ivar failures: consecutive failures since the last success.
     :ivar backoff_until: end of the backoff.
+    :ivar paused_until: end of the pause that the endpoint asked for.
+    :ivar pause_s: length of that pause.
     :ivar expected_loss_s: moving average of the seconds that a request loses
         at the endpoint by failures, as of ``expected_loss_at``.
     """
@@ -58,6 +60,8 @@
     unit_latency_at: float = 0
     failures: int = 0
     backoff_until: float = 0
+    paused_until: float = 0
+    pause_s: float = 0
     expected_loss_s: float = 0
     expected_loss_at: float = 0
 
@@ -85,6 +89,15 @@
         self.expected_loss_s = expected_s + (lost_s - expected_s) * weight
         self.expected_loss_at = now
 
+    def estimate_return_share(self, now: float) -> float:
+        """Return how far the endpoint has returned from its pause, 0 to 1.
+
+        The return takes as long as the pause.
+        """
+        if not self.pause_s:
+            return 1
+        return min(max((now - self.paused_until) / self.pause_s, 0), 1)
+
     def get_unit_latency(self, now: float) -> float:
         """Return the seconds per event, or zero when unknown or expired."""
         return (
--- a/laurelwind/coordination/scheduling/placement.py
+++ b/laurelwind/coordination/scheduling/placement.py
@@ -190,6 +190,30 @@
         state.backoff_until = 0
         state.record_loss(0, read_monotonic_clock())
 
+    def record_pause(self, endpoint: EndpointRecord, pause_s: float) -> None:
+        """Record that an endpoint asks for no further request for a while.
+
+        A pause that ends later stays in force.
+
+        :param endpoint: the endpoint.
+        :param pause_s: length of the pause, in seconds.
+        """
+        state = self._get_state(endpoint)
+        paused_until = read_monotonic_clock() + pause_s
+        if paused_until > state.paused_until:
+            state.paused_until = paused_until
+            state.pause_s = pause_s
+
+    def get_remaining_pause(self, endpoint: EndpointRecord) -> float:
+        """Return the seconds until an endpoint accepts requests again.
+
+        :param endpoint: the endpoint.
+        """
+        remaining_s = (
+            self._get_state(endpoint).paused_until - read_monotonic_clock()
+        )
+        return max(remaining_s, 0)
+
     def record_server_error(self, endpoint: EndpointRecord) -> None:
         """Record a 5xx answer of an endpoint.
 
@@ -246,6 +270,7 @@
                 endpoints, requirements.affinity_key
             )
             if endpoint.name not in requirements.excluded_endpoints
+            and self._get_state(endpoint).paused_until <= now
         ]
         available = [
             candidate
@@ -277,6 +302,8 @@
         occupancy = state.estimate_load(now) / max(endpoint.slots, 1)
         cost = state.estimate_queue_delay(now) + occupancy * FULL_PENALTY_S
         cost += state.get_expected_loss(now)
+        # Spreads the return of requests after a pause.
+        cost += (1 - state.estimate_return_share(now)) * FULL_PENALTY_S
         if endpoint.zone != self._zone:
             cost += CROSS_ZONE_PENALTY_S
         return cost
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -20,6 +20,7 @@
 from laurelwind.errors import (
     CapacityError,
     EndpointError,
+    EndpointPausedError,
     ErrorKind,
     LaurelwindError,
     RunState,
@@ -55,6 +56,8 @@
         of a request sent to the named endpoint.
     :ivar notify_loss: notifies other daemons of the seconds that a failed
         request spent at the named endpoint.
+    :ivar notify_leaving: notifies other daemons that the named endpoint is
+        about to stop, with the start time of its process.
     :ivar log: decision log.
     """
 
@@ -67,6 +70,7 @@
     gateway: EndpointGateway
     notify_work: Callable[[str, float], None]
     notify_loss: Callable[[str, float], None]
+    notify_leaving: Callable[[str, int], None]
     log: DecisionLog
 
 
@@ -145,8 +149,9 @@
         )
 
     def _choose_endpoint(self, job: Job) -> EndpointRecord:
+        endpoints = self._list_ready_endpoints(job)
         endpoint = self._dependencies.placement.choose(
-            self._list_ready_endpoints(job), _build_requirements(job)
+            endpoints, _build_requirements(job)
         )
         if endpoint is not None:
             self._ensure_start_before_deadline(job, endpoint)
@@ -159,9 +164,14 @@
         raise CapacityError(
             ErrorKind.NO_ENDPOINT,
             'no ready endpoint is left for the request',
-            retry_after_s=draw_retry_after(),
+            retry_after_s=self._estimate_return(endpoints) + draw_retry_after(),
         )
 
+    def _estimate_return(self, endpoints: Sequence[EndpointRecord]) -> float:
+        """Return the seconds until the first endpoint ends its pause."""
+        get_remaining_pause = self._dependencies.placement.get_remaining_pause
+        return min(map(get_remaining_pause, endpoints), default=0)
+
     def _ensure_start_before_deadline(
         self, job: Job, endpoint: EndpointRecord
     ) -> None:
@@ -186,7 +196,7 @@
         else:
             dependencies.retry_budget.record_request(job.service)
         job.attempts += 1
-        dispatch = _build_dispatch(job, endpoint)
+        dispatch = self._build_dispatch(job, endpoint)
         self._log_sent(job, endpoint, dispatch)
         dependencies.placement.record_sent(endpoint, job.prefill_s)
         expected_delay_s = dependencies.placement.estimate_queue_delay(endpoint)
@@ -218,7 +228,9 @@
     def _handle_unsent(
         self, job: Job, endpoint: EndpointRecord, error: EndpointError
     ) -> None:
-        backoff_s = self.record_failure(endpoint, 0)
+        # A pause that an endpoint asks for is no fault of it.
+        is_paused = isinstance(error, EndpointPausedError)
+        backoff_s = 0 if is_paused else self.record_failure(endpoint, 0)
         job.excluded_endpoints.add(endpoint.name)
         self._dependencies.log.log_warning(
             'not_sent',
@@ -239,6 +251,22 @@
             raise error
         self.ensure_retry_allowed(job, error)
 
+    def _build_dispatch(self, job: Job, endpoint: EndpointRecord) -> Dispatch:
+        placement = self._dependencies.placement
+        return Dispatch(
+            address=endpoint.address,
+            endpoint=endpoint.name,
+            workspace='' if job.workspace is None else job.workspace.name,
+            deadline_s=job.remaining_s,
+            model='' if job.model is None else job.model.name,
+            priority=job.priority if job.is_stream else None,
+            last_event_id=job.last_event_id,
+            is_repeatable=job.route.is_repeatable,
+            accepts_requests=lambda: (
+                not placement.get_remaining_pause(endpoint)
+            ),
+        )
+
     def _log_sent(
         self, job: Job, endpoint: EndpointRecord, dispatch: Dispatch
     ) -> None:
@@ -263,19 +291,6 @@
     return random.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
 
 
-def _build_dispatch(job: Job, endpoint: EndpointRecord) -> Dispatch:
-    return Dispatch(
-        address=endpoint.address,
-        endpoint=endpoint.name,
-        workspace='' if job.workspace is None else job.workspace.name,
-        deadline_s=job.remaining_s,
-        model='' if job.model is None else job.model.name,
-        priority=job.priority if job.is_stream else None,
-        last_event_id=job.last_event_id,
-        is_repeatable=job.route.is_repeatable,
-    )
-
-
 def _build_requirements(job: Job) -> PlacementRequirements:
     # The last part of a prompt is specific to the request or session, so only
     # the parts before it are likely to be cached.
--- a/laurelwind/errors.py
+++ b/laurelwind/errors.py
@@ -267,6 +267,10 @@
     """An endpoint sent nothing within its time-out."""
 
 
+class EndpointPausedError(EndpointError):
+    """An endpoint asked for a pause before the request was sent to it."""
+
+
 class PlatformError(LaurelwindError):
     """A platform service is down, too slow or returned an invalid answer."""
 
--- a/laurelwind/platform/headers.py
+++ b/laurelwind/platform/headers.py
@@ -21,6 +21,7 @@
     load=b'x-instance-load',
     did_not_run=b'x-not-executed',
     confidence=b'x-confidence',
+    leaving=b'server-leaving',
     reserved=frozenset(
         (
             b'x-expect-version',
--- a/laurelwind/protocol/exchanges.py
+++ b/laurelwind/protocol/exchanges.py
@@ -1,7 +1,7 @@
 """Relayed requests and answers, and the interfaces that carry them."""
 
 import abc
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
 from attrs import field, frozen
@@ -63,6 +63,10 @@
         return self.target.partition(b'?')[0].decode('latin-1')
 
 
+def _accept_requests() -> bool:
+    return True
+
+
 @frozen(kw_only=True)
 class Dispatch:
     """Parameters of forwarding a request to one endpoint.
@@ -79,6 +83,8 @@
         string.
     :ivar is_repeatable: whether the request may be sent again if its
         connection breaks.
+    :ivar accepts_requests: returns whether the endpoint still accepts requests,
+        asked once a connection to it is open.
     """
 
     address: str
@@ -89,6 +95,9 @@
     priority: int | None = None
     last_event_id: str = ''
     is_repeatable: bool = False
+    accepts_requests: Callable[[], bool] = field(
+        default=_accept_requests, repr=False
+    )
 
 
 @frozen(kw_only=True)
@@ -120,6 +129,9 @@
     :ivar confidence: confidence of the model in its answer, 0 to 100, or
         ``None``.
     :ivar has_body: whether a body may follow.
+    :ivar is_leaving: whether the endpoint reports that it is about to stop.
+    :ivar retry_after: seconds, as sent, for which an endpoint that refused the
+        request asks for no further one, or an empty string.
     """
 
     status: int
@@ -131,6 +143,8 @@
     load: LoadReport | None = None
     confidence: float | None = None
     has_body: bool = True
+    is_leaving: bool = False
+    retry_after: str = ''
 
     @property
     def is_success(self) -> bool:
--- a/laurelwind/protocol/headers.py
+++ b/laurelwind/protocol/headers.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Mapping
+from http import HTTPStatus
 from typing import Final
 
 from attrs import frozen
@@ -34,6 +35,7 @@
 _EVENT_STREAM_TYPE: Final = b'text/event-stream'
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _MS_PER_S: Final = 1000
+_IS_LEAVING: Final = '1'
 
 
 @frozen(kw_only=True)
@@ -53,6 +55,7 @@
     :ivar load: running requests, waiting requests and slots, comma-separated.
     :ivar did_not_run: present if the request did not run.
     :ivar confidence: confidence of the model in its answer.
+    :ivar leaving: present in answers of an endpoint that is about to stop.
     :ivar reserved: further headers that callers may not set.
     """
 
@@ -69,6 +72,7 @@
     load: bytes = b'x-endpoint-load'
     did_not_run: bytes = b'x-not-run'
     confidence: bytes = b'x-confidence'
+    leaving: bytes = b'x-leaving'
     reserved: frozenset[bytes] = frozenset()
 
 
@@ -173,6 +177,12 @@
             load=_parse_load(headers_by_name.get(names.load)),
             confidence=_parse_number(headers_by_name.get(names.confidence)),
             has_body=status not in _BODILESS_STATUSES,
+            is_leaving=_get_text(headers_by_name, names.leaving) == _IS_LEAVING,
+            retry_after=(
+                _get_text(headers_by_name, b'retry-after')
+                if status == HTTPStatus.SERVICE_UNAVAILABLE
+                else ''
+            ),
         )
 
 
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -109,6 +109,7 @@
             listener=HintListener(
                 record_work=self.placement.record_remote_work,
                 record_loss=self.placement.record_remote_loss,
+                record_leaving=self.directory.record_leaving,
             ),
             log=self.log,
         )
@@ -248,6 +249,7 @@
                 gateway=self.gateway,
                 notify_work=self.hints.notify_work,
                 notify_loss=self.hints.notify_loss,
+                notify_leaving=self.hints.notify_leaving,
                 log=self.log,
             ),
             metrics=self.metrics,
--- a/laurelwind/state/directory.py
+++ b/laurelwind/state/directory.py
@@ -62,6 +62,7 @@
         self._ready_by_service: dict[str, list[EndpointRecord]] = {}
         self._offsets: dict[str, int] = {}
         self._progress_by_name: dict[str, tuple[int, int]] = {}
+        self._leaving: dict[str, int] = {}
         self.changes = 0
 
     @property
@@ -123,6 +124,22 @@
         self._rebuild()
         return True
 
+    def record_leaving(self, name: str, started_ms: int) -> bool:
+        """Record that an endpoint reports that it is about to stop.
+
+        It holds for one lifetime of the endpoint, also where an outdated record
+        is applied later; a process started after it is not affected.
+
+        :param name: name of the endpoint.
+        :param started_ms: start time of its process, in Unix milliseconds.
+        :returns: whether it was not known before.
+        """
+        if started_ms <= self._leaving.get(name, -1):
+            return False
+        self._leaving[name] = started_ms
+        self._rebuild()
+        return True
+
     def retain(
         self,
         names: Mapping[str, int],
@@ -190,7 +207,8 @@
     def _iterate_ready(self) -> Iterator[EndpointRecord]:
         for name in sorted(self._entries):
             record = self._entries[name].record
-            if not record.is_draining:
+            is_leaving = self._leaving.get(name, -1) >= record.started_ms
+            if not record.is_draining and not is_leaving:
                 yield record
 
 
--- a/laurelwind/transport/gateway.py
+++ b/laurelwind/transport/gateway.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from laurelwind.errors import EndpointPausedError, ErrorKind, RunState
 from laurelwind.protocol.exchanges import (
     AnswerHead,
     Dispatch,
@@ -75,6 +76,13 @@
         """Send a complete request; see :class:`EndpointGateway`."""
         head = self._write_head(request, dispatch)
         connection = await self._acquire_connection(dispatch)
+        if not dispatch.accepts_requests():
+            await self._release_connection(dispatch.address, connection)
+            raise EndpointPausedError(
+                ErrorKind.ENDPOINT_FAILED,
+                'the endpoint asked for a pause before the request was sent',
+                run=RunState.NOT_RUN,
+            )
         try:
             await connection.send(head, request.body, method=request.method)
         except BaseException:
--- a/laurelwind/transport/hints.py
+++ b/laurelwind/transport/hints.py
@@ -26,6 +26,8 @@
 # Endpoints in one datagram, which stays within the smallest MTU.
 _MAX_ROWS: Final = 20
 _MAX_WORK_S: Final = 60.0
+# Rows about endpoints that are about to stop have a fourth field.
+_ROW_LENGTHS: Final = frozenset((3, 4))
 
 
 @frozen(kw_only=True)
@@ -36,10 +38,13 @@
         work in seconds.
     :ivar record_loss: called with the name of an endpoint and the seconds that
         a failed request spent there.
+    :ivar record_leaving: called with the name of an endpoint that is about to
+        stop and the start time of its process, in Unix milliseconds.
     """
 
     record_work: Callable[[str, float], None]
     record_loss: Callable[[str, float], None]
+    record_leaving: Callable[[str, int], object]
 
 
 class WorkHints:
@@ -66,6 +71,8 @@
         self._socket: UDPSocket | None = None
         # Work and loss in seconds, by endpoint.
         self._pending: dict[str, tuple[float, float]] = {}
+        # Start times in Unix milliseconds, by endpoint that is about to stop.
+        self._pending_leaving: dict[str, int] = {}
         self._has_pending = anyio.Event()
 
     async def start(self, group: TaskGroup) -> None:
@@ -102,6 +109,15 @@
         """
         self._add(endpoint, 0, lost_s)
 
+    def notify_leaving(self, endpoint: str, started_ms: int) -> None:
+        """Notify the peers of an endpoint that is about to stop.
+
+        :param endpoint: name of the endpoint.
+        :param started_ms: start time of its process, in Unix milliseconds.
+        """
+        self._pending_leaving[endpoint] = started_ms
+        self._has_pending.set()
+
     def _add(self, endpoint: str, work_s: float, lost_s: float) -> None:
         work_before_s, lost_before_s = self._pending.get(endpoint, (0, 0))
         self._pending[endpoint] = (
@@ -115,16 +131,25 @@
             await self._has_pending.wait()
             await anyio.sleep(BATCH_DELAY_S)
             self._has_pending = anyio.Event()
-            rows = [
-                [name, round(work_s, 3), round(lost_s, 3)]
-                for name, (work_s, lost_s) in self._pending.items()
-            ]
-            self._pending.clear()
+            rows = self._take_rows()
             for start in range(0, len(rows), _MAX_ROWS):
                 datagram = orjson.dumps(rows[start : start + _MAX_ROWS])
                 for peer in self._list_peers():
                     await self._send(sender, peer, datagram)
 
+    def _take_rows(self) -> list[list[Any]]:
+        rows: list[list[Any]] = [
+            [name, round(work_s, 3), round(lost_s, 3)]
+            for name, (work_s, lost_s) in self._pending.items()
+        ]
+        rows.extend(
+            [name, 0, 0, started_ms]
+            for name, started_ms in self._pending_leaving.items()
+        )
+        self._pending.clear()
+        self._pending_leaving.clear()
+        return rows
+
     async def _send(
         self, sender: UDPSocket, peer: str, datagram: bytes
     ) -> None:
@@ -140,14 +165,35 @@
                 datagram, _ = await receiver.receive()
             except anyio.ClosedResourceError:
                 return
-            for endpoint, work_s, lost_s in _decode_hints(datagram):
-                if work_s:
-                    self._listener.record_work(endpoint, work_s)
-                if lost_s:
-                    self._listener.record_loss(endpoint, lost_s)
+            for hint in _decode_hints(datagram):
+                self._dispatch(hint)
+
+    def _dispatch(self, hint: '_Hint') -> None:
+        if hint.work_s:
+            self._listener.record_work(hint.endpoint, hint.work_s)
+        if hint.lost_s:
+            self._listener.record_loss(hint.endpoint, hint.lost_s)
+        if hint.left_ms is not None:
+            self._listener.record_leaving(hint.endpoint, hint.left_ms)
 
 
-def _decode_hints(datagram: bytes) -> Iterator[tuple[str, float, float]]:
+@frozen(kw_only=True)
+class _Hint:
+    """One row of a datagram.
+
+    :ivar endpoint: name of the endpoint.
+    :ivar work_s: additional work in seconds.
+    :ivar lost_s: seconds that a failed request spent there.
+    :ivar left_ms: start time of the process that is about to stop, or ``None``.
+    """
+
+    endpoint: str
+    work_s: float
+    lost_s: float
+    left_ms: int | None = None
+
+
+def _decode_hints(datagram: bytes) -> Iterator[_Hint]:
     try:
         rows = orjson.loads(datagram)
     except orjson.JSONDecodeError:
@@ -156,19 +202,26 @@
         return
     if rows and isinstance(rows[0], str):
         # Daemons of the release before send one endpoint without a loss.
-        rows = [[*rows, 0]]
+        rows = [[*rows, 0]] if len(rows) == 2 else []
     for row in rows:
         if _is_hint(row):
-            name, work_s, lost_s = row
-            yield name, _limit(work_s), _limit(lost_s)
+            name, work_s, lost_s, *rest = row
+            yield _Hint(
+                endpoint=name,
+                work_s=_limit(work_s),
+                lost_s=_limit(lost_s),
+                left_ms=rest[0] if rest else None,
+            )
 
 
 def _is_hint(row: Any) -> bool:
-    if not isinstance(row, list) or len(row) != 3:
+    if not isinstance(row, list) or len(row) not in _ROW_LENGTHS:
+        return False
+    name, work_s, lost_s, *rest = row
+    if not all(isinstance(start, int) for start in rest):
         return False
-    name, *durations = row
     return isinstance(name, str) and all(
-        isinstance(duration_s, int | float) for duration_s in durations
+        isinstance(duration_s, int | float) for duration_s in (work_s, lost_s)
     )
 
 
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -228,6 +228,7 @@
             window_s=10,
             count_members=lambda: 1,
         )
+        self.leaving = []
         self.relay = build_relay(
             dependencies=SenderDependencies(
                 tracker=self.tracker,
@@ -239,11 +240,15 @@
                 gateway=self.gateway,
                 notify_work=ignore_hint,
                 notify_loss=ignore_hint,
+                notify_leaving=self.record_leaving,
                 log=self.log,
             ),
             metrics=RelayMetrics(),
         )
 
+    def record_leaving(self, name, started_ms):
+        self.leaving.append((name, started_ms))
+
     async def serve(self, request):
         answer = FakeAnswer()
         await self.relay.serve(request, answer, read_monotonic_clock())
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -29,6 +29,9 @@
                 record_loss=lambda name, lost_s: received.append(
                     (name, 'lost', lost_s)
                 ),
+                record_leaving=lambda name, started_ms: received.append(
+                    (name, 'leaving', started_ms)
+                ),
             ),
             log=build_silent_log(),
         )
@@ -86,7 +89,7 @@
             b'[1,2]',
             b'["e1","x"]',
             b'["e1",0.2,3]',
-            b'[["e1",0.2],["e1",0.2,"x"],["e1",null,1],[7,1,1]]',
+            b'[["e1",0.2],["e1",0.2,"x"],["e1",null,1],[7,1,1],["e1",0,0,"x"]]',
         )
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
             for datagram in malformed_hints:
@@ -96,3 +99,14 @@
         assert received == [('e2', 60.0)]
 
     await run_with_peers(check)
+
+
+async def test_peers_learn_which_process_of_an_endpoint_leaves():
+    async def check(hints, received, addresses):
+        hints[0].notify_leaving('e1', 1_764_000_000_123)
+        hints[0].notify_work('e2', 0.6)
+        await wait_until(lambda: len(received) == 2)
+        assert ('e1', 'leaving', 1_764_000_000_123) in received
+        assert ('e2', 0.6) in received
+
+    await run_with_peers(check)
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -63,6 +63,8 @@
     def __init__(self):
         self.requests = []
         self.event_pause_s = 0
+        self.status = 200
+        self.extra_headers = []
 
     async def __call__(self, scope, receive, send):
         body = b''
@@ -76,10 +78,11 @@
         await send(
             {
                 'type': 'http.response.start',
-                'status': 200,
+                'status': self.status,
                 'headers': [
                     (b'x-request-id', headers[b'x-request-id']),
                     (b'x-response-seal', b'seal'),
+                    *self.extra_headers,
                 ],
             }
         )
@@ -199,6 +202,30 @@
         assert not harness.endpoint.requests
 
 
+# A sent request would reach an endpoint that has announced its stop.
+async def test_an_endpoint_that_announces_its_stop_gets_no_further_request():
+    async with run_daemon() as harness:
+        harness.endpoint.extra_headers = [(b'server-leaving', b'1')]
+        assert (await harness.send_request('/book/1')).status == 200
+        assert (await harness.send_request('/book/1')).status == 503
+        assert len(harness.endpoint.requests) == 1
+
+
+# A sent request would reach an endpoint that has asked for a pause.
+async def test_an_endpoint_that_asks_for_a_pause_gets_no_further_request():
+    async with run_daemon() as harness:
+        harness.endpoint.status = 503
+        harness.endpoint.extra_headers = [
+            (b'x-not-executed', b'1'),
+            (b'retry-after', b'4'),
+        ]
+        await harness.send_request('/book/1')
+        refused = await harness.send_request('/book/1')
+        assert refused.status == 503
+        assert float(dict(refused.headers)[b'retry-after']) > 3
+        assert len(harness.endpoint.requests) == 1
+
+
 async def test_readiness_and_entries_are_served_to_the_platform():
     async with run_daemon() as harness:
         listen = harness.settings.listen
