--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from laurelwind.coordination.answer_heads import HeadReader
+from laurelwind.coordination.endpoint_notices import EndpointNotices
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.relay_jobs import Attempt, BufferedAnswer, Job
 from laurelwind.coordination.rollouts.evidence import AnswerOutcome
@@ -50,6 +51,7 @@
     :ivar selector: decides whether a request may be retried.
     :ivar monitor: decides when silence ends an attempt.
     :ivar placement: tracks the state of endpoints.
+    :ivar notices: applies what endpoints report of themselves.
     :ivar rollouts: tracks the outcomes of versions.
     :ivar planner: decides which answers are escalated to a larger model.
     :ivar metrics: latency metrics.
@@ -59,6 +61,7 @@
     selector: EndpointSelector
     monitor: SilenceMonitor
     placement: Placement
+    notices: EndpointNotices
     rollouts: RolloutRegistry
     planner: ModelPlanner
     metrics: RelayMetrics
@@ -91,10 +94,7 @@
         """
         answer.endpoint = attempt.endpoint.name
         head = await self._heads.read(job, attempt)
-        if head.load is not None:
-            self._dependencies.placement.record_report(
-                attempt.endpoint, head.load
-            )
+        self._dependencies.notices.apply(attempt.endpoint, head)
         _check_head(head)
         if head.is_success and job.is_stream:
             self._check_confidence(job, attempt, head)
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -12,6 +12,7 @@
     DeliveryDependencies,
     LowConfidenceError,
 )
+from laurelwind.coordination.endpoint_notices import EndpointNotices
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.relay_jobs import Attempt, Job
 from laurelwind.coordination.scheduling.placement import Placement
@@ -63,6 +64,12 @@
             selector=sender.selector,
             monitor=SilenceMonitor(sender=sender, log=dependencies.log),
             placement=dependencies.placement,
+            notices=EndpointNotices(
+                placement=dependencies.placement,
+                directory=dependencies.directory,
+                notify_leaving=dependencies.notify_leaving,
+                log=dependencies.log,
+            ),
             rollouts=dependencies.rollouts,
             planner=planner,
             metrics=metrics,
--- a/laurelwind/coordination/selection.py
+++ b/laurelwind/coordination/selection.py
@@ -91,7 +91,7 @@
         raise CapacityError(
             ErrorKind.NO_ENDPOINT,
             'no ready endpoint is left for the request',
-            retry_after_s=draw_retry_after(),
+            retry_after_s=self._estimate_return(job) + draw_retry_after(),
         )
 
     def estimate_wait(self, job: Job) -> float:
@@ -170,6 +170,11 @@
             self._dependencies.directory.list_ready(job.service),
         )
 
+    def _estimate_return(self, job: Job) -> float:
+        """Return the seconds until the first endpoint ends its pause."""
+        get_remaining_pause = self._dependencies.placement.get_remaining_pause
+        return min(map(get_remaining_pause, self._list_ready(job)), default=0)
+
     def _choose_untried(
         self, job: Job, current: EndpointRecord | None = None
     ) -> EndpointRecord | None:
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -20,6 +20,7 @@
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
     EndpointError,
+    EndpointPausedError,
     RunState,
 )
 from laurelwind.protocol.exchanges import Dispatch, EndpointGateway
@@ -53,6 +54,8 @@
         of a request sent to the named endpoint.
     :ivar notify_loss: notifies other daemons of the seconds that a failed
         request spent at the named endpoint.
+    :ivar notify_leaving: notifies other daemons that the named endpoint is
+        about to stop, with the start time of its process.
     :ivar log: decision log.
     """
 
@@ -65,6 +68,7 @@
     gateway: EndpointGateway
     notify_work: Callable[[str, float], None]
     notify_loss: Callable[[str, float], None]
+    notify_leaving: Callable[[str, int], None]
     log: DecisionLog
 
 
@@ -131,7 +135,11 @@
         else:
             dependencies.retry_budget.record_request(job.service)
         job.attempts += 1
-        dispatch = _build_dispatch(job, endpoint)
+        dispatch = _build_dispatch(
+            job,
+            endpoint,
+            lambda: not dependencies.placement.get_remaining_pause(endpoint),
+        )
         self._log_sent(job, endpoint, dispatch)
         dependencies.placement.record_sent(endpoint, job.prefill_s)
         expected_delay_s = dependencies.placement.estimate_queue_delay(endpoint)
@@ -163,7 +171,9 @@
     def _handle_unsent(
         self, job: Job, endpoint: EndpointRecord, error: EndpointError
     ) -> None:
-        backoff_s = self.record_failure(endpoint, 0)
+        # A pause that an endpoint asks for is no fault of it.
+        is_paused = isinstance(error, EndpointPausedError)
+        backoff_s = 0 if is_paused else self.record_failure(endpoint, 0)
         job.excluded_endpoints.add(endpoint.name)
         self._dependencies.log.log_warning(
             'not_sent',
@@ -212,7 +222,11 @@
         )
 
 
-def _build_dispatch(job: Job, endpoint: EndpointRecord) -> Dispatch:
+def _build_dispatch(
+    job: Job,
+    endpoint: EndpointRecord,
+    accepts_requests: Callable[[], bool],
+) -> Dispatch:
     return Dispatch(
         address=endpoint.address,
         endpoint=endpoint.name,
@@ -222,4 +236,5 @@
         priority=job.priority if job.is_stream else None,
         last_event_id=job.last_event_id,
         is_repeatable=job.route.is_repeatable,
+        accepts_requests=accepts_requests,
     )
