--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -39,6 +39,12 @@
     await anyio.sleep_forever()
 
 
+async def require_confirmations(harness, store):
+    store.put(Topic.OPERATORS, 'config', build_table(1))
+    await wait_until(lambda: harness.tracker.is_ready)
+    harness.tracker.max_absence_age_s = -1
+
+
 async def confirm_at_once(tracker, answers):
     async def confirm():
         answers.append(await tracker.ensure_current())
@@ -52,9 +58,7 @@
     """Beside a silent store the last of N requests waited N time-outs."""
 
     async def check(harness, store):
-        store.put(Topic.OPERATORS, 'config', build_table(1))
-        await wait_until(lambda: harness.tracker.is_ready)
-        harness.tracker.max_absence_age_s = -1
+        await require_confirmations(harness, store)
         store.is_silent = True
         answers = []
         with anyio.fail_after(1):
@@ -69,9 +73,7 @@
     """The confirmation must not run in the task of one of the requests."""
 
     async def check(harness, store):
-        store.put(Topic.OPERATORS, 'config', build_table(1))
-        await wait_until(lambda: harness.tracker.is_ready)
-        harness.tracker.max_absence_age_s = -1
+        await require_confirmations(harness, store)
         store.is_silent = True
         answers = []
         async with anyio.create_task_group() as group:
@@ -101,9 +103,7 @@
     """A name added while a read was under way must not be denied."""
 
     async def check(harness, store):
-        store.put(Topic.OPERATORS, 'config', build_table(1))
-        await wait_until(lambda: harness.tracker.is_ready)
-        harness.tracker.max_absence_age_s = -1
+        await require_confirmations(harness, store)
         read_after = store.read_after
         reads = []
 
