Read a limit of the table that is null as absent

Before: test_limits_without_a_value_are_those_of_the_defaults ConfigurationError: invalid document (TypeError: expected a number)

--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -192,3 +192,11 @@
     assert limits.read_connection_limits() == ConnectionLimits(
         idle_timeout_s=90
     )
+
+
+def test_limits_without_a_value_are_those_of_the_defaults():
+    """A table was refused for a limit that is null."""
+    table = PlatformDocuments().decode_table(
+        b'{"version":1,"routes":[],"limits":{"idle_timeout_ms":null}}'
+    )
+    assert table.limits.idle_timeout_s == 0
