Let refused callers finish sending until the end of a stop

A caller that had got its refusal but still sent its body at the moment of the cut was reset, as exchanges whose answer is complete were ended as well; new connections went on to bring such callers until then.

The cut now ends incomplete answers only, and the daemon ceases to listen when all requests are answered, or with the last error answers.

The test failed before (with the former name of the method, end_all):

assert not True + where True = <anyio...CancelScope object at ...>.cancel_called

--- a/laurelwind/transport/draining.py
+++ b/laurelwind/transport/draining.py
@@ -64,27 +64,36 @@
         exchanges = self._application.exchanges
         with self._stop_waiting_after(times.error_s):
             await exchanges.wait_for_none()
+        self._stop_listening()
         failed = exchanges.end_unanswered()
         with self._stop_waiting_after(times.cut_s):
             await exchanges.wait_for_none()
-        cut = exchanges.end_all()
+        cut = exchanges.end_incomplete()
         with self._stop_waiting_after(times.abort_s):
             await self._close_connections()
-        unsent_bytes = sum(server.unsent_bytes for server in self._servers)
-        for server in self._servers:
-            server.abort_connections()
-        return DrainOutcome(failed=failed, cut=cut, unsent_bytes=unsent_bytes)
+        return DrainOutcome(
+            failed=failed, cut=cut, unsent_bytes=self._abort_connections()
+        )
 
     def _stop_waiting_after(self, time_s: float) -> anyio.CancelScope:
         return anyio.CancelScope(deadline=self._started_at + time_s)
 
-    async def _close_connections(self) -> None:
+    def _stop_listening(self) -> None:
         for server in self._servers:
             server.stop_listening()
+
+    async def _close_connections(self) -> None:
         while self._has_connections():
             for server in self._servers:
                 server.close_connections()
             await anyio.sleep(_POLL_S)
 
+    def _abort_connections(self) -> int:
+        unsent_bytes = 0
+        for server in self._servers:
+            unsent_bytes += server.unsent_bytes
+            server.abort_connections()
+        return unsent_bytes
+
     def _has_connections(self) -> bool:
         return any(server.has_connections for server in self._servers)
--- a/laurelwind/transport/open_exchanges.py
+++ b/laurelwind/transport/open_exchanges.py
@@ -1,7 +1,7 @@
 """Tracks the exchanges with callers that are in progress."""
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import anyio
 
@@ -53,18 +53,18 @@
 
         Their callers get an error answer.
         """
-        unanswered = [
+        return self._end(lambda exchange: not exchange.has_begun)
+
+    def end_incomplete(self) -> int:
+        """Cut the answers that are not complete; return their number."""
+        return self._end(lambda exchange: not exchange.is_complete)
+
+    def _end(self, is_ended: Callable[[CallerExchange], bool]) -> int:
+        scopes = [
             scope
             for exchange, scope in self._scopes.items()
-            if not exchange.has_begun
+            if is_ended(exchange)
         ]
-        for scope in unanswered:
-            scope.cancel()
-        return len(unanswered)
-
-    def end_all(self) -> int:
-        """End all exchanges; return how many answers are cut by that."""
-        cut = sum(not exchange.is_complete for exchange in self._scopes)
-        for scope in self._scopes.values():
+        for scope in scopes:
             scope.cancel()
-        return cut
+        return len(scopes)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -13,6 +13,8 @@
 from laurelwind import relay_daemon
 from laurelwind.relay_program import StopWatchdog, run_relay
 from laurelwind.transport import server
+from laurelwind.transport.caller_exchange import CallerExchange
+from laurelwind.transport.open_exchanges import OpenExchanges
 from laurelwind.transport.stop_times import plan_stop
 from tests.helpers import wait_until
 from tests.test_relay_path import (
@@ -328,3 +330,23 @@
         group.cancel_scope.cancel()
     assert received.endswith(b'id: 4\ndata: x\n\n\r\n0\r\n\r\n')
     assert end == 'closed'
+
+
+# Guards against a reset at the cut, while a refused caller sends its body.
+async def test_the_cut_spares_exchanges_whose_answer_is_complete():
+    exchanges = OpenExchanges()
+    refused, answering = (
+        CallerExchange(
+            scope={'headers': []}, receive=None, send=None, request_id=name
+        )
+        for name in ('r1', 'r2')
+    )
+    refused.has_begun = answering.has_begun = True
+    refused.is_complete = True
+    with exchanges.track(refused) as kept, exchanges.track(answering) as cut:
+        assert exchanges.end_unanswered() == 0
+        assert exchanges.end_incomplete() == 1
+        assert not kept.cancel_called
+        assert cut.cancel_called
+        assert exchanges.count == 2
+    await exchanges.wait_for_none()
