Keep a request with its answer on the way through the application

The handlers of relayed requests passed exchange, request, answer and time of arrival on one by one. The answer now has the other three, and is in a module of its own. Nothing changes for callers.

--- a/laurelwind/transport/relay_application.py
+++ b/laurelwind/transport/relay_application.py
@@ -15,15 +15,11 @@
     ErrorKind,
     LaurelwindError,
 )
-from laurelwind.protocol.exchanges import (
-    CallerAnswer,
-    HeaderCodec,
-    HeaderPairs,
-    RelayRequest,
-)
+from laurelwind.protocol.exchanges import HeaderCodec, RelayRequest
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.transport.caller_exchange import CallerExchange
+from laurelwind.transport.exchange_answer import ExchangeAnswer
 from laurelwind.transport.open_exchanges import OpenExchanges
 from laurelwind.transport.request_outcomes import CutReason, RequestOutcomes
 
@@ -38,34 +34,6 @@
     """
 
 
-class ExchangeAnswer(CallerAnswer):
-    """Answer to a caller on the ASGI interface.
-
-    :param exchange: exchange with the caller.
-    """
-
-    def __init__(self, *, exchange: CallerExchange) -> None:
-        self._exchange = exchange
-
-    async def begin(
-        self, status: int, headers: HeaderPairs, length: int | None
-    ) -> None:
-        """Send the head; see :class:`CallerAnswer`."""
-        self.has_begun = True
-        framing = []
-        if length is not None:
-            framing.append((b'content-length', str(length).encode()))
-        await self._exchange.begin(status, (*headers, *framing))
-
-    async def send(self, chunk: bytes) -> None:
-        """Send a chunk of the body; see :class:`CallerAnswer`."""
-        await self._exchange.send_chunk(chunk)
-
-    async def finish(self, chunk: bytes = b'') -> None:
-        """Send the last chunk of the body; see :class:`CallerAnswer`."""
-        await self._exchange.send_chunk(chunk, is_last=True)
-
-
 class RelayApplication:
     """Decodes callers' requests, and answers those that fail.
 
@@ -113,7 +81,6 @@
             request.
         :param send: ASGI callable that sends a message of the answer.
         """
-        arrived_at = read_monotonic_clock()
         request = self._read_request(scope)
         exchange = CallerExchange(
             scope=scope,
@@ -122,88 +89,65 @@
             request_id=request.request_id,
         )
         exchange.closes_connection = self.is_draining
-        answer = ExchangeAnswer(exchange=exchange)
+        answer = ExchangeAnswer(
+            exchange=exchange,
+            request=request,
+            arrived_at=read_monotonic_clock(),
+        )
         with self.exchanges.track(exchange) as work:
             with work:
-                await self._receive_and_serve(
-                    exchange, request, answer, arrived_at
-                )
+                await self._receive_and_serve(answer)
             if work.cancelled_caught and not exchange.is_complete:
-                await self._end_at_stop(exchange, request, answer, arrived_at)
+                await self._end_at_stop(answer)
         if exchange.is_truncated:
             raise TruncatedAnswerError
 
-    async def _receive_and_serve(
-        self,
-        exchange: CallerExchange,
-        request: RelayRequest,
-        answer: ExchangeAnswer,
-        arrived_at: float,
-    ) -> None:
+    async def _receive_and_serve(self, answer: ExchangeAnswer) -> None:
+        exchange = answer.exchange
         try:
             body = await self._read_body(exchange)
         except LaurelwindError as error:
             if exchange.has_left:
-                self._outcomes.record_caller_left(request, answer, arrived_at)
+                self._outcomes.record_caller_left(answer)
                 return
             exchange.closes_connection = True
-            await self._handle_error(
-                exchange, request, answer, error, arrived_at
-            )
+            await self._handle_error(answer, error)
             return
         if body:
-            request = evolve(request, body=body)
+            answer.request = evolve(answer.request, body=body)
         is_served = False
         async with anyio.create_task_group() as group:
             group.start_soon(
                 _cancel_on_disconnect, exchange, group.cancel_scope
             )
-            await self._serve(exchange, request, answer, arrived_at)
+            await self._serve(answer)
             is_served = True
             group.cancel_scope.cancel()
         if not is_served:
-            self._outcomes.record_caller_left(request, answer, arrived_at)
+            self._outcomes.record_caller_left(answer)
 
-    async def _serve(
-        self,
-        exchange: CallerExchange,
-        request: RelayRequest,
-        answer: ExchangeAnswer,
-        arrived_at: float,
-    ) -> None:
+    async def _serve(self, answer: ExchangeAnswer) -> None:
         try:
-            await self._relay.serve(request, answer, arrived_at)
+            await self._relay.serve(answer.request, answer, answer.arrived_at)
         except LaurelwindError as error:
-            await self._handle_error(
-                exchange, request, answer, error, arrived_at
-            )
+            await self._handle_error(answer, error)
         except Exception as error:
             self._log.log_warning(
                 'failed_inside',
-                request=request.request_id,
+                request=answer.request.request_id,
                 reason=repr(error),
             )
-            internal_error = LaurelwindError(
-                ErrorKind.INTERNAL, 'internal error'
-            )
             await self._handle_error(
-                exchange, request, answer, internal_error, arrived_at
+                answer, LaurelwindError(ErrorKind.INTERNAL, 'internal error')
             )
 
-    async def _end_at_stop(
-        self,
-        exchange: CallerExchange,
-        request: RelayRequest,
-        answer: ExchangeAnswer,
-        arrived_at: float,
-    ) -> None:
+    async def _end_at_stop(self, answer: ExchangeAnswer) -> None:
         """End an exchange whose time is up as the daemon stops."""
+        exchange = answer.exchange
         if exchange.has_begun:
             self._outcomes.record_cut(
-                request,
                 answer,
                 CutReason.STOPPING,
-                arrived_at,
                 detail='the daemon stopped before the answer was complete',
             )
             exchange.is_truncated = True
@@ -214,17 +158,13 @@
                 ErrorKind.DEADLINE_EXCEEDED,
                 'the daemon stopped before an endpoint had answered',
             )
-        await self._handle_error(exchange, request, answer, error, arrived_at)
+        await self._handle_error(answer, error)
 
     async def _handle_error(
-        self,
-        exchange: CallerExchange,
-        request: RelayRequest,
-        answer: CallerAnswer,
-        error: LaurelwindError,
-        arrived_at: float,
+        self, answer: ExchangeAnswer, error: LaurelwindError
     ) -> None:
-        self._outcomes.record_error(request, answer, error, arrived_at)
+        exchange = answer.exchange
+        self._outcomes.record_error(answer, error)
         if exchange.has_begun:
             exchange.is_truncated = True
             return
@@ -233,7 +173,7 @@
             seconds = f'{error.retry_after_s:.2f}'
             headers.append((b'retry-after', seconds.encode()))
         await exchange.send_json(
-            {'error': error.build_answer(request.request_id)},
+            {'error': error.build_answer(exchange.request_id)},
             status=error.status,
             headers=headers,
         )
