Show that a begun stream outlasts the removal of its route

A begun stream keeps its route and service, and is resumed from the registered endpoints, whatever table is in force.

--- a/tests/test_sound_silence.py
+++ b/tests/test_sound_silence.py
@@ -283,3 +283,17 @@
     with pytest.raises(EndpointError):
         await harness.serve(build_request('draft'))
     assert anyio.current_time() - started_at < SILENCE_S
+
+
+async def test_a_begun_stream_outlasts_the_removal_of_its_route():
+    """Guards against streams that look up their route again to be resumed."""
+
+    def remove_routes():
+        harness.tracker.table = build_routing_table(2, routes=(), services={})
+
+    harness = build_harness(
+        EndpointScript(chunks=[events(1, 2), remove_routes, None]),
+        EndpointScript(chunks=[events(3, 4)]),
+    )
+    answer = await harness.serve(build_request('draft'))
+    assert answer.body == events(1, 4)
