Let an endpoint leave a long request unread until the deadline

What callers can meet: an endpoint that is sound but reads nothing for about 2.8 s (it stands still, or answers before it reads a long body) is cut off by our own system, also in the middle of its answer. The log said that the connection broke, as if the endpoint had done it.

Cause: TCP_USER_TIMEOUT of 2.5 s ends a connection not only if nothing is acknowledged: Linux applies it to a peer that acknowledges each probe and has a full receive buffer, too.

Now requests over 32 KiB, which a receive buffer may not take, have the time that remains for them; the next request on the connection has the short time-out again. A dead endpoint is then noticed later after a long request. Before the first byte of a request that may be repeated the silence monitor still moves on; a request that may not be repeated could not be retried anyway. A send that blocks on a dead endpoint, with more than the send buffer takes, now lasts to the deadline.

The socket options move to liveness.py.

--- a/laurelwind/transport/connection.py
+++ b/laurelwind/transport/connection.py
@@ -8,7 +8,6 @@
 """
 
 import select
-import socket
 from collections import deque
 from typing import Final
 
@@ -20,15 +19,15 @@
 from laurelwind.protocol.exchanges import HeaderPairs
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.state.timers import is_timer_late
+from laurelwind.transport.liveness import (
+    set_liveness_options,
+    set_user_timeout,
+)
 from laurelwind.transport.network import split_address
 
 # Time-out of the TCP handshake.  It is short because a handshake that waits for
 # several retransmissions of a lost packet would keep callers waiting.
 CONNECT_TIMEOUT_S: Final = 0.6
-# The system closes a connection whose sent bytes stay unacknowledged this long.
-USER_TIMEOUT_MS: Final = 2500
-_KEEPALIVE_INTERVAL_S: Final = 1
-_KEEPALIVE_PROBES: Final = 2
 _READ_BYTES: Final = 65536
 _FIRST_FINAL_STATUS: Final = 200
 _IDLE_TIMEOUT_MARGIN_S: Final = 0.5
@@ -110,14 +109,22 @@
         poll.register(raw.fileno(), select.POLLIN)
         return not poll.poll(0)
 
-    async def send(self, head: bytes, body: bytes, *, method: str) -> None:
+    async def send(
+        self, head: bytes, body: bytes, *, method: str, deadline_s: float
+    ) -> None:
         """Send a complete request.
 
         :param head: encoded request line and headers.
         :param body: the body, empty for none.
         :param method: HTTP method; an answer to ``HEAD`` has no body.
+        :param deadline_s: seconds that remain for the request.
         :raises EndpointError: when the connection broke.
         """
+        set_user_timeout(
+            self._stream.extra(SocketAttribute.raw_socket),
+            request_bytes=len(head) + len(body),
+            deadline_s=deadline_s,
+        )
         self._parser = httptools.HttpResponseParser(self)
         self._answers.clear()
         self._expects_no_body = method == 'HEAD'
@@ -266,22 +273,6 @@
     return None
 
 
-def set_liveness_options(raw: socket.socket) -> None:
-    """Enable detection of dead peers, and disable Nagle's algorithm.
-
-    :param raw: connected TCP socket.
-    """
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, setting in (
-        (socket.TCP_KEEPIDLE, _KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-    ):
-        raw.setsockopt(socket.IPPROTO_TCP, option, setting)
-
-
 def _build_connection_error(when: str, error: Exception) -> EndpointError:
     return EndpointError(
         ErrorKind.ENDPOINT_FAILED,
--- a/laurelwind/transport/gateway.py
+++ b/laurelwind/transport/gateway.py
@@ -76,7 +76,12 @@
         head = self._write_head(request, dispatch)
         connection = await self._acquire_connection(dispatch)
         try:
-            await connection.send(head, request.body, method=request.method)
+            await connection.send(
+                head,
+                request.body,
+                method=request.method,
+                deadline_s=dispatch.deadline_s,
+            )
         except BaseException:
             await connection.close()
             raise
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -1,5 +1,6 @@
 """Malformed, cut-off and surplus answers of endpoints, over loopback."""
 
+import socket
 import time
 
 import anyio
@@ -11,6 +12,7 @@
 from laurelwind.state.timers import MAX_LATENESS_S
 from laurelwind.transport.connection import CONNECT_TIMEOUT_S, Connection
 from laurelwind.transport.gateway import HttpGateway
+from laurelwind.transport.liveness import USER_TIMEOUT_MS
 from tests.relay_helpers import build_request
 
 pytestmark = pytest.mark.anyio
@@ -24,6 +26,11 @@
     return ANSWER % (request_id, extra)
 
 
+def build_dispatch(address, **fields):
+    values = {'endpoint': 'e1', 'workspace': 'forms', 'deadline_s': 1.0}
+    return Dispatch(address=address, **{**values, **fields})
+
+
 class Endpoint:
     """Endpoint that sends one prepared answer for each request.
 
@@ -57,13 +64,7 @@
         self.address = address
 
     async def send_request(self, request_id='r1', **fields):
-        dispatch = Dispatch(
-            address=self.address,
-            endpoint='e1',
-            workspace='forms',
-            deadline_s=1.0,
-            **fields,
-        )
+        dispatch = build_dispatch(self.address, **fields)
         exchange = await self.gateway.send(
             build_request('book', request_id=request_id), dispatch
         )
@@ -280,7 +281,9 @@
         group.start_soon(listener.serve, serve)
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         connection = await Connection.open(f'127.0.0.1:{port}')
-        await connection.send(b'GET / HTTP/1.1\r\n\r\n', b'', method='GET')
+        await connection.send(
+            b'GET / HTTP/1.1\r\n\r\n', b'', method='GET', deadline_s=1.0
+        )
         assert (await read(connection.read_head))[0] == 200
         body = b''
         while chunk := await read(connection.read_chunk):
@@ -288,3 +291,65 @@
         assert body == b'body'
         await connection.close()
         group.cancel_scope.cancel()
+
+
+def answer_before_reading(listener, size, silent_s):
+    """Answer in two parts, with a silence in between, and then read on."""
+    peer, _ = listener.accept()
+    with peer:
+        raw = build_answer()
+        peer.sendall(raw[:-2])
+        time.sleep(silent_s)
+        while size > 0:
+            size -= len(peer.recv(size))
+        peer.sendall(raw[-2:])
+
+
+async def test_an_endpoint_may_leave_a_long_request_unread_for_a_while(
+    monkeypatch,
+):
+    """Guards against answers that the system breaks off for a full buffer."""
+    monkeypatch.setattr('laurelwind.transport.liveness.USER_TIMEOUT_MS', 300)
+    body = bytes(1_000_000)
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                anyio.to_thread.run_sync,
+                answer_before_reading,
+                listener,
+                len(body),
+                1.5,
+            )
+            host, port = listener.getsockname()
+            dispatch = build_dispatch(f'{host}:{port}', deadline_s=5.0)
+            request = build_request('book', body=body)
+            gateway = HttpGateway(codec=NamedHeaderCodec(names=HeaderNames()))
+            exchange = await gateway.send(request, dispatch)
+            assert (await exchange.read_head()).status == 200
+            received = b''
+            while chunk := await exchange.read_chunk():
+                received += chunk
+            await exchange.close()
+            await gateway.close()
+    assert received == b'body'
+
+
+async def test_a_dead_endpoint_is_noticed_early_after_a_long_request():
+    """Guards against a long time-out that stays with a reused connection."""
+
+    async def check(fixture):
+        connection = await Connection.open(fixture.address)
+        raw = connection._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        for size, timeout_ms in ((10**6, 9000), (10, USER_TIMEOUT_MS)):
+            await connection.send(
+                b'POST / HTTP/1.1\r\n\r\n',
+                bytes(size),
+                method='POST',
+                deadline_s=9.0,
+            )
+            assert timeout_ms == raw.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            )
+        await connection.close()
+
+    await run_with_endpoint([(build_answer(), False)] * 100, check)
