--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -239,12 +239,13 @@
     ) -> None:
         dependencies = self._dependencies
         is_silent = isinstance(error, EndpointSilentError)
-        obstacle = dependencies.sender.selector.find_obstacle(
-            job, attempt.endpoint
-        )
+        obstacle = None
         backoff_s: float = 0
         if error.run is not RunState.NOT_RUN:
             job.may_have_run = True
+            obstacle = dependencies.sender.selector.find_obstacle(
+                job, attempt.endpoint
+            )
             backoff_s = dependencies.sender.record_failure(
                 attempt.endpoint, attempt.elapsed_s
             )
--- a/tests/test_sound_silence.py
+++ b/tests/test_sound_silence.py
@@ -70,35 +70,29 @@
         harness.retry_budget.record_retry('pool')
 
 
-def drain_others(harness):
-    """Let the other endpoints leave."""
+def list_others(harness):
+    """List the endpoints that have no request."""
     busy = harness.gateway.sent[0].endpoint
-    for name in ('e1', 'e2', 'e3'):
-        if name != busy:
-            harness.directory.apply(
-                name,
-                build_endpoint_record(name, is_draining=True, sequence=2),
-                offset=10,
-            )
+    return [name for name in ('e1', 'e2', 'e3') if name != busy]
 
 
-def pause_others(harness):
-    for name in ('e1', 'e2', 'e3'):
-        if name != harness.gateway.sent[0].endpoint:
-            for _ in range(3):
-                harness.placement.record_failure(build_endpoint_record(name))
+def update_others(harness, **fields):
+    for name in list_others(harness):
+        record = build_endpoint_record(name, sequence=2, **fields)
+        harness.directory.apply(name, record, offset=10)
+
+
+def drain_others(harness):
+    update_others(harness, is_draining=True)
 
 
 def move_others(harness):
-    """Let the other endpoints serve another service."""
-    busy = harness.gateway.sent[0].endpoint
-    for name in ('e1', 'e2', 'e3'):
-        if name != busy:
-            harness.directory.apply(
-                name,
-                build_endpoint_record(name, service='other', sequence=2),
-                offset=10,
-            )
+    update_others(harness, service='other')
+
+
+def pause_others(harness):
+    for name in list_others(harness) * 3:
+        harness.placement.record_failure(build_endpoint_record(name))
 
 
 @pytest.mark.parametrize(
