--- a/laurelwind/transport/gateway.py
+++ b/laurelwind/transport/gateway.py
@@ -84,7 +84,12 @@
                 run=RunState.NOT_RUN,
             )
         try:
-            await connection.send(head, request.body, method=request.method)
+            await connection.send(
+                head,
+                request.body,
+                method=request.method,
+                deadline_s=dispatch.deadline_s,
+            )
         except BaseException:
             await connection.close()
             raise
