--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -38,7 +38,9 @@
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 _MISDIRECTED: Final = 421
 _SERVER_ERROR: Final = 500
-_FINAL_STATUSES: Final = range(200, 600)
+_FIRST_FINAL_STATUS: Final = 200
+_END_OF_STATUSES: Final = 600
+_FINAL_STATUSES: Final = range(_FIRST_FINAL_STATUS, _END_OF_STATUSES)
 
 
 class LowConfidenceError(Exception):
