Leave to the narrow links of the soak what they delay

A link of 400 kB/s keeps what a daemon has sent for seconds.

The check of late answers leaves out requests over narrow links. The check that every request ends stays as strict; callers on narrow links wait 12 s for the end instead of 6 s, so a daemon that never ends one is still found. The message of late answers names the requests.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -35,6 +35,10 @@
 # Most seconds that a caller takes to send a large body, and its chunks.
 MAX_BODY_S = 1.0
 BODY_CHUNKS = 10
+# Seconds after which a caller gives up. A narrow link may deliver an answer
+# long after the daemon has sent it.
+PATIENCE_S = bounds.TIMEOUT_S * 2
+NARROW_PATIENCE_S = PATIENCE_S * 2
 _CALL_TIMEOUT_S = 1.0
 
 
@@ -165,9 +169,10 @@
         )
         body = b'.' * body_bytes + encode_request_end(request_id)
         body_s = self._rng.uniform(0, MAX_BODY_S) if body_bytes > 1 else 0
+        patience_s = NARROW_PATIENCE_S if is_narrow else PATIENCE_S
         url = f'http://{request.link.address}/{request.route}'
         try:
-            with anyio.fail_after(bounds.TIMEOUT_S * 2):
+            with anyio.fail_after(patience_s):
                 answer = await pool.request(
                     'POST',
                     f'{url}/{request.answer_bytes}',
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -191,14 +191,19 @@
             for request in self._requests
             if self._is_daemon_fault_free(request, 0)
             and request.ended_at - request.sent_at > bounds.TIMEOUT_S
+            # A narrow link delivers an answer later than the daemon sent it.
+            and request.link is not request.daemon.narrow_link
         ]
         late = [
-            request
+            request.request_id
             for request in slow
             if request.ended_at - request.sent_at > max_duration_s
         ]
         if len(slow) >= _MIN_SAMPLE and len(late) > len(slow) / 2:
-            yield f'time: {len(late)} of {len(slow)} got no final answer'
+            yield (
+                f'time: {len(late)} of {len(slow)} got no final answer:'
+                f' {" ".join(late)}'
+            )
 
     def _check_table_order(self) -> Iterator[str]:
         """Check that no daemon process goes back to an older table.
