Play silent endpoints, stops and slow callers in every test run

Seed 1 of `operations`, with faults for 8 s: endpoints of a service that are silent together, eight tables with 20,000 keys in quick succession, five stops in series, and large answers on narrow links.

--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -33,4 +33,10 @@
         20,
         'closed 0.27 s after sending, as a stop ended; request was not read',
     ),
+    RegressionSeed(
+        1,
+        'operations',
+        8,
+        'begun streams given up for silence; answers cut as a stop ended',
+    ),
 )
