--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -102,7 +102,6 @@
 
     def __init__(self, *, dependencies: RelayDependencies) -> None:
         self._dependencies = dependencies
-        self.in_flight = 0
 
     async def serve(
         self,
@@ -117,14 +116,8 @@
         :param arrived_at: moment of arrival, on the monotonic clock.
         :raises LaurelwindError: if the request is refused or fails.
         """
-        self.in_flight += 1
-        try:
-            await self._serve_job(
-                await self._dependencies.admission.admit(request, arrived_at),
-                answer,
-            )
-        finally:
-            self.in_flight -= 1
+        job = await self._dependencies.admission.admit(request, arrived_at)
+        await self._serve_job(job, answer)
 
     async def _serve_job(self, job: Job, answer: CallerAnswer) -> None:
         try:
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -18,6 +18,7 @@
 from laurelwind.coordination.sending import SenderDependencies
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ConfigurationError
+from laurelwind.relay_gauges import register_gauges
 from laurelwind.relay_limits import TableLimits
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.relay_settings import RelaySettings
@@ -69,7 +70,7 @@
         bounds = settings.bounds
         self.settings = settings
         self.metrics = metrics
-        self._loop_lag = LoopLag()
+        self.loop_lag = LoopLag()
         self.log = DecisionLog(
             daemon=settings.daemon.name,
             count=lambda event: self.metrics.decisions.labels(event).inc(),
@@ -121,7 +122,7 @@
             metrics=self.metrics,
             read_body_limit=self._limits.read_body_limit,
         )
-        self._register_gauges()
+        register_gauges(self)
         self._servers: list[HttpServer] = []
 
     @property
@@ -162,7 +163,7 @@
             address.
         """
         self.log.start()
-        self._loop_lag.start(group)
+        self.loop_lag.start(group)
         self.tracker.start(group)
         await self.hints.start(group)
         applications: dict[str, ASGIApp] = {
@@ -263,44 +264,6 @@
             metrics=self.metrics,
         )
 
-    def _register_gauges(self) -> None:
-        add_gauge = self.metrics.add_gauge
-        add_gauge(
-            'laurelwind_in_flight',
-            'Requests from their head to the end of their answer.',
-            lambda: self.application.exchanges.count,
-        )
-        add_gauge(
-            'laurelwind_table_age_seconds',
-            'Seconds since the routing table was known to be the newest.',
-            lambda: self.lease.age_s,
-        )
-        add_gauge(
-            'laurelwind_store_era',
-            'Times that the store was restored from an older copy.',
-            lambda: self.tracker.era or 0,
-        )
-        add_gauge(
-            'laurelwind_loop_lag_seconds',
-            'Longest time in the last ten seconds by which a timer was late.',
-            lambda: self._loop_lag.longest_s,
-        )
-        add_gauge(
-            'laurelwind_members',
-            'Daemons that are alive.',
-            lambda: len(self.membership.members),
-        )
-        add_gauge(
-            'laurelwind_endpoints_ready',
-            'Endpoints that take new work.',
-            lambda: sum(self.directory.count_ready().values()),
-        )
-        add_gauge(
-            'laurelwind_log_lines_left_out',
-            'Log lines left out since the last one that went out.',
-            lambda: self.log.dropped_lines,
-        )
-
     def _log_timeout(self, kind: TimeoutKind) -> None:
         self.log.log_info('connection_timed_out', kind=kind)
 
--- /dev/null
+++ b/laurelwind/relay_gauges.py
@@ -0,0 +1,49 @@
+"""Gauges of a relay daemon."""
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from laurelwind.relay_daemon import RelayDaemon
+
+
+def register_gauges(daemon: 'RelayDaemon') -> None:
+    """Register the gauges whose values a daemon holds.
+
+    :param daemon: the daemon.
+    """
+    add_gauge = daemon.metrics.add_gauge
+    add_gauge(
+        'laurelwind_in_flight',
+        'Requests from their head to the end of their answer.',
+        lambda: daemon.application.exchanges.count,
+    )
+    add_gauge(
+        'laurelwind_table_age_seconds',
+        'Seconds since the routing table was known to be the newest.',
+        lambda: daemon.lease.age_s,
+    )
+    add_gauge(
+        'laurelwind_store_era',
+        'Times that the store was restored from an older copy.',
+        lambda: daemon.tracker.era or 0,
+    )
+    add_gauge(
+        'laurelwind_loop_lag_seconds',
+        'Longest time in the last ten seconds by which a timer was late.',
+        lambda: daemon.loop_lag.longest_s,
+    )
+    add_gauge(
+        'laurelwind_members',
+        'Daemons that are alive.',
+        lambda: len(daemon.membership.members),
+    )
+    add_gauge(
+        'laurelwind_endpoints_ready',
+        'Endpoints that take new work.',
+        lambda: sum(daemon.directory.count_ready().values()),
+    )
+    add_gauge(
+        'laurelwind_log_lines_left_out',
+        'Log lines left out since the last one that went out.',
+        lambda: daemon.log.dropped_lines,
+    )
