Leave a silent engine only for another that has a slot

Callers of the chat interface saw begun answers end with an error although their engine was only silent for a while: after 5 s of silence an attempt ended, up to four times, even where no other engine could take over.

Cause: the silence was a read time-out of the HTTP client, which closes the connection and knows nothing of other engines.

Evidence: with the only usable engine pausing for longer than the time-out, the answer ended with an error event, whether the other engines were down, full, or barred by the retry budget.

Ruled out: repeating the read after its time-out, as a cancelled read ends the client's answer.

Waits for engines are now reviewed by one task. A wait ends only once a retry has been reserved in the same step: a slot at another endpoint that has not failed the request, and a retry of the budget. The next attempt uses that slot. Otherwise the wait goes on until the deadline. What arrives together with the decision is dropped and not counted, so the next engine sends it again. Endpoints left for silence are used before those that failed. A review that is late does not count.

test_an_answer_outlasts_the_silence_of_the_only_engine (three cases) failed before: assert answer.body.endswith(b'data: [DONE]\n\n') AssertionError: assert False

--- a/laurelwind/coordination/attempts.py
+++ b/laurelwind/coordination/attempts.py
@@ -1,17 +1,27 @@
 """Fetches a complete answer from one version, with retries and resumption."""
 
 import contextlib
+import functools
 from collections.abc import Awaitable, Callable, Iterator, Mapping
 from typing import Any, Final
 
 import orjson
-from attrs import define, field, frozen
+from anyio.abc import TaskGroup
+from attrs import define, evolve, field, frozen
 
 from laurelwind.coordination.cascade import accepts_work, find_version
+from laurelwind.coordination.engine_silence import EngineSilenceMonitor
 from laurelwind.coordination.follower import ConfigurationFollower
 from laurelwind.coordination.retries import RetryBudget, sleep_before_retry
 from laurelwind.coordination.routing import EndpointRequirements, Router, Slot
-from laurelwind.errors import CallerError, EndpointError, ErrorKind, RunState
+from laurelwind.errors import (
+    CallerError,
+    CapacityError,
+    EndpointError,
+    EndpointSilentError,
+    ErrorKind,
+    RunState,
+)
 from laurelwind.metrics import Metrics
 from laurelwind.protocol.endpoints import (
     NO_PART,
@@ -24,6 +34,7 @@
 from laurelwind.state.sessions import Session
 from laurelwind.tracing import Tracing, format_traceparent
 
+# Silence of an engine, in seconds, after which another one may take over.
 PROGRESS_TIMEOUT_S: Final = 5.0
 _MAX_ATTEMPTS: Final = 4
 _PRIORITIES: Final[Mapping[Preference, int]] = {
@@ -71,6 +82,28 @@
     run_state: RunState = RunState.NOT_RUN
 
 
+@define(kw_only=True)
+class _Fetch:
+    """Attempts to complete one answer.
+
+    :ivar fetch_state: the request and its progress.
+    :ivar emit: called with the events.
+    :ivar reservation: holds the slot of the next attempt, if it is reserved.
+    :ivar reserved_slot: that slot, or ``None``.
+    :ivar attempts: number of attempts begun.
+    :ivar failed_addresses: addresses that failed the request.
+    :ivar silent_addresses: addresses left because of their silence.
+    """
+
+    fetch_state: FetchState
+    emit: EmitEvents
+    reservation: contextlib.ExitStack
+    reserved_slot: Slot | None = None
+    attempts: int = 0
+    failed_addresses: frozenset[str] = frozenset()
+    silent_addresses: frozenset[str] = frozenset()
+
+
 @frozen(kw_only=True)
 class FetcherDependencies:
     """Collaborators of an answer fetcher."""
@@ -92,6 +125,14 @@
 
     def __init__(self, *, dependencies: FetcherDependencies) -> None:
         self._dependencies = dependencies
+        self._silence = EngineSilenceMonitor()
+
+    def start(self, group: TaskGroup) -> None:
+        """Start to review the waits for engines.
+
+        :param group: task group of the daemon.
+        """
+        self._silence.start(group)
 
     async def fetch(
         self, fetch_state: FetchState, emit: EmitEvents
@@ -102,42 +143,52 @@
         :param emit: called with the events, in order and without gaps.
         :raises LaurelwindError: when no attempt completed the answer.
         """
-        failed_addresses: frozenset[str] = frozenset()
-        attempt = 0
-        while True:
-            document, requirements = self._build_requirements(
-                fetch_state, failed_addresses
+        with contextlib.ExitStack() as reservation:
+            fetch = _Fetch(
+                fetch_state=fetch_state, emit=emit, reservation=reservation
+            )
+            while error := await self._run_attempt(fetch):
+                if fetch.reserved_slot is not None:
+                    continue
+                if not self._may_retry(fetch.attempts):
+                    raise error
+                await sleep_before_retry(fetch.attempts)
+        return fetch_state.progress
+
+    async def _run_attempt(self, fetch: _Fetch) -> EndpointError | None:
+        document, requirements = self._build_requirements(fetch)
+        with fetch.reservation.pop_all() as slots:
+            slot = fetch.reserved_slot or slots.enter_context(
+                self._dependencies.router.reserve(document, requirements)
             )
-            with self._dependencies.router.reserve(
-                document, requirements
-            ) as slot:
-                attempt += 1
-                error = await self._try_attempt(fetch_state, slot, emit)
-                failed_addresses |= {slot.endpoint.address}
-            outcome = 'whole' if error is None else str(error.kind)
-            self._dependencies.metrics.attempts.labels(
-                requirements.pool, outcome
-            ).inc()
-            if error is None:
-                return fetch_state.progress
-            if not self._may_retry(attempt):
-                raise error
-            await sleep_before_retry(attempt)
+            fetch.reserved_slot = None
+            fetch.attempts += 1
+            error = await self._try_attempt(fetch, slot)
+        outcome = 'whole' if error is None else str(error.kind)
+        self._dependencies.metrics.attempts.labels(
+            requirements.pool, outcome
+        ).inc()
+        return error
 
     async def _try_attempt(
-        self, fetch_state: FetchState, slot: Slot, emit: EmitEvents
+        self, fetch: _Fetch, slot: Slot
     ) -> EndpointError | None:
+        address = slot.endpoint.address
         try:
-            await self._stream_answer(fetch_state, slot, emit)
+            await self._stream_answer(fetch, slot)
+        except EndpointSilentError as error:
+            slot.load.record_failure(read_monotonic_clock())
+            fetch.silent_addresses |= {address}
+            return error
         except EndpointError as error:
             slot.load.record_failure(read_monotonic_clock())
+            fetch.failed_addresses |= {address}
             return error
         slot.load.record_success()
         return None
 
-    async def _stream_answer(
-        self, fetch_state: FetchState, slot: Slot, emit: EmitEvents
-    ) -> None:
+    async def _stream_answer(self, fetch: _Fetch, slot: Slot) -> None:
+        fetch_state = fetch.fetch_state
         span = self._dependencies.tracing.tracer.start_as_current_span(
             'endpoint attempt',
             attributes={
@@ -147,7 +198,7 @@
             },
         )
         with span, _track_run_state(fetch_state):
-            call = self._build_call(fetch_state, slot)
+            call = self._build_call(fetch, slot)
             async with self._dependencies.engine.open(call) as stream:
                 fetch_state.run_state = RunState.RAN
                 fetch_state.progress = stream.progress
@@ -156,11 +207,12 @@
                         stream.progress.load, read_monotonic_clock()
                     )
                 async for events in stream.iterate_parts():
-                    await emit(events)
+                    await fetch.emit(events)
 
     def _build_requirements(
-        self, fetch_state: FetchState, failed_addresses: frozenset[str]
+        self, fetch: _Fetch
     ) -> tuple[Document, EndpointRequirements]:
+        fetch_state = fetch.fetch_state
         document = self._dependencies.follower.current.document
         version = find_version(document, fetch_state.reference)
         workspace = document.workspaces.get(fetch_state.request.workspace)
@@ -178,11 +230,13 @@
         requirements = EndpointRequirements(
             pool=version.pool,
             affinity_key=affinity_key,
-            failed_addresses=failed_addresses,
+            failed_addresses=fetch.failed_addresses,
+            silent_addresses=fetch.silent_addresses,
         )
         return document, requirements
 
-    def _build_call(self, fetch_state: FetchState, slot: Slot) -> EngineCall:
+    def _build_call(self, fetch: _Fetch, slot: Slot) -> EngineCall:
+        fetch_state = fetch.fetch_state
         workspaces = self._dependencies.follower.current.document.workspaces
         workspace = workspaces.get(fetch_state.request.workspace)
         preference = workspace.preference if workspace else Preference.LATENCY
@@ -200,7 +254,11 @@
             body=orjson.dumps(body),
             priority=_PRIORITIES[preference],
             after_part=fetch_state.progress.last_part,
-            progress_timeout_s=PROGRESS_TIMEOUT_S,
+            limit_wait=functools.partial(
+                self._silence.limit_wait,
+                PROGRESS_TIMEOUT_S,
+                functools.partial(self._try_leave, fetch, slot),
+            ),
             traceparent=format_traceparent(),
         )
 
@@ -218,6 +276,40 @@
             return False
         return accepts_work(version)
 
+    def _try_leave(self, fetch: _Fetch, slot: Slot) -> bool:
+        """Reserve a retry at another endpoint; return whether it could."""
+        if fetch.attempts >= _MAX_ATTEMPTS:
+            return False
+        try:
+            document, requirements = self._build_requirements(fetch)
+            return self._try_reserve(
+                fetch,
+                document,
+                evolve(
+                    requirements,
+                    excluded_addresses=fetch.failed_addresses
+                    | {slot.endpoint.address},
+                ),
+            )
+        except (CallerError, CapacityError):
+            return False
+
+    def _try_reserve(
+        self,
+        fetch: _Fetch,
+        document: Document,
+        requirements: EndpointRequirements,
+    ) -> bool:
+        with contextlib.ExitStack() as slots:
+            slot = slots.enter_context(
+                self._dependencies.router.reserve(document, requirements)
+            )
+            if not self._dependencies.budget.try_spend():
+                return False
+            fetch.reserved_slot = slot
+            fetch.reservation.push(slots.pop_all())
+        return True
+
     def _may_retry(self, attempt: int) -> bool:
         return attempt < _MAX_ATTEMPTS and self._dependencies.budget.try_spend()
 
--- a/laurelwind/coordination/dispatch.py
+++ b/laurelwind/coordination/dispatch.py
@@ -139,10 +139,13 @@
         self._active_audits = 0
 
     def start(self, task_group: TaskGroup) -> None:
-        """Enable audits: ratings of a sample of streamed answers.
+        """Start the fetcher, and enable audits of streamed answers.
 
-        :param task_group: task group that runs the audits.
+        An audit rates one of a sample of these answers.
+
+        :param task_group: task group that runs the background tasks.
         """
+        self._dependencies.fetcher.start(task_group)
         self._task_group = task_group
 
     async def run(self, request: ChatRequest, sink: ChatAnswerSink) -> None:
--- a/laurelwind/coordination/routing.py
+++ b/laurelwind/coordination/routing.py
@@ -27,11 +27,16 @@
         an empty string means no affinity.
     :ivar failed_addresses: addresses that failed this request; used only if
         no other endpoint has a free slot.
+    :ivar silent_addresses: addresses that this request left because of their
+        silence; used only before those that failed.
+    :ivar excluded_addresses: addresses that must not be used.
     """
 
     pool: str
     affinity_key: str = ''
     failed_addresses: frozenset[str] = frozenset()
+    silent_addresses: frozenset[str] = frozenset()
+    excluded_addresses: frozenset[str] = frozenset()
 
 
 @frozen(kw_only=True)
@@ -114,12 +119,13 @@
                 ErrorKind.OVERLOADED,
                 f'all endpoints of pool {requirements.pool} are at capacity',
             )
-        untried = [
-            slot
-            for slot in free
-            if slot.endpoint.address not in requirements.failed_addresses
-        ]
-        return self._pick_slot(untried or free, requirements)
+        candidates = _prefer_untried(free, requirements)
+        if not candidates:
+            raise CapacityError(
+                ErrorKind.NO_ENDPOINT,
+                f'no other endpoint of pool {requirements.pool} is available',
+            )
+        return self._pick_slot(candidates, requirements)
 
     def _list_slots(self, pool: Pool) -> list[Slot]:
         now = read_monotonic_clock()
@@ -170,3 +176,24 @@
         if slot.endpoint.zone == self._zone:
             return weighted_load
         return weighted_load * _REMOTE_ZONE_PENALTY
+
+
+def _prefer_untried(
+    free: Sequence[Slot], requirements: EndpointRequirements
+) -> Sequence[Slot]:
+    allowed = [
+        slot
+        for slot in free
+        if slot.endpoint.address not in requirements.excluded_addresses
+    ]
+    not_failed = [
+        slot
+        for slot in allowed
+        if slot.endpoint.address not in requirements.failed_addresses
+    ]
+    untried = [
+        slot
+        for slot in not_failed
+        if slot.endpoint.address not in requirements.silent_addresses
+    ]
+    return untried or not_failed or allowed
--- a/laurelwind/protocol/endpoints.py
+++ b/laurelwind/protocol/endpoints.py
@@ -2,12 +2,13 @@
 
 import abc
 import contextlib
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from typing import Final
 
 from attrs import define, frozen
 
 HeaderPairs = Sequence[tuple[bytes, bytes]]
+LimitWait = Callable[[], contextlib.AbstractContextManager[None]]
 
 NO_PART: Final = -1
 
@@ -24,7 +25,8 @@
     :ivar priority: priority at the engine; zero is the most urgent.
     :ivar after_part: number of the part after which to resume, or -1 for a
         new answer.
-    :ivar progress_timeout_s: longest time between two parts.
+    :ivar limit_wait: returns the context of each wait for the endpoint, which
+        may end the wait with an :class:`EndpointSilentError`.
     :ivar traceparent: W3C trace context to forward, or an empty string.
     """
 
@@ -35,7 +37,7 @@
     credential: str = ''
     priority: int = 0
     after_part: int = NO_PART
-    progress_timeout_s: float = 10.0
+    limit_wait: LimitWait = contextlib.nullcontext
     traceparent: str = ''
 
 
@@ -83,8 +85,8 @@
         The last events are not returned but buffered in
         ``progress.buffered_events``, and the usage in ``progress.usage``.
 
-        :raises EndpointError: if the answer is cut off, stalls, or comes from
-            another request or version.
+        :raises EndpointError: if the answer is cut off, comes from another
+            request or version, or the limit of a wait ended it.
         """
 
 
--- a/laurelwind/transport/engine_client.py
+++ b/laurelwind/transport/engine_client.py
@@ -8,13 +8,19 @@
 
 import contextlib
 from collections.abc import AsyncIterator, Mapping
+from types import MappingProxyType
 from typing import Final
 
 import httpcore
 import orjson
 from anyio.abc import TaskGroup
 
-from laurelwind.errors import EndpointError, ErrorKind, RunState
+from laurelwind.errors import (
+    EndpointError,
+    EndpointSilentError,
+    ErrorKind,
+    RunState,
+)
 from laurelwind.protocol.endpoints import (
     AnswerProgress,
     EngineCall,
@@ -29,6 +35,9 @@
 _OVERLOAD_STATUSES: Final = frozenset((429, 503))
 _CONNECT_TIMEOUT_S: Final = 0.5
 _POOL_TIMEOUT_S: Final = 2.0
+_TIMEOUTS: Final = MappingProxyType(
+    {'connect': _CONNECT_TIMEOUT_S, 'pool': _POOL_TIMEOUT_S}
+)
 _EVENT_END: Final = b'\n\n'
 _USAGE_MARKER: Final = b'"usage":{'
 _DONE_MARKER: Final = b'data: [DONE]'
@@ -58,18 +67,28 @@
         """Send a request; see :class:`EngineClient`."""
         with self._pools.borrow(call.address) as pool:
             async with contextlib.AsyncExitStack() as stack:
-                try:
-                    answer = await stack.enter_async_context(
-                        self._send(pool, call)
-                    )
-                except HTTP_FAILURES as error:
-                    self._pools.retire(call.address)
-                    raise _build_connection_error(error) from error
+                answer = await self._wait_for_head(stack, pool, call)
                 _check_head(answer, call)
                 yield HttpEngineStream(
                     answer=answer, call=call, pools=self._pools
                 )
 
+    async def _wait_for_head(
+        self,
+        stack: contextlib.AsyncExitStack,
+        pool: httpcore.AsyncConnectionPool,
+        call: EngineCall,
+    ) -> httpcore.Response:
+        try:
+            with call.limit_wait():
+                return await stack.enter_async_context(self._send(pool, call))
+        except EndpointSilentError:
+            self._pools.retire(call.address)
+            raise
+        except HTTP_FAILURES as error:
+            self._pools.retire(call.address)
+            raise _build_connection_error(error) from error
+
     def _send(
         self, pool: httpcore.AsyncConnectionPool, call: EngineCall
     ) -> contextlib.AbstractAsyncContextManager[httpcore.Response]:
@@ -78,7 +97,7 @@
             f'http://{call.address}/v1/chat/completions',
             headers=self._build_headers(call),
             content=call.body,
-            extensions={'timeout': _build_timeouts(call)},
+            extensions={'timeout': dict(_TIMEOUTS)},
         )
 
     async def close(self) -> None:
@@ -124,6 +143,7 @@
     ) -> None:
         self._pools = pools
         self._address = call.address
+        self._limit_wait = call.limit_wait
         self.progress = AnswerProgress(
             last_part=call.after_part,
             load=_read_load(answer),
@@ -136,7 +156,7 @@
         """Yield validated events; see :class:`EngineStream`."""
         buffer = b''
         try:
-            async for chunk in self._answer.aiter_stream():
+            async for chunk in self._iterate_chunks():
                 buffer += chunk
                 batch_end = buffer.rfind(_EVENT_END) + len(_EVENT_END)
                 if batch_end < len(_EVENT_END):
@@ -146,6 +166,9 @@
                 checked = self._check_batch(batch)
                 if checked:
                     yield checked
+        except EndpointSilentError:
+            self._pools.retire(self._address)
+            raise
         except HTTP_FAILURES as error:
             self._pools.retire(self._address)
             raise _build_answer_error(
@@ -153,6 +176,15 @@
             ) from error
         self._check_complete(buffer)
 
+    async def _iterate_chunks(self) -> AsyncIterator[bytes]:
+        chunks = aiter(self._answer.aiter_stream())
+        while True:
+            with self._limit_wait():
+                chunk = await anext(chunks, None)
+            if chunk is None:
+                return
+            yield chunk
+
     def _check_batch(self, batch: bytes) -> bytes:
         events = batch.split(_EVENT_END)
         for index, event in enumerate(events[:-1]):
@@ -213,15 +245,6 @@
             )
 
 
-def _build_timeouts(call: EngineCall) -> dict[str, float]:
-    return {
-        'connect': _CONNECT_TIMEOUT_S,
-        'pool': _POOL_TIMEOUT_S,
-        'read': call.progress_timeout_s,
-        'write': call.progress_timeout_s,
-    }
-
-
 def _check_head(answer: httpcore.Response, call: EngineCall) -> None:
     if answer.status in _OVERLOAD_STATUSES:
         raise EndpointError(
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -28,17 +28,39 @@
     )
 
 
-async def test_an_answer_outlasts_the_silence_of_the_only_engine(monkeypatch):
+def take_engines_down(fleet):
+    for engine in fleet.standins.engines[1:]:
+        engine.switches.down = True
+
+
+def fill_engines(fleet):
+    (daemon,) = fleet.daemons.values()
+    for index in range(1, len(fleet.standins.engines)):
+        load = daemon.loads.get(fleet.standins.addresses[f'engine{index}'])
+        load.in_flight = 10_000
+
+
+def spend_retries(fleet):
+    (daemon,) = fleet.daemons.values()
+    while daemon.budget.try_spend():
+        """Spend the next one."""
+
+
+@pytest.mark.parametrize(
+    'rule_out_others', [take_engines_down, fill_engines, spend_retries]
+)
+async def test_an_answer_outlasts_the_silence_of_the_only_engine(
+    monkeypatch, rule_out_others
+):
     """Every pause is longer than the time-out, and the engine goes on."""
     monkeypatch.setattr(
         'laurelwind.coordination.attempts.PROGRESS_TIMEOUT_S', 0.1
     )
     async with run_fleet(zones='a') as fleet:
         (address,) = await publish_demo_configuration(fleet)
-        first, *others = fleet.standins.engines
-        first.switches.part_s = 0.2
-        for engine in others:
-            engine.switches.down = True
+        for engine in fleet.standins.engines:
+            engine.switches.part_s = 0.2
+        rule_out_others(fleet)
         answer = await send_chat(fleet, address)
         assert answer.body.endswith(b'data: [DONE]\n\n')
 
@@ -68,3 +90,25 @@
                 )
                 await daemon.close()
         assert answers[0].status in {503, 504}
+
+
+async def test_no_slot_stays_reserved_after_an_engine_has_taken_over(
+    monkeypatch,
+):
+    """The slot of a retry is reserved before the silent engine is left."""
+    monkeypatch.setattr(
+        'laurelwind.coordination.attempts.PROGRESS_TIMEOUT_S', 0.1
+    )
+    async with run_fleet(zones='a') as fleet:
+        (address,) = await publish_demo_configuration(fleet)
+        for engine in fleet.standins.engines:
+            engine.switches.silent_after = 3
+            engine.switches.faulty_answers = 1
+        answer = await send_chat(fleet, address)
+        assert answer.body.endswith(b'data: [DONE]\n\n')
+        (daemon,) = fleet.daemons.values()
+        loads = [
+            daemon.loads.get(fleet.standins.addresses[f'engine{index}'])
+            for index in range(len(fleet.standins.engines))
+        ]
+        assert [load.in_flight for load in loads] == [0, 0, 0]
