Keep the outcomes of service calls that ran when a stop ends them

A caller that repeated a call with the same idempotency key after a stop was told that its outcome is unknown, although the call had run and the daemon had its answer.

Cause: the report of the outcome to the owner of the claim was cancelled with the request, and reports in the background were cancelled with the daemon: its stop waited only for charges.

Ruled out: shielding the report, as the caller would get no answer while it waits.

A report that is cancelled now goes on in the background, and a stop waits up to 3 s for such reports, beside the charges.

test_a_stop_keeps_the_outcome_of_a_call_that_ran failed before: assert recorded == [True] AssertionError: assert [] == [True]

--- a/laurelwind/coordination/claims.py
+++ b/laurelwind/coordination/claims.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import random
-import time
 from typing import Final
 
 import anyio
@@ -10,6 +9,7 @@
 from anyio.abc import TaskGroup
 from attrs import frozen
 
+from laurelwind.coordination.claim_refusals import build_refusal
 from laurelwind.coordination.membership import Membership
 from laurelwind.coordination.partition_owners import (
     PARTITIONS,
@@ -18,11 +18,8 @@
 )
 from laurelwind.coordination.roster import Roster
 from laurelwind.errors import (
-    CallerError,
-    ErrorKind,
     LaurelwindError,
     PeerError,
-    RunState,
 )
 from laurelwind.protocol.messages import (
     ClaimAnswer,
@@ -43,8 +40,8 @@
 _CLAIM_RETRY_INTERVAL_S: Final = 0.05
 _REPORT_RETRY_INTERVAL_S: Final = 0.5
 _REPORT_TIMEOUT_S: Final = 3.0
+_CLOSE_POLL_S: Final = 0.02
 _REPORT_EXPIRY_S: Final = 7200.0
-_OUTCOME_UNKNOWN_AFTER_S: Final = 150.0
 _MAX_PENDING_REPORTS: Final = 20_000
 _DIGEST_LENGTH: Final = 40
 
@@ -138,7 +135,7 @@
             return answer.outcome
         if answer.verdict is ClaimVerdict.UNAVAILABLE:
             self.release(claim)
-        raise _build_refusal(answer)
+        raise build_refusal(answer)
 
     def release(self, claim: Claim) -> None:
         """Release a claim whose request has certainly not run.
@@ -159,14 +156,24 @@
         """Record the outcome of a claimed call.
 
         Waits for a bounded time; if the log has not accepted the outcome by
-        then, retries in the background.
+        then, or the request is cancelled, retries in the background.
 
         :param claim: claim of the call.
         :param outcome: answer of the call.
         """
         report = OutcomeReport(partition=claim.partition, outcome=outcome)
-        if not await self._send_report(report):
-            self._report_in_background(report)
+        is_recorded = False
+        try:
+            is_recorded = await self._send_report(report)
+        finally:
+            if not is_recorded:
+                self._report_in_background(report)
+
+    async def close(self) -> None:
+        """Wait for reports in the background, for a bounded time."""
+        with anyio.move_on_after(_REPORT_TIMEOUT_S):
+            while self._pending_reports:
+                await anyio.sleep(_CLOSE_POLL_S)
 
     async def _request_until_decided(self, claim: Claim) -> ClaimAnswer:
         request = ClaimAsk(
@@ -267,35 +274,3 @@
                 await anyio.sleep(_REPORT_RETRY_INTERVAL_S)
         finally:
             self._pending_reports -= 1
-
-
-def _build_refusal(answer: ClaimAnswer) -> LaurelwindError:
-    if answer.verdict is ClaimVerdict.REUSED:
-        return CallerError(
-            ErrorKind.IDEMPOTENCY_KEY_REUSED,
-            'the idempotency key was already used for a different call',
-        )
-    if answer.verdict is ClaimVerdict.EXPIRED:
-        return CallerError(
-            ErrorKind.IDEMPOTENCY_KEY_EXPIRED,
-            'the idempotency key is too old to check whether it was used',
-        )
-    if answer.verdict is ClaimVerdict.HELD:
-        return _build_held_refusal(answer)
-    return LaurelwindError(
-        ErrorKind.LOG_UNAVAILABLE,
-        'the claim could not be recorded, so the call was not run',
-        run=RunState.NOT_RUN,
-    )
-
-
-def _build_held_refusal(answer: ClaimAnswer) -> LaurelwindError:
-    if time.time() - answer.claimed_at < _OUTCOME_UNKNOWN_AFTER_S:
-        return CallerError(
-            ErrorKind.IN_PROGRESS,
-            'a call with this idempotency key is in progress',
-        )
-    return CallerError(
-        ErrorKind.OUTCOME_UNKNOWN,
-        'a call with this idempotency key was started; its outcome is unknown',
-    )
--- a/laurelwind/coordination/fleet.py
+++ b/laurelwind/coordination/fleet.py
@@ -1,5 +1,6 @@
 """Fleet coordination of a daemon: members, claims, charges, configuration."""
 
+import anyio
 from anyio.abc import TaskGroup
 from attrs import frozen
 
@@ -124,3 +125,9 @@
         ):
             component.start(group)
         group.start_soon(self._follower.run)
+
+    async def close(self) -> None:
+        """Wait until the charges and outcomes of this daemon are recorded."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.claims.close)
+            await self.ledger.close()
--- a/laurelwind/daemon.py
+++ b/laurelwind/daemon.py
@@ -147,7 +147,7 @@
         outcome = await self._drain(limit_s - charges_s)
         remaining_s = stop_at - anyio.current_time()
         with anyio.move_on_after(max(remaining_s, charges_s)):
-            await self.fleet.ledger.close()
+            await self.fleet.close()
         await self.caller_server.force_close()
         await self.admin_server.close()
         await self.external_clients.close()
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -4,16 +4,21 @@
 end although nothing takes their place.
 """
 
+import functools
+
 import anyio
 import pytest
 from attrs import evolve
 
+from laurelwind.protocol.messages import OutcomeReport
 from standins.documents import LARGE_VERSION, LATENCY_WORKSPACE_KEY
 from standins.fleet import run_fleet
 from tests.helpers import (
     build_chat_body,
     publish_demo_configuration,
     read_charges,
+    send_deposit,
+    wait_for_members,
     wait_until,
 )
 
@@ -66,36 +71,40 @@
         assert answer.body.endswith(b'data: [DONE]\n\n')
 
 
-async def stop_during_request(fleet, address):
-    """Stop the daemon while an engine answers; return the caller's answer."""
-    (daemon,) = fleet.daemons.values()
+async def stop_during_request(fleet, send, is_begun, *, stop_timeout_s=0.5):
+    """Stop the first daemon during a request; return the caller's answer."""
+    daemon = next(iter(fleet.daemons.values()))
     settings = daemon.settings
     daemon.settings = evolve(
-        settings, limits=evolve(settings.limits, stop_timeout_s=0.5)
+        settings, limits=evolve(settings.limits, stop_timeout_s=stop_timeout_s)
     )
     answers = []
 
     async def request():
-        answers.append(await send_chat(fleet, address))
+        answers.append(await send())
 
     with anyio.fail_after(5):
         async with anyio.create_task_group() as group:
             group.start_soon(request)
-            await wait_until(
-                lambda: any(
-                    engine.in_flight for engine in fleet.standins.engines
-                )
-            )
+            await wait_until(is_begun)
             await daemon.close()
     return answers[0]
 
 
+async def stop_during_chat(fleet, address):
+    return await stop_during_request(
+        fleet,
+        functools.partial(send_chat, fleet, address),
+        lambda: any(engine.in_flight for engine in fleet.standins.engines),
+    )
+
+
 async def test_a_request_that_a_stop_ends_gets_an_answer():
     async with run_fleet(zones='a') as fleet:
         (address,) = await publish_demo_configuration(fleet)
         for engine in fleet.standins.engines:
             engine.switches.first_part_s = 30
-        answer = await stop_during_request(fleet, address)
+        answer = await stop_during_chat(fleet, address)
         assert answer.status in {503, 504}
 
 
@@ -104,12 +113,41 @@
         (address,) = await publish_demo_configuration(fleet)
         for engine in fleet.standins.engines:
             engine.switches.part_s = 30
-        answer = await stop_during_request(fleet, address)
+        answer = await stop_during_chat(fleet, address)
         assert b'event: error' in answer.body
         (charge,) = read_charges(fleet)
         assert charge['lines'][0]['ended'] == 'cancelled'
 
 
+async def test_a_stop_keeps_the_outcome_of_a_call_that_ran(monkeypatch):
+    """Without it, a repeated call cannot be answered."""
+    async with run_fleet() as fleet:
+        address, *_ = await publish_demo_configuration(fleet)
+        await wait_for_members(fleet)
+        daemon = fleet.daemons['a0']
+        claims = daemon.fleet.claims
+        send = claims._send
+        recorded = []
+
+        async def send_after_drain(owner, message, timeout_s):
+            if not isinstance(message, OutcomeReport):
+                return await send(owner, message, timeout_s)
+            await wait_until(lambda: not daemon.caller_server.has_connections)
+            done = await send(owner, message, timeout_s)
+            recorded.append(done.is_safe)
+            return done
+
+        monkeypatch.setattr(claims, '_send', send_after_drain)
+        answer = await stop_during_request(
+            fleet,
+            functools.partial(send_deposit, fleet, address, 'deposit-1'),
+            lambda: fleet.standins.plain.runs,
+            stop_timeout_s=2,
+        )
+        assert answer.status == 504
+        assert recorded == [True]
+
+
 async def test_no_slot_stays_reserved_after_an_engine_has_taken_over(
     monkeypatch,
 ):
