Answer a chat request that a stop ends without waiting for its charge

Callers whose request a stop ended got no answer if the log was down and the engine had sent parts: the daemon waited up to 30 s for the charge of these parts before it answered, and its stop ended first.

Ruled out: answering from another task, as the charge needs no wait: the ledger keeps it in its queue, and a stop waits for that queue.

The charge of a cancelled request is now stored without waiting. The classes of answers move to a module of their own, as dispatch.py would otherwise grow.

test_an_answer_at_a_stop_does_not_wait_for_the_log failed before: httpcore.RemoteProtocolError: Server disconnected without sending a response.

--- a/laurelwind/coordination/dispatch.py
+++ b/laurelwind/coordination/dispatch.py
@@ -1,6 +1,5 @@
 """Serves chat requests: planning, fetching, rating, charging, delivery."""
 
-import abc
 import random
 import time
 from collections.abc import Mapping
@@ -16,6 +15,7 @@
     FetchState,
 )
 from laurelwind.coordination.cascade import CascadePlanner, Plan, find_version
+from laurelwind.coordination.chat_answers import ChatAnswerHead, ChatAnswerSink
 from laurelwind.coordination.follower import ConfigurationFollower
 from laurelwind.coordination.ledger import Ledger
 from laurelwind.coordination.quarantine import Quarantine
@@ -39,7 +39,6 @@
 from laurelwind.tracing import Tracing
 
 _TOKENS_PER_PRICE_UNIT: Final = 1000
-_CANCELLED_CHARGE_TIMEOUT_S: Final = 30.0
 _RATING_TIMEOUT_S: Final[Mapping[Preference, float]] = {
     Preference.LATENCY: 0.4,
     Preference.CERTAINTY: 3.0,
@@ -54,45 +53,6 @@
 _MAX_CONCURRENT_AUDITS: Final = 64
 
 
-@frozen(kw_only=True)
-class ChatAnswerHead:
-    """Metadata available when an answer begins.
-
-    :ivar request_id: identifier of the request.
-    :ivar reference: ``model@version`` that answers.
-    :ivar is_escalated: whether the answer of a cheaper version was discarded.
-    """
-
-    request_id: str
-    reference: str
-    is_escalated: bool
-
-
-class ChatAnswerSink(abc.ABC):
-    """Destination of a streamed answer."""
-
-    @abc.abstractmethod
-    async def begin(self, head: ChatAnswerHead) -> None:
-        """Begin the answer.
-
-        :param head: metadata of the answer.
-        """
-
-    @abc.abstractmethod
-    async def send(self, events: bytes) -> None:
-        """Send events.
-
-        :param events: complete server-sent events.
-        """
-
-    @abc.abstractmethod
-    async def finish(self, events: bytes) -> None:
-        """Send the last events, after the charge is recorded.
-
-        :param events: complete server-sent events.
-        """
-
-
 @define(kw_only=True)
 class _Delivery:
     """One chat request with its plan, charge lines and answer sink."""
@@ -175,7 +135,7 @@
                 error.run = delivery.fetch_state.run_state
             raise
         except anyio.get_cancelled_exc_class():
-            await self._charge_cancelled(delivery)
+            self._charge_cancelled(delivery)
             raise
 
     def _plan(self, request: ChatRequest) -> Plan:
@@ -360,25 +320,29 @@
         delivery.fetch_state.progress = AnswerProgress()
 
     async def _charge(self, delivery: _Delivery) -> None:
-        charge = Charge(
-            request_id=delivery.request.request_id,
-            workspace=delivery.request.workspace,
-            charged_at=time.time(),
-            lines=tuple(delivery.lines),
-        )
-        delivery.lines.clear()
+        charge = _take_charge(delivery)
         with self._dependencies.tracing.tracer.start_as_current_span('charge'):
             await self._dependencies.ledger.charge(charge)
 
-    async def _charge_cancelled(self, delivery: _Delivery) -> None:
-        """Charge the steps that ran before the caller disconnected."""
+    def _charge_cancelled(self, delivery: _Delivery) -> None:
+        """Charge the steps that ran before the request was cancelled."""
         progress = delivery.fetch_state.progress
         if progress.last_part != NO_PART:
             self._add_charge_line(delivery, progress, StepResult.CANCELLED)
-        if not delivery.lines:
-            return
-        with anyio.move_on_after(_CANCELLED_CHARGE_TIMEOUT_S, shield=True):
-            await self._charge(delivery)
+        if delivery.lines:
+            self._dependencies.ledger.charge_later(_take_charge(delivery))
+
+
+def _take_charge(delivery: _Delivery) -> Charge:
+    """Build the charge of a request from its lines, and remove them."""
+    lines = tuple(delivery.lines)
+    delivery.lines.clear()
+    return Charge(
+        request_id=delivery.request.request_id,
+        workspace=delivery.request.workspace,
+        charged_at=time.time(),
+        lines=lines,
+    )
 
 
 def _build_rating_request(delivery: _Delivery, events: bytes) -> RatingRequest:
--- a/laurelwind/coordination/ledger.py
+++ b/laurelwind/coordination/ledger.py
@@ -119,10 +119,20 @@
 
         :param charge: the single charge of a request.
         """
+        await self._enqueue(charge).durable.wait()
+
+    def charge_later(self, charge: Charge) -> None:
+        """Store a charge without waiting; :meth:`close` waits for it.
+
+        :param charge: the single charge of a request.
+        """
+        self._enqueue(charge)
+
+    def _enqueue(self, charge: Charge) -> _PendingCharge:
         pending = _PendingCharge(charge=charge)
         self._queue.append(pending)
         self._work_available.set()
-        await pending.durable.wait()
+        return pending
 
     async def _append_queued(self) -> None:
         while True:
--- a/laurelwind/transport/sinks.py
+++ b/laurelwind/transport/sinks.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from laurelwind.coordination.dispatch import ChatAnswerHead, ChatAnswerSink
+from laurelwind.coordination.chat_answers import ChatAnswerHead, ChatAnswerSink
 from laurelwind.protocol.answers import build_completion
 from laurelwind.transport.caller_exchange import CallerExchange
 
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -25,12 +25,12 @@
 pytestmark = pytest.mark.anyio
 
 
-async def send_chat(fleet, address):
+async def send_chat(fleet, address, *, stream=True):
     return await fleet.caller.request(
         'POST',
         f'{address}/v1/chat/completions',
         key=LATENCY_WORKSPACE_KEY,
-        body=build_chat_body('a report', model=LARGE_VERSION, stream=True),
+        body=build_chat_body('a report', model=LARGE_VERSION, stream=stream),
     )
 
 
@@ -91,10 +91,10 @@
     return answers[0]
 
 
-async def stop_during_chat(fleet, address):
+async def stop_during_chat(fleet, address, *, stream=True):
     return await stop_during_request(
         fleet,
-        functools.partial(send_chat, fleet, address),
+        functools.partial(send_chat, fleet, address, stream=stream),
         lambda: any(engine.in_flight for engine in fleet.standins.engines),
     )
 
@@ -119,6 +119,16 @@
         assert charge['lines'][0]['ended'] == 'cancelled'
 
 
+async def test_an_answer_at_a_stop_does_not_wait_for_the_log():
+    async with run_fleet(zones='a') as fleet:
+        (address,) = await publish_demo_configuration(fleet)
+        for engine in fleet.standins.engines:
+            engine.switches.part_s = 30
+        fleet.standins.log.switches.down = True
+        answer = await stop_during_chat(fleet, address, stream=False)
+        assert answer.status == 504
+
+
 async def test_a_stop_keeps_the_outcome_of_a_call_that_ran(monkeypatch):
     """Without it, a repeated call cannot be answered."""
     async with run_fleet() as fleet:
