Keep an answer of low confidence while no endpoint takes the request

What callers would see: 502 in place of an answer that was at hand. Found by reading the pauses of endpoints once more.

Cause: the estimated wait for the larger model was zero where no endpoint accepts the request, as if it could start at once. It is infinite there, so that the planner keeps the answer.

Before: E laurelwind.errors.EndpointError: no endpoint left: every endpoint tried failed (test_an_answer_is_kept_while_all_endpoints_are_paused).

--- a/laurelwind/coordination/scheduling/placement.py
+++ b/laurelwind/coordination/scheduling/placement.py
@@ -9,6 +9,7 @@
 notify each other of the prefill time that they queue at each endpoint.
 """
 
+import math
 import random
 from collections.abc import Sequence
 from typing import Final
@@ -93,12 +94,13 @@
     ) -> float:
         """Return the cost, in seconds, of the cheapest endpoint.
 
+        It is infinite if none accepts the request.
+
         :param endpoints: endpoints that may serve the request.
         :param requirements: requirements of the request.
         """
-        return min(
-            self._compute_costs(endpoints, requirements).values(), default=0
-        )
+        costs = self._compute_costs(endpoints, requirements)
+        return min(costs.values(), default=math.inf)
 
     def _compute_costs(
         self,
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -142,6 +142,26 @@
     assert len(harness.gateway.sent) == 2
 
 
+# The answer was dropped for one that no endpoint could give, and became 502.
+async def test_an_answer_is_kept_while_all_endpoints_are_paused():
+    harness = RelayHarness(
+        EndpointScript(
+            head=AnswerHead(status=200, confidence=20),
+            chunks=[b'id: 1\ndata: x\n\n'],
+        ),
+        names=('e1',),
+    )
+    real_send = harness.gateway.send
+
+    async def pause_after(request, dispatch):
+        exchange = await real_send(request, dispatch)
+        harness.placement.record_pause(build_endpoint_record('e1'), PAUSE_S)
+        return exchange
+
+    harness.gateway.send = pause_after
+    assert (await harness.serve(build_request('sized'))).is_whole
+
+
 async def test_a_request_that_waits_for_a_connection_respects_the_pause():
     accepted = []
 
