--- a/laurelwind/coordination/endpoint_tracking.py
+++ b/laurelwind/coordination/endpoint_tracking.py
@@ -140,7 +140,7 @@
         if directory.changes != previous_changes:
             self._dependencies.log.log_warning(
                 'endpoints_changed',
-                offset=batch.next_offset,
+                offset=decode_position(batch.next_offset).offset,
                 ready=directory.count_ready(),
             )
             for listener in self._listeners:
--- a/laurelwind/coordination/members.py
+++ b/laurelwind/coordination/members.py
@@ -27,6 +27,7 @@
     Topic,
 )
 from laurelwind.protocol.platform import ListedInstance
+from laurelwind.protocol.positions import decode_position
 
 JOIN_PERIOD_S: Final = 1.0
 # Longest wait for a source's next list of members.
@@ -192,7 +193,7 @@
             return
         self._dependencies.log.log_warning(
             'members_changed',
-            generation=self._listed_generation,
+            generation=decode_position(self._listed_generation).offset,
             members=len(self.members),
             joined=_list_new_names(self.members, previous),
             left=_list_new_names(previous, self.members),
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -281,7 +281,7 @@
             'table_in_force',
             version=table.version,
             before=None if previous is None else previous.version,
-            offset=record.offset,
+            offset=decode_position(record.offset).offset,
             routes=len(table.routes),
             changes=asdict(compare_tables(previous, table)),
         )
