--- a/laurelwind/coordination/scheduling/__init__.py
+++ b/laurelwind/coordination/scheduling/__init__.py
@@ -4,9 +4,11 @@
 
 1. ``placement`` computes the cost of each ready endpoint in seconds, from the
    ``endpoint_states``: queue, occupancy, zone, class, latency, expected loss.
+   Endpoints that asked for a pause are left out; silent ones are avoided.
 2. It takes the cheapest, or the one that has the prompt's prefix within the
    time that the prefix saves.
-3. ``silence`` bounds the wait for the first byte by recent waits.
-4. ``fleet_retry_budget`` allows or refuses a further attempt.
-5. Outcomes update the ``endpoint_states``; peers are told of losses.
+3. ``silence`` derives from recent waits the time after which a request may
+   leave an endpoint that has sent nothing.
+4. ``fleet_retry_budget`` holds the retries of a further attempt, or refuses it.
+5. ``observations`` update the ``endpoint_states``; peers are told of losses.
 """
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -1,4 +1,4 @@
-"""Selects endpoints and sends requests to them."""
+"""Sends requests to the endpoints that the selector chooses."""
 
 from collections.abc import Callable
 from typing import Final
