--- a/Makefile
+++ b/Makefile
@@ -43,8 +43,10 @@
 SEEDS ?= 1
 SECONDS ?= 20
 MINUTES ?=
+SCENARIO ?= all
 fault-soak: $(STAMP)
 	$(PY) -m soak --first $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) \
+		--scenario $(SCENARIO) \
 		$(if $(MINUTES),--minutes $(MINUTES))
 
 # Simulates one day of a site with the fleetbench kit.
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -15,9 +16,12 @@
 from laurelwind.transport.server import HttpServer
 from soak import bounds
 from soak.callers import Callers, fetch
-from soak.faults import FAULT_SHARE, FaultInjector
-from soak.fleet import Daemon, Fleet, choose_network
+from soak.daemons import Daemon
+from soak.faults import FaultInjector
+from soak.fleet import Fleet, choose_network
 from soak.guarantees import GuaranteeChecker
+from soak.scenarios import SCENARIOS, Scenario
+from soak.tables import PoolShare
 
 # Zone of each daemon. Zone `a` is large enough for daemons to read from their
 # peers, zone `b` is not.
@@ -33,28 +37,40 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, folder: Path, zones: str = ZONES
+    seed: int,
+    seconds: float,
+    folder: Path,
+    scenario: Scenario,
+    zones: str = ZONES,
 ) -> tuple[list[str], Counter[str], list[str]]:
     """Run one seed.
 
     :param seconds: time during which faults are started.
     :param folder: directory of settings and logs.
+    :param scenario: faults and traffic to choose from.
     :param zones: zone of each daemon, one letter each.
     :returns: violations, number of requests by outcome, and faults.
     """
     fleet = Fleet(rng=random.Random(seed), folder=folder)
-    callers = Callers(fleet=fleet, rng=random.Random(seed + 1))
+    callers = Callers(
+        fleet=fleet,
+        rng=random.Random(seed + 1),
+        has_large_requests=scenario.has_large_requests,
+    )
     async with anyio.create_task_group() as group:
         faults = FaultInjector(
-            fleet=fleet, rng=random.Random(seed + 2), group=group
+            fleet=fleet,
+            scenario=scenario,
+            rng=random.Random(seed + 2),
+            group=group,
         )
         try:
-            await _start(group, fleet, zones)
+            await _start(group, fleet, scenario, zones)
             for number in range(CALLER_COUNT):
                 group.start_soon(callers.run_caller, number)
             await faults.run(seconds)
             violations = await _check_recovery(
-                fleet, callers, faults.rollout_ordered_at
+                fleet, callers, faults.endpoints.rollout_ordered_at
             )
         finally:
             for daemon in fleet.daemons:
@@ -65,14 +81,18 @@
     return violations, checker.count_outcomes(), faults.history
 
 
-async def _start(group: TaskGroup, fleet: Fleet, zones: str) -> None:
+async def _start(
+    group: TaskGroup, fleet: Fleet, scenario: Scenario, zones: str
+) -> None:
     server = HttpServer(address='127.0.0.1:0')
     await server.start(group, fleet.store)
     for service in (*bounds.POOLS, bounds.ROLLOUT_SERVICE):
-        fault_share = 0 if service == bounds.ROLLOUT_SERVICE else FAULT_SHARE
+        fault_share = scenario.fault_share
+        if service == bounds.ROLLOUT_SERVICE:
+            fault_share = 0
         for _ in range(ENDPOINTS_PER_SERVICE):
             await fleet.add_endpoint(group, service, fault_share=fault_share)
-    fleet.publish(bounds.POOLS[0])
+    fleet.publish(PoolShare(bounds.POOLS[0]))
     network = choose_network()
     for number, zone in enumerate(zones):
         daemon = Daemon(
@@ -139,11 +159,14 @@
     parser.add_argument(
         '--minutes', type=float, help='run random seeds for this long'
     )
+    parser.add_argument('--scenario', choices=SCENARIOS, default='all')
     parser.add_argument('--zones', default=ZONES)
     parser.add_argument(
         '--keep', type=Path, help='directory for settings and logs'
     )
     args = parser.parse_args()
+    # Ends the daemons as well, which would otherwise go on by themselves.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     ends_at = None
     first, seeds = args.first, args.seeds
     if args.minutes is not None:
@@ -162,9 +185,15 @@
         folder = Path(scratch) if args.keep is None else args.keep / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
         violations, outcomes, faults = anyio.run(
-            run_seed, seed, args.seconds, folder, args.zones
+            run_seed,
+            seed,
+            args.seconds,
+            folder,
+            SCENARIOS[args.scenario],
+            args.zones,
         )
-    print(f'seed {seed}: {len(faults)} faults, {len(violations)} broken')
+    counts = f'{len(faults)} faults, {len(violations)} broken'
+    print(f'seed {seed} {args.scenario}: {counts}')
     print('   ', dict(sorted(outcomes.items())))
     if violations:
         for line in (*violations[:20], *faults):
--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -23,6 +23,8 @@
 EXPOSURE_EXTRA: Final = 30
 ROLLOUT_S: Final = 12.0
 MAX_ATTEMPTS: Final = 3
+# Rate of a connection of a caller with a narrow link, in each direction.
+NARROW_BYTES_PER_S: Final = 400_000
 EVENT_PAUSE_S: Final = 0.04
 # Share of the requests after recovery that must be served.
 MIN_SERVED_SHARE: Final = 0.9
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers that resolve daemons in a registry and reuse connections."""
 
 import random
+from collections.abc import AsyncIterator
 
 import anyio
 import httpcore
@@ -9,7 +10,9 @@
 
 from laurelwind.transport.network import CALL_FAILURES
 from soak import bounds
-from soak.fleet import Daemon, Fleet
+from soak.daemons import Daemon
+from soak.fleet import Fleet
+from standins.link import Link, encode_request_end
 
 ROUTES = ('book', 'draft', 'draft', 'look', 'look')
 # Seconds for which a caller caches a registry's answer.
@@ -20,6 +23,18 @@
 SWITCH_SHARE = 0.15
 # Share of requests that use a temporary key.
 EXTRA_KEY_SHARE = 0.25
+# Of callers with large requests: one in this number has a narrow link.
+NARROW_INTERVAL = 2
+# Shares of large answers and of large request bodies, and their sizes in bytes.
+LARGE_ANSWER_SHARE = 0.25
+MIN_ANSWER_BYTES = 100_000
+MAX_ANSWER_BYTES = 900_000
+LARGE_BODY_SHARE = 0.25
+MIN_BODY_BYTES = 10_000
+MAX_BODY_BYTES = 70_000
+# Most seconds that a caller takes to send a large body, and its chunks.
+MAX_BODY_S = 1.0
+BODY_CHUNKS = 10
 _CALL_TIMEOUT_S = 1.0
 
 
@@ -27,7 +42,9 @@
 class CallerRequest:
     """One request and its outcome at the caller.
 
+    :ivar answer_bytes: size of the answer that it asks for.
     :ivar incarnation: process of the daemon that the request was sent to.
+    :ivar link: link that it was sent through.
     :ivar outcome: ``answered``, ``cut`` (connection closed without a complete
         answer), ``unsent`` (no connection), ``silent`` (time-out) or ``open``.
     """
@@ -35,14 +52,15 @@
     request_id: str
     route: str
     key: str
+    answer_bytes: int
     daemon: Daemon
     incarnation: str
+    link: Link
     sent_at: float
     ended_at: float = 0
     outcome: str = 'open'
     status: int = 0
     body: bytes = b''
-    was_daemon_stopping: bool = False
 
 
 class Callers:
@@ -50,18 +68,23 @@
 
     :param fleet: daemons to call.
     :param rng: random generator that chooses daemons, routes and keys.
+    :param has_large_requests: whether some requests and answers are large, and
+        some callers have narrow links.
     :ivar requests: every request sent.
     :ivar empty_answers: daemons whose registry returned no addresses, one
         entry for each such answer outside of fault windows.
     :ivar is_stopped: whether callers stop before their next request.
     """
 
-    def __init__(self, *, fleet: Fleet, rng: random.Random):
+    def __init__(
+        self, *, fleet: Fleet, rng: random.Random, has_large_requests: bool
+    ):
         self.requests: list[CallerRequest] = []
         self.empty_answers: list[str] = []
         self.is_stopped = False
         self._fleet = fleet
         self._rng = rng
+        self._has_large_requests = has_large_requests
 
     async def run_caller(self, number: int) -> None:
         """Send requests as one caller until callers are stopped."""
@@ -70,6 +93,7 @@
         resolved_at = float('-inf')
         daemons: list[Daemon] = []
         count = 0
+        is_narrow = self._has_large_requests and number % NARROW_INTERVAL == 0
         while not self.is_stopped:
             if anyio.current_time() - resolved_at > ANSWER_TTL_S:
                 daemons = await self.resolve() or daemons
@@ -83,7 +107,7 @@
                 continue
             count += 1
             request = await self.send_request(
-                pool, daemon, f'c{number}-{count}'
+                pool, daemon, f'c{number}-{count}', is_narrow=is_narrow
             )
             if request.outcome != 'answered' or request.status >= 500:
                 daemon = None
@@ -116,31 +140,46 @@
         pool: httpcore.AsyncConnectionPool,
         daemon: Daemon,
         request_id: str,
+        *,
+        is_narrow: bool = False,
     ) -> CallerRequest:
-        """Send one request and record its outcome."""
+        """Send one request and record its outcome.
+
+        :param is_narrow: whether to use the daemon's narrow link.
+        """
         request = CallerRequest(
             request_id=request_id,
             route=self._rng.choice(ROUTES),
             key=self._choose_key(),
+            answer_bytes=self._choose_size(
+                LARGE_ANSWER_SHARE, MIN_ANSWER_BYTES, MAX_ANSWER_BYTES
+            ),
             daemon=daemon,
             incarnation=daemon.incarnation,
+            link=daemon.narrow_link if is_narrow else daemon.caller_link,
             sent_at=anyio.current_time(),
-            was_daemon_stopping=daemon.is_stopping,
         )
         self.requests.append(request)
+        body_bytes = self._choose_size(
+            LARGE_BODY_SHARE, MIN_BODY_BYTES, MAX_BODY_BYTES
+        )
+        body = b'.' * body_bytes + encode_request_end(request_id)
+        body_s = self._rng.uniform(0, MAX_BODY_S) if body_bytes > 1 else 0
+        url = f'http://{request.link.address}/{request.route}'
         try:
             with anyio.fail_after(bounds.TIMEOUT_S * 2):
                 answer = await pool.request(
                     'POST',
-                    f'http://{daemon.caller_link.address}/{request.route}/1',
+                    f'{url}/{request.answer_bytes}',
                     headers={
                         'Host': bounds.HOST,
+                        'Content-Length': str(len(body)),
                         'X-Request-Id': request_id,
                         'X-Deadline-Ms': str(int(bounds.TIMEOUT_S * 1000)),
                         'X-Tenant-Id': 'forged',
                         'Authorization': f'Bearer {request.key}',
                     },
-                    content=b'hall 3',
+                    content=_send_body(body, body_s) if body_s else body,
                 )
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             request.outcome = 'unsent'
@@ -155,10 +194,16 @@
         request.ended_at = anyio.current_time()
         return request
 
+    def _choose_size(self, share: float, least: int, most: int) -> int:
+        """Choose a size in bytes: 1, or a large one for a share of requests."""
+        if not self._has_large_requests or self._rng.random() >= share:
+            return 1
+        return self._rng.randint(least, most)
+
     def _choose_key(self) -> str:
         # Revoked keys stay in use, as by callers that were not updated.
         temporary = sorted(
-            {key for _, _, keys in self._fleet.tables for key in keys}
+            {key for table in self._fleet.tables for key in table.keys}
             - {bounds.PERMANENT_KEY}
         )
         if temporary and self._rng.random() < EXTRA_KEY_SHARE:
@@ -166,6 +211,14 @@
         return bounds.PERMANENT_KEY
 
 
+async def _send_body(body: bytes, duration_s: float) -> AsyncIterator[bytes]:
+    """Yield a body in chunks, at a constant rate."""
+    chunk_bytes = len(body) // BODY_CHUNKS + 1
+    for start in range(0, len(body), chunk_bytes):
+        await anyio.sleep(duration_s / BODY_CHUNKS)
+        yield body[start : start + chunk_bytes]
+
+
 async def fetch(address: str, path: str) -> bytes | None:
     """Fetch a page over a new connection; ``None`` on failure or time-out."""
     try:
--- /dev/null
+++ b/soak/endpoint_faults.py
@@ -0,0 +1,118 @@
+"""Endpoints that leave, are replaced, fall silent or get a new version."""
+
+import random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from soak import bounds
+from soak.durations import choose_duration
+from soak.fault_journal import FaultJournal
+from soak.fleet import Fleet
+
+# Minimum size of a pool for a withdrawal, and share of withdrawals from a
+# random pool, which may not be in use.
+MIN_ENDPOINTS = 2
+OTHER_POOL_SHARE = 0.3
+# Share of requests that get a fault, at endpoints of the pools and at those of
+# a bad version.
+FAULT_SHARE = 0.12
+BAD_VERSION_FAULT_SHARE = 0.7
+# Seconds for which a sound endpoint may be silent.
+MIN_SILENCE_S = 0.5
+MAX_SILENCE_S = 2.0
+
+
+class EndpointFaults:
+    """Disturbs and replaces endpoints.
+
+    :param fleet: fleet to disturb.
+    :param journal: records the faults.
+    :param group: task group for endpoints that are added.
+    :ivar rollout_is_bad: whether the roll-out's version fails; ``None`` before
+        the roll-out is ordered.
+    :ivar rollout_ordered_at: time of the order, infinity before it.
+    """
+
+    def __init__(
+        self, *, fleet: Fleet, journal: FaultJournal, group: TaskGroup
+    ):
+        self.rollout_is_bad: bool | None = None
+        self.rollout_ordered_at = float('inf')
+        self._fleet = fleet
+        self._journal = journal
+        self._group = group
+
+    async def silence(self, rng: random.Random) -> None:
+        """Let endpoints of one service fall silent and go on by themselves.
+
+        This is no fault of theirs, so guarantees are checked all the while.
+        """
+        fleet = self._fleet
+        services = [
+            *(share.pool for share in fleet.tables[-1].shares),
+            bounds.ROLLOUT_SERVICE,
+        ]
+        service = rng.choice(services)
+        endpoints = [
+            endpoint
+            for endpoint in fleet.endpoints.values()
+            if endpoint.service == service
+        ]
+        for endpoint in rng.sample(endpoints, rng.randint(1, len(endpoints))):
+            duration_s = rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S)
+            self._journal.record('silence', endpoint.name, duration_s)
+            endpoint.fall_silent(duration_s)
+
+    async def withdraw(self, rng: random.Random) -> None:
+        """Withdraw an endpoint; later another one takes its address."""
+        fleet = self._fleet
+        pool = fleet.tables[-1].shares[0].pool
+        if rng.random() < OTHER_POOL_SHARE:
+            pool = rng.choice(bounds.POOLS)
+        names = [
+            name
+            for name, endpoint in fleet.endpoints.items()
+            if endpoint.service == pool and name not in fleet.withdrawn_at
+        ]
+        if len(names) < MIN_ENDPOINTS:
+            return
+        name = rng.choice(names)
+        is_announced = rng.random() < 0.6
+        self._journal.record('leave', name)
+        # After the withdrawal the address serves under another name.
+        fleet.withdraw_endpoint(name, is_announced=is_announced)
+        withdrawn = fleet.endpoints[name]
+        await anyio.sleep(bounds.DRAIN_S + choose_duration(rng))
+        fleet.store.put('keyed.servers', name, None)
+        successor = await fleet.add_endpoint(
+            self._group, pool, fault_share=withdrawn.fault_share
+        )
+        withdrawn.name = f'{successor.name}-in-place-of-{name}'
+
+    async def roll_out(self, rng: random.Random) -> None:
+        """Order a roll-out of a version, good or bad, once in a run."""
+        if self.rollout_is_bad is not None:
+            return
+        self.rollout_is_bad = rng.random() < 0.7
+        fault_share = BAD_VERSION_FAULT_SHARE if self.rollout_is_bad else 0
+        for _ in range(2):
+            await self._fleet.add_endpoint(
+                self._group,
+                bounds.ROLLOUT_SERVICE,
+                version='v2',
+                fault_share=fault_share,
+            )
+        self._journal.record(
+            'rollout', 'bad' if self.rollout_is_bad else 'good'
+        )
+        self.rollout_ordered_at = anyio.current_time()
+        self._fleet.store.put(
+            'keyed.op',
+            f'rollout/{bounds.ROLLOUT_SERVICE}',
+            {
+                'service': bounds.ROLLOUT_SERVICE,
+                'target': 'v2',
+                'duration_s': bounds.ROLLOUT_S,
+            },
+        )
--- /dev/null
+++ b/soak/environment_faults.py
@@ -0,0 +1,91 @@
+"""Faults of the store and of links."""
+
+import random
+
+import anyio
+
+from soak.durations import choose_duration
+from soak.fault_journal import FaultJournal
+from soak.fleet import Fleet
+from standins.link import Link
+from standins.store import StoreMode
+
+_LINK_DELAY_S = 0.3
+_STORE_MODES = [mode for mode in StoreMode if mode is not StoreMode.UP]
+
+
+class EnvironmentFaults:
+    """Disturbs the store and links to callers, store and endpoints.
+
+    :param fleet: fleet to disturb.
+    :param journal: records the faults.
+    """
+
+    def __init__(self, *, fleet: Fleet, journal: FaultJournal):
+        self._fleet = fleet
+        self._journal = journal
+
+    async def disturb_store(self, rng: random.Random) -> None:
+        """Let the store fail in one way for some seconds."""
+        busy_subjects = self._journal.busy_subjects
+        if 'store' in busy_subjects:
+            return
+        busy_subjects.add('store')
+        mode = rng.choice(_STORE_MODES)
+        duration_s = choose_duration(rng)
+        self._journal.record(f'store {mode.value}', 'store', duration_s)
+        with self._fleet.fault_windows.record('store'):
+            self._fleet.store.mode = mode
+            await anyio.sleep(duration_s)
+            self._fleet.store.mode = StoreMode.UP
+        busy_subjects.discard('store')
+
+    async def compact_store(self, _: random.Random) -> None:
+        """Let the store forget its history."""
+        self._journal.record('forget', 'store')
+        self._fleet.store.compact()
+
+    async def disturb_link(self, rng: random.Random) -> None:
+        """Let a link fail in one way for some seconds."""
+        busy_subjects = self._journal.busy_subjects
+        subject, link = self._choose_link(rng)
+        if subject in busy_subjects:
+            return
+        busy_subjects.add(subject)
+        duration_s = choose_duration(rng)
+        fault = rng.choice(('delay', 'reset', 'mute', 'lose', 'cut'))
+        self._journal.record(fault, subject, duration_s)
+        with self._fleet.fault_windows.record(subject.split(', ')[0]):
+            await _apply_link_fault(link, fault, duration_s)
+        busy_subjects.discard(subject)
+
+    def _choose_link(self, rng: random.Random) -> tuple[str, Link]:
+        daemon = rng.choice(self._fleet.daemons)
+        name = rng.choice(list(self._fleet.links))
+        return rng.choice(
+            (
+                (f'{daemon.subject}, callers', daemon.caller_link),
+                (f'{daemon.subject}, store', daemon.store_link),
+                (f'endpoint {name}', self._fleet.links[name]),
+            )
+        )
+
+
+async def _apply_link_fault(link: Link, fault: str, duration_s: float) -> None:
+    if fault == 'delay':
+        link.delay_s = _LINK_DELAY_S
+        await anyio.sleep(duration_s)
+        link.delay_s = 0
+    elif fault == 'mute':
+        link.is_return_blocked = True
+        await anyio.sleep(duration_s)
+        link.is_return_blocked = False
+    elif fault == 'reset':
+        link.reset()
+    elif fault == 'lose':
+        link.stall_connections()
+        await anyio.sleep(duration_s)
+    else:
+        link.set_blocked(is_blocked=True)
+        await anyio.sleep(duration_s)
+        link.set_blocked(is_blocked=False)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -5,9 +5,12 @@
 
 from soak import bounds
 from soak.callers import CallerRequest, Callers
+from soak.endings import EndingChecker
 from soak.faults import FaultInjector
 from soak.fleet import Fleet
-from standins.relayed_endpoint import Run, encode_events
+from soak.tables import PublishedTable
+from standins.relayed_answers import encode_answer, encode_events
+from standins.relayed_endpoint import Run
 
 # Statuses that guarantee that the request was not executed.
 _NOT_EXECUTED = frozenset((408, 421, 429, 503))
@@ -34,6 +37,7 @@
         ]
         self._empty_answers = callers.empty_answers
         self._faults = faults
+        self._endings = EndingChecker(fleet=fleet)
 
     def find_violations(self) -> list[str]:
         """Return a line for every violated guarantee, with its request."""
@@ -48,7 +52,11 @@
             ),
             *(
                 f'stop: {name} exceeded the bound'
-                for name in self._faults.slow_stops
+                for name in self._faults.daemons.slow_stops
+            ),
+            *(
+                f'process: {name} ended by itself'
+                for name in self._faults.ended_daemons
             ),
         ]
 
@@ -67,7 +75,7 @@
                 self._check_runs(request, runs),
                 self._check_tables(request, runs),
                 self._check_withdrawal(request, runs),
-                self._check_lost_answer(request, runs),
+                self._endings.check(request, runs),
             ):
                 for text in violations:
                     yield self._format_violation(text, request, runs)
@@ -76,7 +84,7 @@
         self, text: str, request: CallerRequest, runs: list[Run]
     ) -> str:
         executions = [
-            f'{run.endpoint} {run.action} {run.started_at:.2f}' for run in runs
+            f'{run.endpoint} {run.action} {run.arrived_at:.2f}' for run in runs
         ]
         return (
             f'{text}: {request.request_id} {request.route}'
@@ -90,8 +98,10 @@
     ) -> Iterator[str]:
         if request.status == _OK:
             name = request.request_id.encode()
-            expected = encode_events(name) if request.route == 'draft' else name
-            if request.body != expected:
+            encode = (
+                encode_events if request.route == 'draft' else encode_answer
+            )
+            if request.body != encode(name, request.answer_bytes):
                 yield 'answer: body differs from the expected bytes'
         if request.status in _NOT_EXECUTED and runs:
             yield 'refused: request was executed'
@@ -126,7 +136,8 @@
             return
         allowed = {
             pool
-            for pool, ended_at in self._list_pools()
+            for table, ended_at in self._list_tables()
+            for pool in table.pools
             if request.sent_at <= ended_at + bounds.APPLY_S
         }
         if any(run.service not in allowed for run in runs):
@@ -138,21 +149,18 @@
         Infinity for a key in force, minus infinity for one never published.
         """
         ended_at = float('-inf')
-        for published_at, _, keys in self._fleet.tables:
-            if key in keys:
+        for table in self._fleet.tables:
+            if key in table.keys:
                 ended_at = float('inf')
             elif ended_at == float('inf'):
-                ended_at = published_at
+                ended_at = table.published_at
         return ended_at
 
-    def _list_pools(self) -> Iterator[tuple[str, float]]:
-        """Return the pool of each table with the time of the next table."""
+    def _list_tables(self) -> Iterator[tuple[PublishedTable, float]]:
+        """Return each table with the time of the next one."""
         tables = self._fleet.tables
-        ends = [published_at for published_at, _, _ in tables[1:]]
-        for (_, pool, _), ended_at in zip(
-            tables, [*ends, float('inf')], strict=True
-        ):
-            yield pool, ended_at
+        ends = [table.published_at for table in tables[1:]]
+        yield from zip(tables, [*ends, float('inf')], strict=True)
 
     def _is_daemon_fault_free(
         self, request: CallerRequest, before_s: float
@@ -173,40 +181,9 @@
             withdrawn_at = self._fleet.withdrawn_at.get(
                 run.endpoint, float('inf')
             )
-            if run.started_at > withdrawn_at + bounds.DRAIN_S:
+            if run.arrived_at > withdrawn_at + bounds.DRAIN_S:
                 yield 'drain: request ran on a withdrawn endpoint'
 
-    def _check_lost_answer(
-        self, request: CallerRequest, runs: list[Run]
-    ) -> Iterator[str]:
-        if request.outcome != 'cut':
-            return
-        since = request.sent_at - bounds.SETTLE_S
-        fault_windows = self._fleet.fault_windows
-        are_endpoints_fault_free = all(
-            fault_windows.is_fault_free(
-                f'endpoint {run.endpoint}',
-                since,
-                request.ended_at,
-                bounds.ENDPOINT_SETTLE_S,
-            )
-            for run in runs
-        )
-        is_request_fault_free = (
-            are_endpoints_fault_free
-            and self._is_daemon_fault_free(request, bounds.SETTLE_S)
-        )
-        # The daemon cannot read the request before the link forwards it.
-        link = request.daemon.caller_link
-        forwarded_at = link.forwarded_at.get(request.request_id, float('inf'))
-        was_read = (
-            bool(runs)
-            or request.ended_at - forwarded_at > bounds.ANSWER_REQUIRED_AFTER_S
-        )
-        are_runs_served = all(run.action == 'serve' for run in runs)
-        if is_request_fault_free and was_read and are_runs_served:
-            yield 'lost: connection closed without an answer'
-
     def _check_deadlines(self) -> Iterator[str]:
         max_duration_s = bounds.TIMEOUT_S + bounds.ANSWER_GRACE_S
         slow = [
@@ -224,58 +201,72 @@
             yield f'time: {len(late)} of {len(slow)} got no final answer'
 
     def _check_table_order(self) -> Iterator[str]:
-        """Check that no daemon process goes back to an older table."""
+        """Check that no daemon process goes back to an older table.
+
+        Each use is attributed to the oldest table that explains it and is not
+        older than the tables that the process used before.
+        """
         tables_used: dict[str, list[tuple[float, int]]] = {}
         runs = self._fleet.run_log.runs
         rows = [
-            (run.started_at, request, run)
+            (run.arrived_at, request, run)
             for request in self._requests
             for run in runs.get(request.request_id, [])
             if request.route != 'look'
         ]
-        for started_at, request, run in sorted(rows, key=lambda row: row[0]):
-            table = self._find_table(run.service, started_at)
+        for used_at, request, run in sorted(rows, key=lambda row: row[0]):
             earlier_uses = tables_used.setdefault(request.incarnation, [])
-            earlier_tables = [
-                number
-                for used_at, number in earlier_uses
-                if used_at + bounds.ROLLBACK_S < request.sent_at
-            ]
-            if earlier_tables and table < max(earlier_tables):
+            oldest = max(
+                (
+                    number
+                    for earlier_at, number in earlier_uses
+                    if earlier_at + bounds.ROLLBACK_S < request.sent_at
+                ),
+                default=0,
+            )
+            number = self._find_table(run.service, used_at, oldest)
+            if number is None:
                 yield self._format_violation(
                     'back: an older table was used', request, [run]
                 )
-            earlier_uses.append((started_at, table))
+                continue
+            earlier_uses.append((used_at, number))
 
-    def _find_table(self, pool: str, used_at: float) -> int:
-        """Return the index of the newest table at a time that used a pool."""
-        return max(
-            number
-            for number, (published_at, table_pool, _) in enumerate(
-                self._fleet.tables
-            )
-            if table_pool == pool and published_at <= used_at
+    def _find_table(self, pool: str, used_at: float, oldest: int) -> int | None:
+        """Return the index of the oldest table at a time that used a pool.
+
+        :param oldest: index of the oldest table to consider.
+        """
+        return next(
+            (
+                number
+                for number, table in enumerate(self._fleet.tables)
+                if number >= oldest
+                and pool in table.pools
+                and table.published_at <= used_at
+            ),
+            None,
         )
 
     def _check_rollout(self) -> Iterator[str]:
-        if self._faults.rollout_is_bad is None:
+        if self._faults.endpoints.rollout_is_bad is None:
             return
         status = self._fleet.store.read('keyed.status').get(
             f'rollout/{bounds.ROLLOUT_SERVICE}', {}
         )
         state = status.get('state')
-        if not self._faults.rollout_is_bad:
+        if not self._faults.endpoints.rollout_is_bad:
             return
         if state != 'rolled_back':
             yield f'rollout: a bad version is {state}'
-        rollout_ordered_at = self._faults.rollout_ordered_at
+        rollout_ordered_at = self._faults.endpoints.rollout_ordered_at
         until = rollout_ordered_at + bounds.ROLLOUT_S
         versions = Counter(
             run.version
             for runs in self._fleet.run_log.runs.values()
             for run in runs
             if run.service == bounds.ROLLOUT_SERVICE
-            and rollout_ordered_at <= run.started_at <= until
+            and rollout_ordered_at <= run.arrived_at <= until
         )
         allowed = versions.total() * bounds.EXPOSURE_SHARE
         if versions['v2'] > allowed + bounds.EXPOSURE_EXTRA:
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -1,13 +1,36 @@
 """Seeds that every test run repeats."""
 
-from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import Final
 
-# Seconds during which faults are started, and the case that the seed covers.
-SEEDS: Final[Mapping[int, tuple[float, str]]] = {
-    3: (6, 'overlapping stops, a kill, key changes and a roll-out'),
-    17: (
+from attrs import frozen
+
+
+@frozen
+class RegressionSeed:
+    """A seed and the case that it covers.
+
+    :ivar scenario: name of its scenario.
+    :ivar seconds: time during which faults are started.
+    """
+
+    seed: int
+    scenario: str
+    seconds: float
+    case: str
+
+
+SEEDS: Final[Sequence[RegressionSeed]] = (
+    RegressionSeed(
+        3,
+        'faults',
+        6,
+        'overlapping stops, a kill, key changes and a roll-out',
+    ),
+    RegressionSeed(
+        17,
+        'faults',
         20,
         'closed 0.27 s after sending, as a stop ended; request was not read',
     ),
-}
+)
--- a/tests/test_relay_storm.py
+++ b/tests/test_relay_storm.py
@@ -12,7 +12,8 @@
 import pytest
 
 from laurelwind.protocol.keyed_store import Topic
-from standins.relayed_endpoint import RelayedEndpoint, RunLog, encode_events
+from standins.relayed_answers import encode_events
+from standins.relayed_endpoint import RelayedEndpoint, RunLog
 from tests.helpers import wait_until
 from tests.test_relay_path import CONFIG, DaemonHarness
 from tests.test_tracker import build_endpoint
