Name the shared parts of a prompt in attempt_failed

From the logs alone nobody could tell that requests which crashed endpoints have a part in common: no line named the parts. attempt_failed now carries the shared parts while the caller has no event (at most eight names), and the events of the attempt beside those of the request.

--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -1,5 +1,7 @@
 """Relays requests unchanged, from route lookup to delivery of the answer."""
 
+from typing import Final
+
 import anyio
 from attrs import frozen
 
@@ -30,6 +32,9 @@
 from laurelwind.protocol.exchanges import CallerAnswer, RelayRequest
 from laurelwind.relay_metrics import RelayMetrics
 
+# Parts of a prompt in one log line.
+MAX_LOGGED_PARTS: Final = 8
+
 
 @frozen(kw_only=True)
 class RelayDependencies:
@@ -218,6 +223,8 @@
             reason=error.message,
             run=error.run,
             events=job.events,
+            attempt_events=attempt.events,
+            parts=[] if job.events else job.shared_parts[:MAX_LOGGED_PARTS],
             given_up=is_silent,
             silent_s=round(attempt.silent_s, 3),
             obstacle=obstacle,
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -124,6 +124,14 @@
         """Whether a larger model follows the current one."""
         return self.model_index + 1 < len(self.models)
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Names of the prompt's parts that other prompts may hold as well.
+
+        The last part is specific to the request or its session.
+        """
+        return tuple(part.name for part in self.request.parts[:-1])
+
     @property
     def sticky_key(self) -> str:
         """Key of requests that are routed to the same version."""
