--- a/laurelwind/coordination/answer_heads.py
+++ b/laurelwind/coordination/answer_heads.py
@@ -9,13 +9,24 @@
     SilenceLimit,
     SilenceMonitor,
 )
-from laurelwind.errors import EndpointSilentError, RunState
+from laurelwind.errors import (
+    EndpointError,
+    EndpointSilentError,
+    ErrorKind,
+    RunState,
+)
 from laurelwind.protocol.exchanges import AnswerHead
 from laurelwind.state.load import read_monotonic_clock
 
 # Time-out for the first byte of a retryable plain call, as a multiple of the
 # latency goal, which is short compared with the work of such calls.
 PLAIN_FIRST_BYTE_RATIO: Final = 2.0
+# Statuses by which callers may conclude that a request did not run.
+_NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
+_MISDIRECTED: Final = 421
+_FIRST_FINAL_STATUS: Final = 200
+_END_OF_STATUSES: Final = 600
+_FINAL_STATUSES: Final = range(_FIRST_FINAL_STATUS, _END_OF_STATUSES)
 
 
 class HeadReader:
@@ -87,3 +98,33 @@
 
 def _get_silence_group(job: Job, attempt: Attempt) -> tuple[str, str]:
     return job.route.name, attempt.model
+
+
+def check_head(head: AnswerHead) -> None:
+    """Check that an answer may be delivered.
+
+    :param head: head of the answer.
+    :raises EndpointError: if the endpoint refused the request, or its status
+        must not reach the caller.
+    """
+    if head.status not in _FINAL_STATUSES:
+        # The HTTP server cannot send it on.
+        raise EndpointError(
+            ErrorKind.ANSWER_BROKEN,
+            f'the endpoint answered with the unknown status {head.status}',
+            run=RunState.RAN,
+        )
+    if head.did_not_run or head.status == _MISDIRECTED:
+        raise EndpointError(
+            ErrorKind.ENDPOINT_FAILED,
+            f'the endpoint refused the request with status {head.status}',
+            run=RunState.NOT_RUN,
+        )
+    if head.status in _NOT_RUN_STATUSES:
+        # Callers may take this status as proof that the request did not run.
+        # The endpoint does not declare that, so the request may have run.
+        raise EndpointError(
+            ErrorKind.ENDPOINT_FAILED,
+            f'the endpoint answered with status {head.status}',
+            run=RunState.RAN,
+        )
--- /dev/null
+++ b/laurelwind/coordination/crash_gossip.py
@@ -0,0 +1,90 @@
+"""Spreads notices of crashes among all daemons.
+
+A daemon passes news on to a few random peers, and they do the same, so that
+the whole fleet knows within a few rounds and no daemon sends to all others.
+Blocks and recent notices are repeated from time to time, which makes up for
+lost datagrams and informs daemons that have just started.  Nothing is sent
+while there is nothing to tell, and the store is not needed.
+"""
+
+import random
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, Final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from laurelwind.coordination.part_screen import PartScreen
+from laurelwind.protocol.crash_notices import (
+    CrashNotice,
+    decode_notices,
+    encode_notices,
+)
+from laurelwind.protocol.datagrams import DatagramChannel
+from laurelwind.state.load import read_monotonic_clock
+
+# Peers that are told news, and seconds for which news is collected. With eight
+# peers in each round, news misses one daemon of some thousands.
+NEWS_FANOUT: Final = 8
+NEWS_DELAY_S: Final = 0.03
+# Peers that are told what is known, and seconds between two such rounds.
+REPEAT_FANOUT: Final = 3
+REPEAT_PERIOD_S: Final = 1.0
+# Datagrams that a round sends to a peer.
+MAX_DATAGRAMS: Final = 8
+
+
+class CrashGossip:
+    """Exchanges notices of crashes with peers.
+
+    :param screen: holds the notices.
+    :param channel: sends and receives datagrams.
+    :param list_peers: returns the addresses of all other daemons.
+    :param clock: monotonic clock, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        screen: PartScreen,
+        channel: DatagramChannel,
+        list_peers: Callable[[], Sequence[str]],
+        clock: Callable[[], float] = read_monotonic_clock,
+    ) -> None:
+        self._screen = screen
+        self._channel = channel
+        self._list_peers = list_peers
+        self._clock = clock
+        channel.add_listener(self._receive)
+
+    def start(self, group: TaskGroup) -> None:
+        """Start to review reports and to spread notices.
+
+        :param group: task group of the daemon.
+        """
+        group.start_soon(self._screen.run)
+        group.start_soon(self._spread_news)
+        group.start_soon(self._repeat)
+
+    def _receive(self, document: Any) -> None:
+        self._screen.apply(decode_notices(document, self._clock()))
+
+    async def _spread_news(self) -> None:
+        while True:
+            await self._screen.has_news.wait()
+            await anyio.sleep(NEWS_DELAY_S)
+            await self._send(self._screen.take_news(), NEWS_FANOUT)
+
+    async def _repeat(self) -> None:
+        while True:
+            await anyio.sleep(REPEAT_PERIOD_S)
+            await self._send(self._screen.summarize(), REPEAT_FANOUT)
+
+    async def _send(self, notices: Iterable[CrashNotice], fanout: int) -> None:
+        datagrams = list(encode_notices(notices, self._clock()))
+        if not datagrams:
+            return
+        peers = self._list_peers()
+        for peer in random.sample(peers, min(fanout, len(peers))):
+            for datagram in datagrams[:MAX_DATAGRAMS]:
+                await self._channel.send(peer, datagram)
--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -4,9 +4,10 @@
 
 from attrs import frozen
 
-from laurelwind.coordination.answer_heads import HeadReader
+from laurelwind.coordination.answer_heads import HeadReader, check_head
 from laurelwind.coordination.endpoint_notices import EndpointNotices
 from laurelwind.coordination.model_planning import ModelPlanner
+from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay_jobs import Attempt, BufferedAnswer, Job
 from laurelwind.coordination.rollouts.evidence import AnswerOutcome
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
@@ -18,7 +19,7 @@
 )
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
-    EndpointError,
+    EndpointBrokenError,
     ErrorKind,
     RunState,
 )
@@ -34,13 +35,7 @@
 # are caused by long prompts in the same batch; resuming then repeats the whole
 # prefill and makes such gaps longer.
 GAP_TIMEOUT_RATIO: Final = 2.0
-# Statuses by which callers may conclude that a request did not run.
-_NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
-_MISDIRECTED: Final = 421
 _SERVER_ERROR: Final = 500
-_FIRST_FINAL_STATUS: Final = 200
-_END_OF_STATUSES: Final = 600
-_FINAL_STATUSES: Final = range(_FIRST_FINAL_STATUS, _END_OF_STATUSES)
 
 
 class LowConfidenceError(Exception):
@@ -56,6 +51,7 @@
     :ivar placement: tracks the state of endpoints.
     :ivar notices: applies what endpoints report of themselves.
     :ivar rollouts: tracks the outcomes of versions.
+    :ivar screen: learns which prompts are answered.
     :ivar planner: decides which answers are escalated to a larger model.
     :ivar metrics: latency metrics.
     :ivar log: decision log.
@@ -66,6 +62,7 @@
     placement: Placement
     notices: EndpointNotices
     rollouts: RolloutRegistry
+    screen: PartScreen
     planner: ModelPlanner
     metrics: RelayMetrics
     log: DecisionLog
@@ -98,7 +95,7 @@
         answer.endpoint = attempt.endpoint.name
         head = await self._heads.read(job, attempt)
         self._dependencies.notices.apply(attempt.endpoint, head)
-        _check_head(head)
+        check_head(head)
         # The endpoint has taken the request, so that no way back is needed.
         self._dependencies.selector.limits.release_retries(job)
         if head.is_success and job.is_stream:
@@ -170,16 +167,14 @@
             events = splitter.feed(chunk)
             if not events:
                 continue
-            self._dependencies.placement.record_event_latency(
-                attempt.endpoint, attempt.record_events(len(events))
-            )
+            self._record_events(job, attempt, len(events))
             if not answer.has_begun:
                 await answer.begin(head.status, head.headers, None)
             await answer.send(b''.join(event.raw for event in events))
             job.record_events(len(events), events[-1].event_id)
             answer.events = job.events
         if splitter.has_incomplete_event or not job.events:
-            raise EndpointError(
+            raise EndpointBrokenError(
                 ErrorKind.ANSWER_BROKEN,
                 'the stream ended before its first event or within an event',
                 run=RunState.RAN,
@@ -188,6 +183,15 @@
         await answer.finish()
         self._log_answered(job, attempt, head.status)
 
+    def _record_events(self, job: Job, attempt: Attempt, count: int) -> None:
+        if not attempt.events:
+            self._dependencies.screen.record_answer(
+                job.service, job.request.parts
+            )
+        self._dependencies.placement.record_event_latency(
+            attempt.endpoint, attempt.record_events(count)
+        )
+
     def _check_confidence(
         self, job: Job, attempt: Attempt, head: AnswerHead
     ) -> None:
@@ -249,30 +253,6 @@
         )
 
 
-def _check_head(head: AnswerHead) -> None:
-    if head.status not in _FINAL_STATUSES:
-        # The HTTP server cannot send it on.
-        raise EndpointError(
-            ErrorKind.ANSWER_BROKEN,
-            f'the endpoint answered with the unknown status {head.status}',
-            run=RunState.RAN,
-        )
-    if head.did_not_run or head.status == _MISDIRECTED:
-        raise EndpointError(
-            ErrorKind.ENDPOINT_FAILED,
-            f'the endpoint refused the request with status {head.status}',
-            run=RunState.NOT_RUN,
-        )
-    if head.status in _NOT_RUN_STATUSES:
-        # Callers may take this status as proof that the request did not run.
-        # The endpoint does not declare that, so the request may have run.
-        raise EndpointError(
-            ErrorKind.ENDPOINT_FAILED,
-            f'the endpoint answered with status {head.status}',
-            run=RunState.RAN,
-        )
-
-
 async def _read_buffered(attempt: Attempt) -> bytes:
     body = b''
     while len(body) < MAX_BUFFERED_BYTES:
--- /dev/null
+++ b/laurelwind/coordination/part_screen.py
@@ -0,0 +1,263 @@
+"""Rejects prompts whose parts crash the endpoints that answer them."""
+
+from collections.abc import Callable, Iterable, Sequence
+from typing import Final
+
+import anyio
+
+from laurelwind.coordination.attempt_watch import AttemptWatch
+from laurelwind.decisions import DecisionLog
+from laurelwind.protocol.crash_notices import (
+    MAX_PARTS,
+    CrashNotice,
+    PartAnswer,
+    limit_name,
+)
+from laurelwind.protocol.exchanges import PromptPart
+from laurelwind.state.blocked_parts import Block, BlockedParts
+from laurelwind.state.crash_evidence import CrashEvidence
+from laurelwind.state.crash_reports import CrashReport, PartKey, PartKeys
+from laurelwind.state.load import read_monotonic_clock
+
+# Seconds for which notices are repeated to peers.
+REPEAT_S: Final = 10.0
+# Seconds between a report and its review.
+REVIEW_DELAY_S: Final = 0.15
+
+
+class PartScreen:
+    """What the daemons know of parts that crash endpoints.
+
+    Evidence is pooled: see :mod:`.crash_gossip` for how notices spread.
+
+    :param log: decision log.
+    :param clock: monotonic clock, in seconds.
+    :ivar has_news: set when there are notices to spread.
+    :ivar watch: attempts to end when their prompt is blocked.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: DecisionLog,
+        clock: Callable[[], float] = read_monotonic_clock,
+    ) -> None:
+        self.has_news = anyio.Event()
+        self.watch = AttemptWatch()
+        self._log = log
+        self._clock = clock
+        self._evidence = CrashEvidence()
+        self._blocked = BlockedParts()
+        self._news: list[CrashNotice] = []
+        self._has_unreviewed = anyio.Event()
+        # Answers that cleared a report, by part.
+        self._answers: dict[PartKey, PartAnswer] = {}
+
+    @property
+    def blocks(self) -> Sequence[Block]:
+        """The blocks in force."""
+        return self._blocked.list_all(self._clock())
+
+    def is_blocked(self, service: str, parts: Sequence[PromptPart]) -> bool:
+        """Return whether a prompt is rejected.
+
+        :param service: name of the service.
+        :param parts: parts of the prompt.
+        """
+        return self._find_block(service, parts) is not None
+
+    def reject(self, service: str, parts: Sequence[PromptPart]) -> bool:
+        """Return whether a new request is rejected, and count it if so.
+
+        :param service: name of the service.
+        :param parts: parts of its prompt.
+        """
+        block = self._find_block(service, parts)
+        if block is not None:
+            self._blocked.count_request(block, self._clock())
+        return block is not None
+
+    def record_crash(self, report: CrashReport) -> None:
+        """Record an attempt that broke before its answer began.
+
+        :param report: report of the attempt.
+        """
+        if not self._evidence.add(report):
+            return
+        self._add_news(report)
+        for part in report.parts - self._evidence.list_suspects(report):
+            # The daemon that sent the report may not know of the answer.
+            self._announce_known_answer(part)
+        self._has_unreviewed.set()
+
+    async def run(self) -> None:
+        """Review new reports until cancelled."""
+        while True:
+            await self._has_unreviewed.wait()
+            # Answers that peers know of have arrived by then.
+            await anyio.sleep(REVIEW_DELAY_S)
+            self._has_unreviewed = anyio.Event()
+            self.review()
+
+    def review(self) -> None:
+        """Block the parts that the reports prove to crash endpoints."""
+        is_blocked = True
+        while is_blocked:
+            culprit = self._evidence.find_culprit(self._blocked.groups)
+            is_blocked = culprit is not None and self._block(
+                Block(
+                    parts=culprit.parts,
+                    since=culprit.since,
+                    seen_at=self._clock(),
+                )
+            )
+
+    def record_answer(self, service: str, parts: Sequence[PromptPart]) -> None:
+        """Record an answer that began, which clears the parts of its prompt.
+
+        :param service: name of the service.
+        :param parts: parts of the prompt.
+        """
+        now = self._clock()
+        for part in build_part_keys(service, parts):
+            self._apply_answer(PartAnswer(part=part, began_at=now))
+
+    def lift(self, parts: PartKeys) -> None:
+        """Lift a block, in all daemons.
+
+        :param parts: parts of the block.
+        """
+        now = self._clock()
+        for part in parts:
+            answer = PartAnswer(part=part, began_at=now)
+            self._apply_answer(answer)
+            self._announce_answer(answer)
+
+    def apply(self, notices: Iterable[CrashNotice]) -> None:
+        """Apply the notices of another daemon, and pass on those that are new.
+
+        :param notices: the notices.
+        """
+        for notice in notices:
+            if isinstance(notice, CrashReport):
+                self.record_crash(notice)
+            elif isinstance(notice, PartAnswer):
+                self._apply_answer(notice)
+            else:
+                self._apply_block(notice)
+
+    def take_news(self) -> Sequence[CrashNotice]:
+        """Return the notices to spread, and forget them."""
+        news = self._news
+        self._news = []
+        self.has_news = anyio.Event()
+        return news
+
+    def summarize(self) -> Sequence[CrashNotice]:
+        """Return the blocks and the recent notices, for daemons without them.
+
+        The blocks come first, then what is newest.
+        """
+        since = self._clock() - REPEAT_S
+        for part, answer in tuple(self._answers.items()):
+            if answer.began_at < since:
+                self._answers.pop(part)
+        reports = sorted(
+            (
+                report
+                for report in self._evidence.reports
+                if report.broke_at > since
+            ),
+            key=lambda report: -report.broke_at,
+        )
+        return (*self.blocks, *self._answers.values(), *reports)
+
+    def _find_block(
+        self, service: str, parts: Sequence[PromptPart]
+    ) -> Block | None:
+        if not self._blocked.groups:
+            return None
+        return self._blocked.find(
+            build_part_keys(service, parts), self._clock()
+        )
+
+    def _apply_answer(self, answer: PartAnswer) -> None:
+        is_news = self._evidence.record_answer(answer.part, answer.began_at)
+        for block, remaining in self._blocked.clear(
+            answer.part, answer.began_at
+        ):
+            is_news = True
+            self._log.log_warning(
+                'block_narrowed' if remaining else 'block_lifted',
+                **_describe(block),
+                remaining=sorted(name for _, name in remaining),
+            )
+        if is_news:
+            self._announce_answer(answer)
+
+    def _announce_answer(self, answer: PartAnswer) -> None:
+        known = self._answers.get(answer.part)
+        if known is None or known.began_at < answer.began_at:
+            self._answers[answer.part] = answer
+            self._add_news(answer)
+
+    def _apply_block(self, block: Block) -> None:
+        disproved = [
+            part
+            for part in block.parts
+            if self._evidence.get_answered_at(part) >= block.since
+        ]
+        for part in disproved:
+            self._announce_known_answer(part)
+        if not disproved:
+            self._block(block)
+
+    def _announce_known_answer(self, part: PartKey) -> None:
+        self._announce_answer(
+            PartAnswer(part=part, began_at=self._evidence.get_answered_at(part))
+        )
+
+    def _block(self, block: Block) -> bool:
+        if not self._blocked.add(block):
+            return False
+        self._add_news(block)
+        ended = self.watch.end_attempts(block.parts)
+        self._log.log_warning(
+            'part_blocked',
+            **_describe(block),
+            since_s=round(self._clock() - block.since, 3),
+            ended_attempts=ended,
+            reports=[
+                report.attempt
+                for report in self._evidence.reports
+                if block.parts <= report.parts
+            ],
+        )
+        return True
+
+    def _add_news(self, notice: CrashNotice) -> None:
+        self._news.append(notice)
+        self.has_news.set()
+
+
+def build_part_keys(service: str, parts: Sequence[PromptPart]) -> PartKeys:
+    """Return the keys of a prompt's shared parts.
+
+    The last part is specific to the request or its session.  Of long prompts
+    the last parts count, which fewer prompts share.
+
+    :param service: name of the service.
+    :param parts: parts of the prompt, in order.
+    """
+    shared = parts[-MAX_PARTS - 1 : -1]
+    return frozenset(
+        (limit_name(service), limit_name(part.name)) for part in shared
+    )
+
+
+def _describe(block: Block) -> dict[str, object]:
+    return {
+        'service': next(service for service, _ in block.parts),
+        'parts': sorted(name for _, name in block.parts),
+        'rejected': block.rejected,
+    }
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -9,6 +9,7 @@
     Admission,
     AdmissionDependencies,
 )
+from laurelwind.coordination.attempt_watch import WatchedAttempt
 from laurelwind.coordination.delivery import (
     Delivery,
     DeliveryDependencies,
@@ -16,6 +17,7 @@
 )
 from laurelwind.coordination.endpoint_notices import EndpointNotices
 from laurelwind.coordination.model_planning import ModelPlanner
+from laurelwind.coordination.part_screen import PartScreen, build_part_keys
 from laurelwind.coordination.relay_jobs import Attempt, Job
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import Sender, SenderDependencies
@@ -23,14 +25,18 @@
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
     CapacityError,
+    EndpointBrokenError,
     EndpointError,
     EndpointSilentError,
     ErrorKind,
     LaurelwindError,
     RunState,
 )
+from laurelwind.protocol.crash_notices import limit_name
 from laurelwind.protocol.exchanges import CallerAnswer, RelayRequest
 from laurelwind.relay_metrics import RelayMetrics
+from laurelwind.state.crash_reports import CrashReport
+from laurelwind.state.load import read_monotonic_clock
 
 # Parts of a prompt in one log line.
 MAX_LOGGED_PARTS: Final = 8
@@ -42,6 +48,7 @@
 
     :ivar admission: checks requests against the routing table.
     :ivar placement: tracks the state of endpoints.
+    :ivar screen: learns which prompts crash endpoints.
     :ivar sender: sends requests to endpoints.
     :ivar delivery: delivers answers to callers.
     :ivar log: decision log.
@@ -49,6 +56,7 @@
 
     admission: Admission
     placement: Placement
+    screen: PartScreen
     sender: Sender
     delivery: Delivery
     log: DecisionLog
@@ -76,6 +84,7 @@
                 log=dependencies.log,
             ),
             rollouts=dependencies.rollouts,
+            screen=dependencies.screen,
             planner=planner,
             metrics=metrics,
             log=dependencies.log,
@@ -92,6 +101,7 @@
                 )
             ),
             placement=dependencies.placement,
+            screen=dependencies.screen,
             sender=sender,
             delivery=delivery,
             log=dependencies.log,
@@ -174,9 +184,7 @@
         while True:
             attempt = await self._dependencies.sender.send(job)
             try:
-                if await self._dependencies.delivery.deliver(
-                    job, attempt, answer
-                ):
+                if await self._deliver(job, attempt, answer):
                     return
             except EndpointError as error:
                 self._record_failure(job, attempt, error)
@@ -189,6 +197,18 @@
                 with anyio.CancelScope(shield=True):
                     await attempt.exchange.close()
 
+    async def _deliver(
+        self, job: Job, attempt: Attempt, answer: CallerAnswer
+    ) -> bool:
+        watched = WatchedAttempt(
+            parts=build_part_keys(job.service, job.request.parts),
+            has_begun=lambda: attempt.events > 0,
+        )
+        with self._dependencies.screen.watch.track(watched):
+            return await self._dependencies.delivery.deliver(
+                job, attempt, answer
+            )
+
     def _record_failure(
         self, job: Job, attempt: Attempt, error: EndpointError
     ) -> None:
@@ -198,6 +218,9 @@
         backoff_s: float = 0
         if error.run is not RunState.NOT_RUN:
             job.may_have_run = True
+            if isinstance(error, EndpointBrokenError) and not job.events:
+                job.broken_attempts += 1
+                self._report_crash(job, attempt)
             obstacle = dependencies.sender.selector.find_obstacle(
                 job, attempt.endpoint
             )
@@ -232,6 +255,23 @@
             elapsed_ms=job.elapsed_ms,
         )
 
+    def _report_crash(self, job: Job, attempt: Attempt) -> None:
+        request = job.request
+        endpoint = attempt.endpoint
+        parts = build_part_keys(job.service, request.parts)
+        if not parts:
+            return
+        self._dependencies.screen.record_crash(
+            CrashReport(
+                attempt=limit_name(f'{job.attempts}/{request.request_id}'),
+                endpoint=limit_name(f'{endpoint.started_ms}/{endpoint.name}'),
+                prompt=limit_name(request.parts[-1].name),
+                parts=parts,
+                sent_at=attempt.sent_at,
+                broke_at=read_monotonic_clock(),
+            )
+        )
+
     def _ensure_retry_possible(
         self, job: Job, error: EndpointError, answer: CallerAnswer
     ) -> None:
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -59,6 +59,8 @@
     :ivar fallback_endpoints: names of endpoints that fell silent, or broke off
         a begun answer; they are used again if no other one is left.
     :ivar refusals: number of attempts that did not run.
+    :ivar broken_attempts: number of attempts whose connection broke before the
+        caller had an event.
     :ivar reserved_retries: retries of the budget that are held for the request.
     :ivar saved_failure: complete failure answer of an endpoint, delivered if
         every later attempt fails as well.
@@ -82,6 +84,7 @@
     excluded_endpoints: set[str] = field(factory=set)
     fallback_endpoints: set[str] = field(factory=set)
     refusals: int = 0
+    broken_attempts: int = 0
     reserved_retries: int = 0
     saved_failure: BufferedAnswer | None = None
     last_event_id: str = ''
--- a/laurelwind/coordination/retry_limits.py
+++ b/laurelwind/coordination/retry_limits.py
@@ -5,6 +5,7 @@
 
 from attrs import frozen
 
+from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay_jobs import Job
 from laurelwind.coordination.scheduling.fleet_retry_budget import (
     FleetRetryBudget,
@@ -16,6 +17,10 @@
 # Retries that a request needs to leave a silent endpoint: the way to another
 # one, and the way back where that one refuses.
 MOVE_RETRIES: Final = 2
+# Attempts of a request that may break before its answer begins.  After the
+# second one the request itself is the likely cause, and a further attempt would
+# take one more endpoint from others.
+MAX_BROKEN_ATTEMPTS: Final = 2
 
 
 class RetryObstacle(enum.StrEnum):
@@ -28,6 +33,8 @@
     RETRY_BUDGET = 'retry_budget'
     TABLE_AGE = 'table_age'
     NO_ENDPOINT = 'no_endpoint'
+    BROKEN_ATTEMPTS = 'broken_attempts'
+    PROMPT_BLOCKED = 'prompt_blocked'
 
 
 @frozen(kw_only=True)
@@ -39,10 +46,12 @@
 
     :ivar lease: freshness lease of the routing table.
     :ivar retry_budget: retry budget.
+    :ivar screen: rejects prompts that crash endpoints.
     """
 
     lease: FreshnessLease
     retry_budget: FleetRetryBudget
+    screen: PartScreen
 
     @property
     def is_table_fresh(self) -> bool:
@@ -56,6 +65,12 @@
         """
         if job.remaining_s < MIN_REMAINING_S:
             return RetryObstacle.DEADLINE
+        if job.broken_attempts >= MAX_BROKEN_ATTEMPTS:
+            return RetryObstacle.BROKEN_ATTEMPTS
+        if not job.events and self.screen.is_blocked(
+            job.service, job.request.parts
+        ):
+            return RetryObstacle.PROMPT_BLOCKED
         if not self.lease.is_valid:
             return RetryObstacle.TABLE_AGE
         budget = self.retry_budget
--- a/laurelwind/coordination/selection.py
+++ b/laurelwind/coordination/selection.py
@@ -18,6 +18,7 @@
     PlacementRequirements,
 )
 from laurelwind.errors import (
+    CallerError,
     CapacityError,
     EndpointError,
     ErrorKind,
@@ -58,8 +59,10 @@
 
         :param job: the request.
         :raises LaurelwindError: if no endpoint is left, every queue is longer
-            than the time to the deadline, or the table is too old.
+            than the time to the deadline, the table is too old, or the prompt
+            crashes endpoints.
         """
+        self._ensure_not_blocked(job)
         if not self.limits.is_table_fresh:
             raise _build_stale_error(job)
         endpoint = None
@@ -170,6 +173,20 @@
             retry_after_s=draw_retry_after(),
         ) from error
 
+    def _ensure_not_blocked(self, job: Job) -> None:
+        screen = self.limits.screen
+        if job.events or not screen.reject(job.service, job.request.parts):
+            return
+        if job.may_have_run:
+            raise EndpointError(
+                ErrorKind.ENDPOINT_FAILED,
+                'no further attempt: a part of the prompt crashes endpoints',
+            )
+        raise CallerError(
+            ErrorKind.PROMPT_BLOCKED,
+            'a part of the prompt crashes endpoints; the request was not run',
+        )
+
     def _list_ready(self, job: Job) -> Sequence[EndpointRecord]:
         return self._dependencies.rollouts.filter_endpoints(
             job.service,
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -6,6 +6,7 @@
 import anyio
 from attrs import frozen
 
+from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay_jobs import Attempt, Job
 from laurelwind.coordination.retry_limits import RetryLimits
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
@@ -49,6 +50,7 @@
     :ivar directory: registered endpoints.
     :ivar rollouts: selects the version for each request.
     :ivar placement: selects endpoints.
+    :ivar screen: rejects prompts that crash endpoints.
     :ivar retry_budget: retry budget.
     :ivar gateway: sends requests to endpoints.
     :ivar notify_work: notifies other daemons of the prefill time, in seconds,
@@ -65,6 +67,7 @@
     directory: EndpointDirectory
     rollouts: RolloutRegistry
     placement: Placement
+    screen: PartScreen
     retry_budget: FleetRetryBudget
     gateway: EndpointGateway
     notify_work: Callable[[str, float], None]
@@ -87,6 +90,7 @@
                 limits=RetryLimits(
                     lease=dependencies.lease,
                     retry_budget=dependencies.retry_budget,
+                    screen=dependencies.screen,
                 ),
                 directory=dependencies.directory,
                 rollouts=dependencies.rollouts,
--- a/laurelwind/errors.py
+++ b/laurelwind/errors.py
@@ -35,6 +35,7 @@
     HEADER_INVALID = 'header_invalid'
     ROUTE_UNKNOWN = 'route_unknown'
     METHOD_UNKNOWN = 'method_unknown'
+    PROMPT_BLOCKED = 'prompt_blocked'
     MODEL_UNKNOWN = 'model_unknown'
     VERSION_NOT_ALLOWED = 'version_not_allowed'
     SERVICE_UNKNOWN = 'service_unknown'
@@ -91,6 +92,7 @@
         ErrorKind.METHOD_UNKNOWN: AnswerDefaults(
             status=HTTPStatus.METHOD_NOT_ALLOWED
         ),
+        ErrorKind.PROMPT_BLOCKED: AnswerDefaults(status=HTTPStatus.BAD_REQUEST),
         ErrorKind.MODEL_UNKNOWN: AnswerDefaults(status=HTTPStatus.NOT_FOUND),
         ErrorKind.VERSION_NOT_ALLOWED: AnswerDefaults(
             status=HTTPStatus.FORBIDDEN
@@ -267,10 +269,18 @@
     """An endpoint sent nothing within its time-out."""
 
 
+class EndpointBrokenError(EndpointError):
+    """The connection to an endpoint broke before its answer was complete."""
+
+
 class EndpointPausedError(EndpointError):
     """An endpoint asked for a pause before the request was sent to it."""
 
 
+class BlockedPromptError(LaurelwindError):
+    """An attempt was ended, as its prompt crashes endpoints."""
+
+
 class PlatformError(LaurelwindError):
     """A platform service is down, too slow or returned an invalid answer."""
 
--- a/laurelwind/platform/program.py
+++ b/laurelwind/platform/program.py
@@ -25,6 +25,7 @@
 from laurelwind.relay_program import StopWatchdog, run_relay
 from laurelwind.relay_settings import RelaySettings, load_relay_settings
 from laurelwind.relay_tracking import PlatformAdapters, build_local_member
+from laurelwind.transport.block_application import BlockApplication
 
 _SETTINGS_VARIABLE: Final = 'LAURELWIND_CONFIG'
 # Seconds for which callers cache the addresses; short enough that they leave a
@@ -54,7 +55,7 @@
 
 
 def build_other_applications(daemon: RelayDaemon) -> dict[str, ASGIApp]:
-    """Build the readiness, registry and metrics applications, by address.
+    """Build the readiness, registry and operator applications, by address.
 
     :param daemon: the daemon that they report on.
     """
@@ -67,8 +68,11 @@
             list_addresses=daemon.list_entries,
             ttl_s=min(ADDRESSES_TTL_S, daemon.settings.bounds.entries_life_s),
         ),
-        listen.metrics: prometheus_client.make_asgi_app(
-            registry=daemon.metrics.registry
+        listen.metrics: BlockApplication(
+            screen=daemon.screen,
+            fallback=prometheus_client.make_asgi_app(
+                registry=daemon.metrics.registry
+            ),
         ),
     }
 
--- /dev/null
+++ b/laurelwind/protocol/crash_notices.py
@@ -0,0 +1,183 @@
+"""Encoding of what daemons tell each other about crashes.
+
+A datagram is an object whose ``crashes`` are rows.  Each row begins with its
+kind and holds ages in milliseconds, since daemons share no clock.
+"""
+
+import contextlib
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+import orjson
+from attrs import frozen
+
+from laurelwind.state.blocked_parts import Block
+from laurelwind.state.crash_reports import CrashReport, PartKey, PartKeys
+
+# Size of a datagram in bytes; it stays within the smallest MTU.
+MAX_DATAGRAM_BYTES: Final = 1200
+# Longest names, and the most parts of a prompt, in a row.
+MAX_NAME_LENGTH: Final = 64
+MAX_PARTS: Final = 8
+_FIELD: Final = 'crashes'
+_PREFIX: Final = b'{"crashes":['
+_SUFFIX: Final = b']}'
+_REPORT: Final = 'report'
+_ANSWER: Final = 'answer'
+_BLOCK: Final = 'block'
+_MS_PER_S: Final = 1000
+
+
+@frozen(kw_only=True)
+class PartAnswer:
+    """An answer that began, for a part that was blamed.
+
+    :ivar part: the part.
+    :ivar began_at: moment of the first event, on the monotonic clock.
+    """
+
+    part: PartKey
+    began_at: float
+
+
+CrashNotice = CrashReport | PartAnswer | Block
+
+
+def limit_name(name: str) -> str:
+    """Cut a name that would take too much of a datagram.
+
+    :param name: any name.
+    """
+    return name[:MAX_NAME_LENGTH]
+
+
+def encode_notices(
+    notices: Iterable[CrashNotice], now: float
+) -> Iterator[bytes]:
+    """Encode notices as datagrams.
+
+    :param notices: the notices.
+    :param now: the current moment, on the monotonic clock.
+    """
+    rows: list[bytes] = []
+    size = 0
+    for notice in notices:
+        row = orjson.dumps(_encode_row(notice, now))
+        if rows and size + len(row) >= MAX_DATAGRAM_BYTES:
+            yield _join_rows(rows)
+            rows = []
+            size = 0
+        rows.append(row)
+        size += len(row) + 1
+    if rows:
+        yield _join_rows(rows)
+
+
+def decode_notices(document: Any, now: float) -> Iterator[CrashNotice]:
+    """Decode the notices of a datagram; malformed rows are left out.
+
+    :param document: the decoded JSON document.
+    :param now: the current moment, on the monotonic clock.
+    """
+    rows = document.get(_FIELD) if isinstance(document, dict) else None
+    for row in rows if isinstance(rows, list) else ():
+        with contextlib.suppress(KeyError, TypeError, ValueError):
+            yield _decode_row(row, now)
+
+
+def _join_rows(rows: Iterable[bytes]) -> bytes:
+    return _PREFIX + b','.join(rows) + _SUFFIX
+
+
+def _encode_row(notice: CrashNotice, now: float) -> list[Any]:
+    if isinstance(notice, PartAnswer):
+        return [_ANSWER, *notice.part, _encode_age(notice.began_at, now)]
+    if isinstance(notice, Block):
+        return [
+            _BLOCK,
+            *_encode_parts(notice.parts),
+            _encode_age(notice.since, now),
+            _encode_age(notice.seen_at, now),
+        ]
+    return [
+        _REPORT,
+        *_encode_parts(notice.parts),
+        (notice.attempt, notice.endpoint, notice.prompt),
+        (
+            _encode_age(notice.sent_at, now),
+            _encode_age(notice.broke_at, now),
+        ),
+    ]
+
+
+def _decode_row(row: list[Any], now: float) -> CrashNotice:
+    kind, *fields = row
+    return _DECODERS[kind](fields, now)
+
+
+def _decode_report(fields: list[Any], now: float) -> CrashReport:
+    service, names, identifiers, ages = fields
+    attempt, endpoint, prompt = map(_decode_name, identifiers)
+    sent_at, broke_at = (_decode_age(age_ms, now) for age_ms in ages)
+    return CrashReport(
+        attempt=attempt,
+        endpoint=endpoint,
+        prompt=prompt,
+        parts=_decode_parts(service, names),
+        sent_at=sent_at,
+        broke_at=broke_at,
+    )
+
+
+def _decode_answer(fields: list[Any], now: float) -> PartAnswer:
+    service, name, age_ms = fields
+    return PartAnswer(
+        part=(_decode_name(service), _decode_name(name)),
+        began_at=_decode_age(age_ms, now),
+    )
+
+
+def _decode_block(fields: list[Any], now: float) -> Block:
+    service, names, since_ms, seen_ms = fields
+    return Block(
+        parts=_decode_parts(service, names),
+        since=_decode_age(since_ms, now),
+        seen_at=_decode_age(seen_ms, now),
+    )
+
+
+def _encode_parts(parts: PartKeys) -> tuple[str, list[str]]:
+    service = next(service for service, _ in parts)
+    return service, sorted(name for _, name in parts)
+
+
+def _decode_parts(service: Any, names: Any) -> PartKeys:
+    if not isinstance(names, list) or not 0 < len(names) <= MAX_PARTS:
+        raise ValueError
+    return frozenset(
+        (_decode_name(service), _decode_name(name)) for name in names
+    )
+
+
+def _encode_age(moment: float, now: float) -> int:
+    return max(round((now - moment) * _MS_PER_S), 0)
+
+
+def _decode_age(age_ms: Any, now: float) -> float:
+    age_s = float(age_ms) / _MS_PER_S
+    if not 0 <= age_s < float('inf'):
+        raise ValueError
+    return now - age_s
+
+
+def _decode_name(name: Any) -> str:
+    if not isinstance(name, str) or len(name) > MAX_NAME_LENGTH:
+        raise ValueError
+    return name
+
+
+_Decoder = Callable[[list[Any], float], CrashNotice]
+_DECODERS: Final[Mapping[str, _Decoder]] = MappingProxyType(
+    {_REPORT: _decode_report, _ANSWER: _decode_answer, _BLOCK: _decode_block}
+)
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -7,8 +7,10 @@
 from attrs import asdict, evolve
 from starlette.types import ASGIApp
 
+from laurelwind.coordination.crash_gossip import CrashGossip
 from laurelwind.coordination.entry_lists import choose_entries
 from laurelwind.coordination.loop_lag import LoopLag
+from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay import Relay, build_relay
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling.fleet_retry_budget import (
@@ -33,6 +35,7 @@
 from laurelwind.transport.draining import Drain
 from laurelwind.transport.gateway import HttpGateway
 from laurelwind.transport.hints import HintListener, WorkHints
+from laurelwind.transport.peer_datagrams import PeerDatagrams
 from laurelwind.transport.relay_application import RelayApplication
 from laurelwind.transport.server import HttpServer
 from laurelwind.transport.stop_times import StopTimes, plan_stop
@@ -103,15 +106,23 @@
         self.placement = Placement(zone=settings.daemon.zone)
         self.tracker.add_listener(self._discard_removed_endpoints)
         self.gateway = HttpGateway(codec=adapters.headers)
+        self.datagrams = PeerDatagrams(
+            address=settings.listen.peers, log=self.log
+        )
+        self.screen = PartScreen(log=self.log)
+        self.gossip = CrashGossip(
+            screen=self.screen,
+            channel=self.datagrams,
+            list_peers=self._list_peers,
+        )
         self.hints = WorkHints(
-            address=settings.listen.peers,
+            channel=self.datagrams,
             list_peers=self._list_zone_peers,
             listener=HintListener(
                 record_work=self.placement.record_remote_work,
                 record_loss=self.placement.record_remote_loss,
                 record_leaving=self.directory.record_leaving,
             ),
-            log=self.log,
         )
         self._limits = TableLimits(tracker=self.tracker)
         self.relay = self._build_relay()
@@ -144,6 +155,13 @@
         ]
         return choose_entries(accepting, zone, limit)
 
+    def _list_peers(self) -> list[str]:
+        return [
+            member.peer_address
+            for member in self.membership.members
+            if member.peer_address != self.settings.listen.peers
+        ]
+
     def _list_zone_peers(self) -> list[str]:
         local_address = self.settings.listen.peers
         return [
@@ -165,7 +183,9 @@
         self.log.start()
         self.loop_lag.start(group)
         self.tracker.start(group)
-        await self.hints.start(group)
+        await self.datagrams.start(group)
+        self.hints.start(group)
+        self.gossip.start(group)
         applications: dict[str, ASGIApp] = {
             self.settings.listen.callers: self.application,
             self.settings.listen.peers: TopicApplication(copies=self.copies),
@@ -194,7 +214,7 @@
         outcome = await drain.run(self.membership.leave)
         await self.gateway.close()
         await self._peers.close()
-        await self.hints.close()
+        await self.datagrams.close()
         self.log.log_warning('stopped', **asdict(outcome))
 
     def plan_stop(self) -> StopTimes:
@@ -249,6 +269,7 @@
                 directory=self.directory,
                 rollouts=self.rollouts,
                 placement=self.placement,
+                screen=self.screen,
                 retry_budget=FleetRetryBudget(
                     retry_ratio=bounds.retry_share,
                     extra_retries=bounds.retry_extra,
--- a/laurelwind/relay_gauges.py
+++ b/laurelwind/relay_gauges.py
@@ -42,6 +42,11 @@
         'Endpoints that take new work.',
         lambda: sum(daemon.directory.count_ready().values()),
     )
+    add_gauge(
+        'laurelwind_blocked_parts',
+        'Groups of prompt parts whose requests are rejected.',
+        lambda: len(daemon.screen.blocks),
+    )
     add_gauge(
         'laurelwind_log_lines_left_out',
         'Log lines left out since the last one that went out.',
--- /dev/null
+++ b/laurelwind/state/blocked_parts.py
@@ -0,0 +1,113 @@
+"""Groups of prompt parts whose requests are rejected."""
+
+from collections.abc import Collection, Iterator
+from typing import Final
+
+from attrs import evolve, frozen
+
+from laurelwind.state.crash_reports import PartKey, PartKeys
+
+# Seconds without a request after which a group is forgotten.
+BLOCK_TTL_S: Final = 600.0
+# Groups that are kept. Each one took several endpoints down, so that more are
+# not expected.
+MAX_BLOCKS: Final = 64
+
+
+@frozen(kw_only=True)
+class Block:
+    """A group of parts; a request that holds all of them is rejected.
+
+    Moments are on the monotonic clock.
+
+    :ivar parts: the parts.
+    :ivar since: moment since which all attempts with the parts have failed.
+    :ivar seen_at: moment of the last request that held them, at any daemon.
+    :ivar rejected: requests that the local daemon rejected.
+    """
+
+    parts: PartKeys
+    since: float
+    seen_at: float
+    rejected: int = 0
+
+
+class BlockedParts:
+    """The blocks in force."""
+
+    def __init__(self) -> None:
+        self._blocks: dict[PartKeys, Block] = {}
+
+    @property
+    def groups(self) -> Collection[PartKeys]:
+        """Groups of parts that are blocked."""
+        return self._blocks.keys()
+
+    def list_all(self, now: float) -> list[Block]:
+        """List the blocks in force.
+
+        :param now: the current moment.
+        """
+        for block in tuple(self._blocks.values()):
+            if now - block.seen_at > BLOCK_TTL_S:
+                self._blocks.pop(block.parts)
+        return list(self._blocks.values())
+
+    def add(self, block: Block) -> bool:
+        """Add a block; return whether it rejects further requests.
+
+        :param block: the block, which may be known.
+        """
+        known = self._blocks.get(block.parts)
+        if known is not None:
+            self._blocks[block.parts] = evolve(
+                known,
+                since=max(known.since, block.since),
+                seen_at=max(known.seen_at, block.seen_at),
+            )
+            return False
+        is_covered = any(group < block.parts for group in self._blocks)
+        if is_covered or not block.parts or len(self._blocks) >= MAX_BLOCKS:
+            return False
+        for group in tuple(self._blocks):
+            if block.parts < group:
+                self._blocks.pop(group)
+        self._blocks[block.parts] = block
+        return True
+
+    def find(self, parts: PartKeys, now: float) -> Block | None:
+        """Return the block that rejects a prompt, or ``None``.
+
+        :param parts: shared parts of the prompt.
+        :param now: the current moment.
+        """
+        for block in self.list_all(now) if self._blocks else ():
+            if block.parts <= parts:
+                return block
+        return None
+
+    def count_request(self, block: Block, now: float) -> None:
+        """Count a request that a block rejects.
+
+        :param block: the block.
+        :param now: the current moment.
+        """
+        self._blocks[block.parts] = evolve(
+            block, seen_at=now, rejected=block.rejected + 1
+        )
+
+    def clear(
+        self, part: PartKey, answered_at: float
+    ) -> Iterator[tuple[Block, PartKeys]]:
+        """Take a part out of the blocks that an answer disproves.
+
+        :param part: the part.
+        :param answered_at: moment at which an answer with the part began.
+        :returns: the blocks that change, and the parts that remain of each.
+        """
+        for group, block in tuple(self._blocks.items()):
+            if part in group and block.since <= answered_at:
+                self._blocks.pop(group)
+                remaining = group - {part}
+                self.add(evolve(block, parts=remaining))
+                yield block, remaining
--- /dev/null
+++ b/laurelwind/state/crash_reports.py
@@ -0,0 +1,90 @@
+"""Reports of attempts that broke off before their answer began."""
+
+from collections.abc import Iterable, Sequence
+from operator import attrgetter
+from typing import Final
+
+from attrs import frozen
+
+# Shortest time, in seconds, from the first to the last of the failures that
+# blame a part.  Endpoints that fail together, as a zone loses power, are
+# reported at slightly different moments.
+MIN_SPAN_S: Final = 0.25
+# Seconds by which moments of different daemons may differ: their ages are
+# counted from the arrival of the datagram.
+MOMENT_TOLERANCE_S: Final = 0.05
+# The most reports that are compared with each other; the newest count.
+MAX_COMPARED: Final = 24
+
+# A shared part of a prompt: its service and its name.
+PartKey = tuple[str, str]
+PartKeys = frozenset[PartKey]
+
+
+@frozen(kw_only=True)
+class CrashReport:
+    """An attempt whose connection broke before its answer began.
+
+    Moments are on the monotonic clock of the daemon that holds the report.
+
+    :ivar attempt: identifier of the attempt, unique in the fleet.
+    :ivar endpoint: the endpoint and the start time of its process.
+    :ivar prompt: key of the prompt, the same for its repeats.
+    :ivar parts: the shared parts of the prompt.
+    :ivar sent_at: moment of sending.
+    :ivar broke_at: moment at which the connection broke.
+    """
+
+    attempt: str
+    endpoint: str
+    prompt: str
+    parts: PartKeys
+    sent_at: float
+    broke_at: float
+
+
+def find_series(
+    reports: Iterable[CrashReport], *, min_endpoints: int, min_prompts: int
+) -> Sequence[CrashReport]:
+    """Return failures that came one after the other, or none.
+
+    Failures at the same moment have one cause, which need not be a prompt, so
+    each attempt of a series was sent after the failure of the one before.
+
+    :param reports: the reports, in any order.
+    :param min_endpoints: fewest different endpoints in the series.
+    :param min_prompts: fewest different prompts in the series.
+    """
+    recent = sorted(reports, key=attrgetter('broke_at'))[-MAX_COMPARED:]
+    for pivot in recent:
+        earlier = [report for report in recent if _precedes(report, pivot)]
+        later = [report for report in recent if _precedes(pivot, report)]
+        series = (*_chain(earlier), pivot, *_chain(later))
+        if (
+            _count(series, 'endpoint') >= min_endpoints
+            and _count(series, 'prompt') >= min_prompts
+            and series[-1].broke_at - series[0].broke_at >= MIN_SPAN_S
+        ):
+            return series
+    return ()
+
+
+def _chain(reports: Iterable[CrashReport]) -> list[CrashReport]:
+    """Return the most reports of which each precedes the next.
+
+    :param reports: the reports, ordered by the moment of failure.
+    """
+    series: list[CrashReport] = []
+    for report in reports:
+        if not series or _precedes(series[-1], report):
+            series.append(report)
+    return series
+
+
+def _precedes(report: CrashReport, other: CrashReport) -> bool:
+    """Return whether an attempt was sent after another one had failed."""
+    return other.sent_at >= report.broke_at - MOMENT_TOLERANCE_S
+
+
+def _count(series: Iterable[CrashReport], attribute: str) -> int:
+    return len(set(map(attrgetter(attribute), series)))
--- a/laurelwind/transport/connection.py
+++ b/laurelwind/transport/connection.py
@@ -15,7 +15,12 @@
 import httptools
 from anyio.abc import SocketAttribute, SocketStream
 
-from laurelwind.errors import EndpointError, ErrorKind, RunState
+from laurelwind.errors import (
+    EndpointBrokenError,
+    EndpointError,
+    ErrorKind,
+    RunState,
+)
 from laurelwind.protocol.exchanges import HeaderPairs
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.state.timers import is_timer_late
@@ -132,8 +137,11 @@
             await self._stream.send(head + body)
         except _STREAM_ERRORS as error:
             await self.close()
-            raise _build_connection_error(
-                'while the request was being sent', error
+            raise EndpointError(
+                ErrorKind.ENDPOINT_FAILED,
+                'the connection broke while the request was being sent '
+                f'({type(error).__name__})',
+                run=RunState.UNKNOWN,
             ) from error
 
     async def read_head(self) -> tuple[int, HeaderPairs]:
@@ -218,9 +226,7 @@
 
     async def _read_more(self) -> None:
         if self.is_closed:
-            raise _build_connection_error(
-                'before the answer was complete', EOFError()
-            )
+            raise _build_broken_error(EOFError())
         try:
             received = await self._stream.receive(_READ_BYTES)
         except anyio.EndOfStream as error:
@@ -229,14 +235,10 @@
             if answer.has_complete_head and not answer.is_framed:
                 answer.is_ended = True
                 return
-            raise _build_connection_error(
-                'before the answer was complete', error
-            ) from error
+            raise _build_broken_error(error) from error
         except _STREAM_ERRORS as error:
             await self.close()
-            raise _build_connection_error(
-                'before the answer was complete', error
-            ) from error
+            raise _build_broken_error(error) from error
         self._feed(received)
 
     def _feed(self, received: bytes) -> None:
@@ -273,9 +275,10 @@
     return None
 
 
-def _build_connection_error(when: str, error: Exception) -> EndpointError:
-    return EndpointError(
+def _build_broken_error(error: Exception) -> EndpointBrokenError:
+    return EndpointBrokenError(
         ErrorKind.ENDPOINT_FAILED,
-        f'the connection broke {when} ({type(error).__name__})',
+        'the connection broke before the answer was complete '
+        f'({type(error).__name__})',
         run=RunState.UNKNOWN,
     )
--- a/laurelwind/transport/hints.py
+++ b/laurelwind/transport/hints.py
@@ -1,22 +1,19 @@
 """Work hints: datagrams about the work and the failures at endpoints.
 
 Hints are exchanged by the daemons of an availability zone.  They are small,
-soon out of date and may be lost, so they are sent over UDP: over TCP, a peer
-that is down would delay the hints to the others.  Hints of the same moment
-share a datagram, and no request waits until it is sent.
+soon out of date and may be lost.  Hints of the same moment share a datagram,
+and no request waits until it is sent.
 """
 
-import socket
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Final
 
 import anyio
 import orjson
-from anyio.abc import TaskGroup, UDPSocket
+from anyio.abc import TaskGroup
 from attrs import frozen
 
-from laurelwind.decisions import DecisionLog
-from laurelwind.transport.network import split_address
+from laurelwind.protocol.datagrams import DatagramChannel
 
 # No hints are sent for shorter work: it ends before a hint could affect the
 # placement by other daemons.
@@ -50,47 +47,34 @@
 class WorkHints:
     """Sends and receives work hints.
 
-    :param address: ``host:port`` to bind.
+    :param channel: sends and receives datagrams.
     :param list_peers: returns the addresses of the daemons to notify.
     :param listener: receives the hints of other daemons.
-    :param log: decision log.
     """
 
     def __init__(
         self,
         *,
-        address: str,
+        channel: DatagramChannel,
         list_peers: Callable[[], Iterable[str]],
         listener: HintListener,
-        log: DecisionLog,
     ) -> None:
-        self._address = address
+        self._channel = channel
         self._list_peers = list_peers
         self._listener = listener
-        self._log = log
-        self._socket: UDPSocket | None = None
         # Work and loss in seconds, by endpoint.
         self._pending: dict[str, tuple[float, float]] = {}
         # Start times in Unix milliseconds, by endpoint that is about to stop.
         self._pending_leaving: dict[str, int] = {}
         self._has_pending = anyio.Event()
+        channel.add_listener(self._receive)
 
-    async def start(self, group: TaskGroup) -> None:
-        """Start to send and receive hints.
+    def start(self, group: TaskGroup) -> None:
+        """Start to send hints.
 
         :param group: task group of the daemon.
         """
-        host, port = split_address(self._address)
-        self._socket = await anyio.create_udp_socket(
-            family=socket.AF_INET, local_host=host, local_port=port
-        )
-        group.start_soon(self._receive, self._socket)
-        group.start_soon(self._send_batches, self._socket)
-
-    async def close(self) -> None:
-        """Stop sending and receiving hints, and close the socket."""
-        if self._socket is not None:
-            await self._socket.aclose()
+        group.start_soon(self._send_batches)
 
     def notify_work(self, endpoint: str, work_s: float) -> None:
         """Notify the peers of work that was sent to an endpoint.
@@ -126,7 +110,7 @@
         )
         self._has_pending.set()
 
-    async def _send_batches(self, sender: UDPSocket) -> None:
+    async def _send_batches(self) -> None:
         while True:
             await self._has_pending.wait()
             await anyio.sleep(BATCH_DELAY_S)
@@ -135,7 +119,7 @@
             for start in range(0, len(rows), _MAX_ROWS):
                 datagram = orjson.dumps(rows[start : start + _MAX_ROWS])
                 for peer in self._list_peers():
-                    await self._send(sender, peer, datagram)
+                    await self._channel.send(peer, datagram)
 
     def _take_rows(self) -> list[list[Any]]:
         rows: list[list[Any]] = [
@@ -150,23 +134,9 @@
         self._pending_leaving.clear()
         return rows
 
-    async def _send(
-        self, sender: UDPSocket, peer: str, datagram: bytes
-    ) -> None:
-        try:
-            await sender.sendto(datagram, *split_address(peer))
-        except (OSError, anyio.ClosedResourceError) as error:
-            # Dropped, as the hint would be out of date after a wait.
-            self._log.log_info('hint_not_sent', peer=peer, reason=str(error))
-
-    async def _receive(self, receiver: UDPSocket) -> None:
-        while True:
-            try:
-                datagram, _ = await receiver.receive()
-            except anyio.ClosedResourceError:
-                return
-            for hint in _decode_hints(datagram):
-                self._dispatch(hint)
+    def _receive(self, document: Any) -> None:
+        for hint in _decode_hints(document):
+            self._dispatch(hint)
 
     def _dispatch(self, hint: '_Hint') -> None:
         if hint.work_s:
@@ -193,11 +163,7 @@
     left_ms: int | None = None
 
 
-def _decode_hints(datagram: bytes) -> Iterator[_Hint]:
-    try:
-        rows = orjson.loads(datagram)
-    except orjson.JSONDecodeError:
-        return
+def _decode_hints(rows: Any) -> Iterator[_Hint]:
     if not isinstance(rows, list):
         return
     if rows and isinstance(rows[0], str):
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -6,6 +6,7 @@
 import anyio
 from attrs import define, field
 
+from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay import build_relay
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling import observations, placement
@@ -15,7 +16,12 @@
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import SenderDependencies
 from laurelwind.decisions import DecisionLog
-from laurelwind.errors import EndpointError, ErrorKind, RunState
+from laurelwind.errors import (
+    EndpointBrokenError,
+    EndpointError,
+    ErrorKind,
+    RunState,
+)
 from laurelwind.protocol.exchanges import (
     AnswerHead,
     CallerAnswer,
@@ -251,6 +257,7 @@
             local_daemon='d1', exposure_share=0.15, log=self.log
         )
         self.placement = Placement(zone='a')
+        self.screen = PartScreen(log=self.log)
         self.tracker = FakeTracker(build_routing_table())
         self.gateway = FakeGateway(scripts)
         self.retry_budget = FleetRetryBudget(
@@ -267,6 +274,7 @@
                 directory=self.directory,
                 rollouts=self.rollouts,
                 placement=self.placement,
+                screen=self.screen,
                 retry_budget=self.retry_budget,
                 gateway=self.gateway,
                 notify_work=ignore_hint,
@@ -287,4 +295,11 @@
 
 
 def build_broken_error(run=RunState.UNKNOWN):
-    return EndpointError(ErrorKind.ENDPOINT_FAILED, 'broken', run=run)
+    return EndpointBrokenError(ErrorKind.ENDPOINT_FAILED, 'broken', run=run)
+
+
+def build_invalid_error():
+    """Build the error of an answer that is no answer."""
+    return EndpointError(
+        ErrorKind.ANSWER_BROKEN, 'invalid', run=RunState.UNKNOWN
+    )
--- /dev/null
+++ b/tests/test_crash_evidence.py
@@ -0,0 +1,203 @@
+"""Which parts of prompts are blamed for crashes."""
+
+import itertools
+
+import pytest
+
+from laurelwind.state.blocked_parts import (
+    BLOCK_TTL_S,
+    MAX_BLOCKS,
+    Block,
+    BlockedParts,
+)
+from laurelwind.state.crash_evidence import (
+    MAX_ANSWERED_PARTS,
+    MAX_REPORTS,
+    REPORT_TTL_S,
+    CrashEvidence,
+)
+from laurelwind.state.crash_reports import CrashReport
+
+
+def keys(*names):
+    return frozenset(('pool', name) for name in names)
+
+
+class Crashes:
+    """Adds reports of attempts, each at an endpoint of its own."""
+
+    def __init__(self):
+        self.evidence = CrashEvidence()
+        self.numbers = itertools.count()
+
+    def add(self, at, *names, prompt=None, sent_at=None, endpoint=None):
+        number = next(self.numbers)
+        report = CrashReport(
+            attempt=str(number),
+            endpoint=endpoint or f'e{number}',
+            prompt=prompt or f'p{number}',
+            parts=keys(*names),
+            sent_at=at - 0.1 if sent_at is None else sent_at,
+            broke_at=at,
+        )
+        self.evidence.add(report)
+        return report
+
+    def blame(self, *blocked):
+        culprit = self.evidence.find_culprit(blocked)
+        return None if culprit is None else culprit.parts
+
+
+def test_the_part_that_three_failures_have_in_common_is_blamed():
+    crashes = Crashes()
+    for at in (1, 2):
+        crashes.add(at, 'deadly', f'x{at}')
+        assert crashes.blame() is None
+    crashes.add(3, 'deadly', 'x3')
+    assert crashes.blame() == keys('deadly')
+
+
+def test_repeats_of_one_prompt_blame_none_of_its_parts():
+    crashes = Crashes()
+    for at in range(5):
+        crashes.add(at, 'rare', prompt='same')
+    assert crashes.blame() is None
+
+
+@pytest.mark.parametrize('spread_s', [0, 0.2])
+def test_endpoints_that_fail_together_blame_no_part(spread_s):
+    crashes = Crashes()
+    for number in range(20):
+        crashes.add(5 + number * spread_s / 20, 'first')
+    assert crashes.blame() is None
+
+
+def test_one_endpoint_that_keeps_failing_blames_no_part():
+    crashes = Crashes()
+    for at in range(9):
+        crashes.add(at, 'rare', endpoint='e1')
+    assert crashes.blame() is None
+
+
+def test_an_answer_clears_what_was_sent_before_it():
+    crashes = Crashes()
+    for at in (1, 2, 3):
+        crashes.add(at, 'first', 'deadly')
+        crashes.evidence.record_answer(('pool', 'first'), at + 0.01)
+    assert crashes.blame() == keys('deadly')
+    # The part may turn deadly later.
+    for at in (4, 5, 6):
+        crashes.add(at, 'first')
+    assert crashes.blame(keys('deadly')) == keys('first')
+
+
+# Sound prompts share all other parts with those that crash endpoints.
+def test_parts_that_always_failed_together_are_blamed_together():
+    crashes = Crashes()
+    for at in (1, 2, 3):
+        report = crashes.add(at, 'own', 'deadly')
+    assert crashes.blame() == keys('own', 'deadly')
+    # One sound prompt on board of another crash proves nothing against its
+    # part, whose other failures are explained.
+    crashes.add(4, 'own')
+    assert crashes.blame(report.parts) is None
+
+
+def test_further_failures_tell_the_part_among_those_blamed_together():
+    crashes = Crashes()
+    for at in (1, 2, 3):
+        report = crashes.add(at, 'own', 'deadly')
+    crashes.add(4, 'x', 'deadly')
+    assert crashes.blame(report.parts) is None
+    crashes.add(5, 'y', 'deadly')
+    assert crashes.blame(report.parts) == keys('deadly')
+
+
+def test_two_deadly_parts_are_found_apart():
+    crashes = Crashes()
+    blocked = []
+    for at in range(1, 9):
+        name = 'even' if at % 2 == 0 else 'odd'
+        crashes.add(at, 'first', name, f'x{at}')
+        crashes.evidence.record_answer(('pool', 'first'), at + 0.01)
+        culprit = crashes.blame(*blocked)
+        if culprit:
+            blocked.append(culprit)
+    assert blocked == [keys('odd'), keys('even')]
+
+
+def test_services_are_told_apart():
+    crashes = Crashes()
+    for at, service in enumerate('aba', start=1):
+        report = CrashReport(
+            attempt=str(at),
+            endpoint=f'e{at}',
+            prompt=f'p{at}',
+            parts=frozenset({(service, 'part')}),
+            sent_at=at - 0.1,
+            broke_at=at,
+        )
+        crashes.evidence.add(report)
+    assert crashes.blame() is None
+
+
+def test_reports_are_bounded_and_the_recurring_part_is_kept():
+    crashes = Crashes()
+    for at in range(2):
+        crashes.add(at, 'deadly')
+    for number in range(2 * MAX_REPORTS):
+        crashes.add(10 + number / 100, f'rare{number}')
+    assert len(crashes.evidence.reports) <= MAX_REPORTS
+    crashes.add(30, 'deadly')
+    assert crashes.blame() == keys('deadly')
+    crashes.add(31 + REPORT_TTL_S, 'other')
+    assert len(crashes.evidence.reports) == 1
+
+
+def test_answered_parts_are_bounded():
+    evidence = CrashEvidence()
+    for number in range(MAX_ANSWERED_PARTS + 9):
+        evidence.record_answer(('pool', str(number)), number)
+    assert evidence.get_answered_at(('pool', '8')) == float('-inf')
+    assert evidence.get_answered_at(('pool', '9')) == 9
+
+
+def build_block(*names, since=1.0, seen_at=1.0):
+    return Block(parts=keys(*names), since=since, seen_at=seen_at)
+
+
+def test_a_block_rejects_only_prompts_with_all_its_parts():
+    blocked = BlockedParts()
+    assert blocked.add(build_block('own', 'deadly'))
+    assert blocked.find(keys('own'), 2) is None
+    assert blocked.find(keys('first', 'own', 'deadly'), 2) is not None
+
+
+def test_an_answer_narrows_a_block_to_the_other_parts():
+    blocked = BlockedParts()
+    blocked.add(build_block('own', 'deadly'))
+    assert not list(blocked.clear(('pool', 'own'), 0.5))
+    [(_, remaining)] = blocked.clear(('pool', 'own'), 1.5)
+    assert remaining == keys('deadly')
+    assert list(blocked.groups) == [keys('deadly')]
+    # A daemon that has not heard of the answer repeats the wider block.
+    assert not blocked.add(build_block('own', 'deadly'))
+    [(_, remaining)] = blocked.clear(('pool', 'deadly'), 1.5)
+    assert not remaining
+    assert not blocked.groups
+
+
+def test_a_block_lasts_while_requests_come_anywhere():
+    blocked = BlockedParts()
+    blocked.add(build_block('deadly'))
+    assert not blocked.add(build_block('deadly', seen_at=50))
+    block = blocked.find(keys('deadly'), 49 + BLOCK_TTL_S)
+    blocked.count_request(block, 49 + BLOCK_TTL_S)
+    assert blocked.list_all(48 + 2 * BLOCK_TTL_S)
+    assert not blocked.list_all(51 + 2 * BLOCK_TTL_S)
+
+
+def test_blocks_are_bounded():
+    blocked = BlockedParts()
+    added = [blocked.add(build_block(str(n))) for n in range(MAX_BLOCKS + 1)]
+    assert added.count(True) == MAX_BLOCKS
--- /dev/null
+++ b/tests/test_crash_gossip.py
@@ -0,0 +1,302 @@
+"""Notices of crashes reach all daemons of a large fleet."""
+
+import asyncio
+import random
+
+import anyio
+import orjson
+import pytest
+
+from laurelwind.coordination.crash_gossip import (
+    NEWS_FANOUT,
+    REPEAT_FANOUT,
+    CrashGossip,
+)
+from laurelwind.coordination.part_screen import PartScreen
+from laurelwind.protocol.crash_notices import (
+    MAX_DATAGRAM_BYTES,
+    decode_notices,
+    encode_notices,
+)
+from laurelwind.protocol.datagrams import DatagramChannel
+from laurelwind.protocol.exchanges import PromptPart
+from laurelwind.state.crash_reports import CrashReport
+from laurelwind.transport.peer_datagrams import PeerDatagrams
+from standins.addresses import find_free_addresses
+from tests.emulated_fleet import run_emulated
+from tests.helpers import wait_until
+from tests.relay_helpers import build_silent_log
+
+# Time within which the fleet must know, and the daemons of the largest fleet.
+CONTACT_S = 3.0
+FLEET_SIZE = 371
+# Daemons of a fleet that all report failures at once, which takes long to play.
+STORM_SIZE = 100
+DEADLY = (PromptPart(name='deadly', tokens=9), PromptPart(name='x', tokens=9))
+
+
+class LossyNetwork:
+    """Delivers datagrams after random delays, or not at all."""
+
+    def __init__(self, loss=0.1):
+        self.loss = loss
+        self.channels = {}
+        self.cut = set()
+        self.sent = 0
+        self.sent_bytes = 0
+
+    def deliver(self, sender, peer, datagram):
+        self.sent += 1
+        self.sent_bytes += len(datagram)
+        assert len(datagram) <= MAX_DATAGRAM_BYTES + 20
+        if {sender, peer} & self.cut or random.random() < self.loss:
+            return
+        asyncio.get_running_loop().call_later(
+            random.uniform(0.001, 0.02), self.receive, peer, datagram
+        )
+
+    def receive(self, peer, datagram):
+        channel = self.channels.get(peer)
+        if channel is not None:
+            channel.receive(datagram)
+
+
+class EmulatedChannel(DatagramChannel):
+    def __init__(self, network, name):
+        self._network = network
+        self._name = name
+        self._listeners = []
+        network.channels[name] = self
+
+    def add_listener(self, receive):
+        self._listeners.append(receive)
+
+    def receive(self, datagram):
+        document = orjson.loads(datagram)
+        for listener in self._listeners:
+            listener(document)
+
+    async def send(self, peer, datagram):
+        self._network.deliver(self._name, peer, datagram)
+
+
+class Fleet:
+    def __init__(self, size, loss=0.1):
+        self.network = LossyNetwork(loss)
+        self.names = [f'd{number}' for number in range(size)]
+        self.screens = {}
+
+    def start(self, group, name):
+        clock = asyncio.get_running_loop().time
+        screen = PartScreen(log=build_silent_log(), clock=clock)
+        gossip = CrashGossip(
+            screen=screen,
+            channel=EmulatedChannel(self.network, name),
+            list_peers=lambda: [peer for peer in self.names if peer != name],
+            clock=clock,
+        )
+        gossip.start(group)
+        self.screens[name] = screen
+
+    def start_all(self, group):
+        for name in self.names:
+            self.start(group, name)
+
+    async def crash(self, number, *parts):
+        """Report an attempt that lasted 0.2 s at a daemon of its own."""
+        now = asyncio.get_running_loop().time()
+        await anyio.sleep(0.2)
+        screen = self.screens[self.names[number % len(self.names)]]
+        screen.record_crash(
+            CrashReport(
+                attempt=f'a{number}',
+                endpoint=f'e{number}',
+                prompt=f'p{number}',
+                parts=frozenset(('pool', part) for part in parts),
+                sent_at=now,
+                broke_at=now + 0.2,
+            )
+        )
+
+    def count_blocking(self):
+        return sum(
+            screen.is_blocked('pool', DEADLY)
+            for screen in self.screens.values()
+        )
+
+
+@pytest.mark.parametrize('size', [2, 7, FLEET_SIZE])
+def test_three_failures_at_different_daemons_block_a_part_everywhere(
+    monkeypatch, size
+):
+    async def check():
+        fleet = Fleet(size)
+        async with anyio.create_task_group() as group:
+            fleet.start_all(group)
+            for number in range(3):
+                await fleet.crash(number, 'deadly', f'x{number}')
+            await anyio.sleep(CONTACT_S / 2)
+            assert fleet.count_blocking() == size
+            # Each daemon passes each notice on once, then repeats.
+            news = 5 * NEWS_FANOUT
+            repeats = REPEAT_FANOUT * (CONTACT_S + 1)
+            assert fleet.network.sent <= size * (news + repeats)
+            group.cancel_scope.cancel()
+
+    run_emulated(check, monkeypatch)
+
+
+def test_a_daemon_that_starts_or_was_cut_off_learns_of_blocks(monkeypatch):
+    async def check():
+        fleet = Fleet(FLEET_SIZE)
+        late, isolated = fleet.names[-2:]
+        fleet.network.cut = {isolated}
+        async with anyio.create_task_group() as group:
+            for name in fleet.names:
+                if name != late:
+                    fleet.start(group, name)
+            for number in range(3):
+                await fleet.crash(number, 'deadly')
+            await anyio.sleep(20)
+            assert fleet.count_blocking() == FLEET_SIZE - 2
+            fleet.network.cut = set()
+            fleet.start(group, late)
+            await anyio.sleep(CONTACT_S)
+            assert fleet.count_blocking() == FLEET_SIZE
+            group.cancel_scope.cancel()
+
+    run_emulated(check, monkeypatch)
+
+
+# A daemon that had just started blocked the part that all prompts begin with.
+def test_a_daemon_that_knows_no_answers_blocks_no_sound_part(monkeypatch):
+    async def check():
+        fleet = Fleet(7)
+        async with anyio.create_task_group() as group:
+            fleet.start_all(group)
+            fresh = fleet.screens[fleet.names[0]]
+            for number in range(1, 4):
+                await fleet.crash(number, 'first', f'x{number}')
+                for name in fleet.names[1:]:
+                    fleet.screens[name].record_answer('pool', build_sound())
+            await anyio.sleep(CONTACT_S)
+            assert not fresh.blocks
+            group.cancel_scope.cancel()
+
+    run_emulated(check, monkeypatch)
+
+
+def build_sound():
+    return PromptPart(name='first', tokens=9), PromptPart(name='y', tokens=9)
+
+
+def test_an_answer_at_one_daemon_lifts_a_block_everywhere(monkeypatch):
+    async def check():
+        fleet = Fleet(70)
+        async with anyio.create_task_group() as group:
+            fleet.start_all(group)
+            for number in range(3):
+                await fleet.crash(number, 'deadly')
+            await anyio.sleep(CONTACT_S)
+            assert fleet.count_blocking() == 70
+            fleet.screens['d9'].lift(frozenset({('pool', 'deadly')}))
+            await anyio.sleep(CONTACT_S)
+            assert fleet.count_blocking() == 0
+            await anyio.sleep(20)
+            assert fleet.count_blocking() == 0
+            group.cancel_scope.cancel()
+
+    run_emulated(check, monkeypatch)
+
+
+def test_a_fleet_with_nothing_to_tell_sends_nothing(monkeypatch):
+    async def check():
+        fleet = Fleet(30)
+        async with anyio.create_task_group() as group:
+            fleet.start_all(group)
+            await fleet.crash(0, 'part')
+            await anyio.sleep(20)
+            sent = fleet.network.sent
+            await anyio.sleep(60)
+            assert fleet.network.sent == sent
+            group.cancel_scope.cancel()
+
+    run_emulated(check, monkeypatch)
+
+
+def test_a_zone_that_fails_at_once_blocks_nothing_and_sends_little(monkeypatch):
+    async def check():
+        fleet = Fleet(STORM_SIZE)
+        async with anyio.create_task_group() as group:
+            fleet.start_all(group)
+            now = asyncio.get_running_loop().time()
+            for number in range(2 * STORM_SIZE):
+                fleet.screens[fleet.names[number // 2]].record_crash(
+                    CrashReport(
+                        attempt=f'a{number}',
+                        endpoint=f'e{number % 100}',
+                        prompt=f'p{number}',
+                        parts=frozenset(
+                            (('pool', 'first'), ('pool', f'x{number % 50}'))
+                        ),
+                        sent_at=now - random.uniform(0.01, 2),
+                        broke_at=now,
+                    )
+                )
+            await anyio.sleep(CONTACT_S)
+            assert not any(screen.blocks for screen in fleet.screens.values())
+            # A daemon sends at most eight datagrams to eight peers each 30 ms.
+            per_daemon_s = fleet.network.sent_bytes / STORM_SIZE / CONTACT_S
+            assert per_daemon_s < 1_000_000
+            group.cancel_scope.cancel()
+
+    run_emulated(check, monkeypatch)
+
+
+def test_malformed_notices_are_left_out():
+    good = ['answer', 'pool', 'part', 20]
+    rows = [
+        good,
+        ['answer', 'pool', 'part', -1],
+        ['answer', 'pool', 'part', 1e999],
+        ['answer', 'pool', 'x' * 99, 1],
+        ['block', 'pool', [], 1, 1],
+        ['block', 'pool', 'part', 1, 1],
+        ['report', 'pool', ['part'], ['a', 'e'], [1, 2]],
+        ['report', 'pool', ['part'], [1, 2, 3], [1, 2]],
+        ['other'],
+        [],
+        7,
+        None,
+    ]
+    for document in (rows, {'crashes': 7}, None, 'x'):
+        assert not list(decode_notices(document, 5))
+    [notice] = decode_notices({'crashes': rows}, 5)
+    assert notice.began_at == pytest.approx(4.98)
+    assert list(encode_notices([notice], 5)) == [
+        b'{"crashes":[["answer","pool","part",20]]}'
+    ]
+
+
+# Two tasks that sent at the same moment ended the daemon.
+@pytest.mark.anyio
+async def test_datagrams_may_be_sent_at_the_same_time():
+    addresses = find_free_addresses(2)
+    channels = [
+        PeerDatagrams(address=address, log=build_silent_log())
+        for address in addresses
+    ]
+    received = []
+    channels[1].add_listener(received.append)
+    async with anyio.create_task_group() as group:
+        for channel in channels:
+            await channel.start(group)
+        async with anyio.create_task_group() as senders:
+            for number in range(20):
+                senders.start_soon(
+                    channels[0].send, addresses[1], b'%d' % number
+                )
+        await wait_until(lambda: len(received) == 20)
+        for channel in channels:
+            await channel.close()
+        group.cancel_scope.cancel()
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -6,6 +6,7 @@
 import pytest
 
 from laurelwind.transport.hints import MIN_WORK_S, HintListener, WorkHints
+from laurelwind.transport.peer_datagrams import PeerDatagrams
 from standins.addresses import find_free_addresses
 from tests.helpers import wait_until
 from tests.relay_helpers import build_silent_log
@@ -16,9 +17,13 @@
 async def run_with_peers(check):
     addresses = find_free_addresses(2)
     received = []
+    channels = [
+        PeerDatagrams(address=address, log=build_silent_log())
+        for address in addresses
+    ]
     hints = [
         WorkHints(
-            address=address,
+            channel=channel,
             list_peers=lambda address=address: [
                 peer for peer in addresses if peer != address
             ],
@@ -33,16 +38,16 @@
                     (name, 'leaving', started_ms)
                 ),
             ),
-            log=build_silent_log(),
         )
-        for address in addresses
+        for address, channel in zip(addresses, channels, strict=True)
     ]
     async with anyio.create_task_group() as group:
-        for work_hints in hints:
-            await work_hints.start(group)
+        for channel, work_hints in zip(channels, hints, strict=True):
+            await channel.start(group)
+            work_hints.start(group)
         await check(hints, received, addresses)
-        for work_hints in hints:
-            await work_hints.close()
+        for channel in channels:
+            await channel.close()
         group.cancel_scope.cancel()
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -20,6 +20,7 @@
     EndpointScript,
     RelayHarness,
     build_broken_error,
+    build_invalid_error,
     build_request,
     build_routing_table,
 )
@@ -89,7 +90,7 @@
 
 async def test_attempts_are_limited_by_the_route():
     harness = RelayHarness(
-        *(EndpointScript(head=build_broken_error()) for _ in range(4))
+        *(EndpointScript(head=build_invalid_error()) for _ in range(4))
     )
     with pytest.raises(EndpointError):
         await harness.serve(build_request('look'))
@@ -105,7 +106,7 @@
 
 async def test_an_endpoint_that_failed_is_not_retried():
     harness = RelayHarness(
-        *(EndpointScript(head=build_broken_error()) for _ in range(3))
+        *(EndpointScript(head=build_invalid_error()) for _ in range(3))
     )
     with pytest.raises(EndpointError):
         await harness.serve(build_request('look'))
