Count slow answers of a version under trial before they end

Cause: only answers that had ended counted, and slow ones end last; answers of few events counted as not slow, silent attempts as nothing, and the limit of five times the old median lies in the middle of the slow version's latencies.

Ruled out: a delay of the reports; each daemon had the counts a second later.

Now a stream counts after 16 events, an answer under way once it is overdue, and the limit is 2.5 times the median while both versions serve. rollout_status and version_rejected name the counts that decided.

In test_relay.py one assertion reads the latency where it is now.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from laurelwind.coordination.answer_heads import HeadReader, check_head
+from laurelwind.coordination.attempt_timing import AttemptTimings
 from laurelwind.coordination.endpoint_notices import EndpointNotices
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.part_screen import PartScreen
@@ -76,6 +77,7 @@
 
     def __init__(self, *, dependencies: DeliveryDependencies) -> None:
         self._dependencies = dependencies
+        self._timings = AttemptTimings(rollouts=dependencies.rollouts)
         self._heads = HeadReader(
             placement=dependencies.placement, monitor=dependencies.monitor
         )
@@ -93,6 +95,12 @@
             model.
         """
         answer.endpoint = attempt.endpoint.name
+        with self._timings.track(job, attempt):
+            return await self._deliver(job, attempt, answer)
+
+    async def _deliver(
+        self, job: Job, attempt: Attempt, answer: CallerAnswer
+    ) -> bool:
         head = await self._heads.read(job, attempt)
         self._dependencies.notices.apply(attempt.endpoint, head)
         check_head(head)
@@ -119,7 +127,7 @@
                 route=job.route.name,
                 comparison_group=attempt.model,
                 failed=failed,
-                unit_latency_s=attempt.unit_latency_s,
+                latency=self._timings.take_latency(attempt),
             ),
         )
         if not failed:
@@ -191,6 +199,7 @@
         self._dependencies.placement.record_event_latency(
             attempt.endpoint, attempt.record_events(count)
         )
+        self._timings.record_events(job, attempt)
 
     def _check_confidence(
         self, job: Job, attempt: Attempt, head: AnswerHead
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -21,8 +21,6 @@
 # Prefill time, in seconds, above which a prompt noticeably delays the other
 # answers of its batch.
 LONG_PREFILL_S: Final = 0.5
-# Minimum number of events for the latency of a stream to be comparable.
-MIN_LATENCY_EVENTS: Final = 8
 _LOWEST_PRIORITY: Final = 9
 _MS_PER_S: Final = 1000
 
@@ -228,6 +226,7 @@
     :ivar first_byte_at: moment of the first byte, or zero before it.
     :ivar last_event_at: moment of the last event, or zero before it.
     :ivar events: number of events received.
+    :ivar is_timed: whether its latency counts for or against its version.
     """
 
     endpoint: EndpointRecord
@@ -239,6 +238,7 @@
     first_byte_at: float = 0
     last_event_at: float = 0
     events: int = 0
+    is_timed: bool = False
 
     @property
     def elapsed_s(self) -> float:
@@ -264,17 +264,3 @@
         self.last_event_at = now
         self.events += count
         return unit_latency_s
-
-    @property
-    def unit_latency_s(self) -> float | None:
-        """Seconds per event, or in total for a plain answer.
-
-        ``None`` for a short stream: its latency depends more on the other
-        prompts of the batch than on the version.
-        """
-        now = read_monotonic_clock()
-        if not self.events:
-            return now - self.sent_at
-        if self.events < MIN_LATENCY_EVENTS:
-            return None
-        return (now - self.first_byte_at) / (self.events - 1)
--- a/laurelwind/coordination/rollouts/progress.py
+++ b/laurelwind/coordination/rollouts/progress.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 from typing import Final
 
-from attrs import define, field
+from attrs import asdict, define, field
 
 from laurelwind.coordination.rollouts.evidence import (
     should_accept,
@@ -159,6 +159,11 @@
         """
         self.shift_at_s = shift.shift_at_s
 
+    def describe_evidence(self) -> dict[str, Mapping[str, int]]:
+        """Return the pooled counts of both versions, for logs."""
+        tally = self._pooled_tallies.get(ALL_ROUTES, Tally())
+        return {'counts': asdict(tally), 'old': asdict(self._pooled_old_tally)}
+
     def find_rejected_route(self) -> tuple[str, Tally] | None:
         """Return the route whose answers reject the version, and its counts."""
         for route, tally in self._pooled_tallies.items():
@@ -249,7 +254,7 @@
             return True
         since_report_s = self.clock() - self._reported_at
         if (
-            local_tally.answers > self._reported_tally.answers
+            local_tally.has_more(self._reported_tally)
             and since_report_s > REPORT_DELAY_S
             and not self.is_accepted
         ):
--- a/laurelwind/coordination/rollouts/registry.py
+++ b/laurelwind/coordination/rollouts/registry.py
@@ -3,10 +3,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from typing import Final
 
-from laurelwind.coordination.rollouts.evidence import (
-    AnswerOutcome,
-    LatencyBaselines,
-)
+from laurelwind.coordination.rollouts.answer_records import AnswerRecorder
 from laurelwind.coordination.rollouts.lost_decisions import LostDecisions
 from laurelwind.coordination.rollouts.progress import RolloutProgress
 from laurelwind.coordination.rollouts.ranks import compute_rank_delay
@@ -23,7 +20,6 @@
     RolloutShift,
     RolloutState,
     RolloutStatus,
-    Tally,
 )
 from laurelwind.state.routes import hash_fraction
 
@@ -32,7 +28,7 @@
 CANARY_EXPOSURE_FACTOR: Final = 1.0
 
 
-class RolloutRegistry:
+class RolloutRegistry(AnswerRecorder):
     """Holds the state of every roll-out, by service.
 
     :param local_daemon: name of the local daemon.
@@ -50,18 +46,13 @@
         log: DecisionLog,
         clock: Callable[[], float] = read_monotonic_clock,
     ) -> None:
+        super().__init__(log=log, clock=clock)
         self._local_daemon = local_daemon
         self._canary_share = exposure_share * CANARY_EXPOSURE_FACTOR
-        self._log = log
-        self._clock = clock
-        self._rollouts: dict[str, RolloutProgress] = {}
         self._statuses: dict[str, RolloutStatus] = {}
         self._shifts: dict[str, RolloutShift] = {}
-        self._rejected_versions: dict[str, set[str]] = {}
-        self._baselines = LatencyBaselines()
         self._statuses_read_at = self._clock()
         self._lost = LostDecisions(rollouts=self._rollouts, clock=clock)
-        self._listeners: list[Callable[[], None]] = []
 
     @property
     def has_unsettled(self) -> bool:
@@ -79,13 +70,6 @@
             rollout.is_target_in_use for rollout in self._rollouts.values()
         )
 
-    def add_listener(self, listener: Callable[[], None]) -> None:
-        """Register a callback for rejections of a version.
-
-        :param listener: called as soon as a version is rejected.
-        """
-        self._listeners.append(listener)
-
     def record_read(self, age_s: float = 0) -> None:
         """Record a complete read of the statuses and reports.
 
@@ -140,7 +124,10 @@
             return
         if rollout.state is not status.state:
             self._log.log_warning(
-                'rollout_status', service=service, state=status.state
+                'rollout_status',
+                service=service,
+                state=status.state,
+                **rollout.describe_evidence(),
             )
         rollout.state = status.state
         self._lost.discard_status(service)
@@ -210,35 +197,6 @@
             return target_endpoints
         return exclude_versions(old_endpoints, rejected) or target_endpoints
 
-    def record_outcome(
-        self, endpoint: EndpointRecord, outcome: AnswerOutcome
-    ) -> None:
-        """Count one answer.
-
-        :param endpoint: the endpoint that answered.
-        :param outcome: outcome of the answer.
-        """
-        rollout = self._rollouts.get(endpoint.service)
-        is_target_version = (
-            rollout is not None and endpoint.version == rollout.order.target
-        )
-        if not is_target_version:
-            self._baselines.record(endpoint.service, outcome)
-        if rollout is None or not rollout.is_undecided:
-            return
-        is_slow = self._baselines.is_slow(endpoint.service, outcome)
-        tally = Tally(
-            answers=1,
-            failures=int(outcome.failed),
-            slow=int(is_slow and not outcome.failed),
-        )
-        if not is_target_version:
-            rollout.record_old_answer(tally)
-            return
-        rollout.record_answer(outcome.route, tally)
-        if tally.bad_answers:
-            self._evaluate(endpoint.service, rollout)
-
     def collect_due_reports(
         self, rank: int
     ) -> Iterator[tuple[str, RolloutReport]]:
@@ -291,27 +249,3 @@
             and known.state is not RolloutState.ACTIVE
             and status.state is RolloutState.ACTIVE
         )
-
-    def _evaluate(self, service: str, rollout: RolloutProgress) -> None:
-        rejected = (
-            rollout.find_rejected_route() if rollout.is_undecided else None
-        )
-        if rejected is None:
-            return
-        route, tally = rejected
-        rollout.reject()
-        self._rejected_versions.setdefault(service, set()).add(
-            rollout.order.target
-        )
-        self._log.log_warning(
-            'version_rejected',
-            service=service,
-            target=rollout.order.target,
-            route=route,
-            answers=tally.answers,
-            failures=tally.failures,
-            slow=tally.slow,
-            elapsed_s=round(rollout.elapsed_s, 2),
-        )
-        for listener in self._listeners:
-            listener()
--- a/laurelwind/platform/documents.py
+++ b/laurelwind/platform/documents.py
@@ -181,11 +181,13 @@
         answers=parse_count(row[0]),
         failures=parse_count(row[1]),
         slow=parse_count(row[2]),
+        # Earlier releases count slow answers among all answers.
+        timed=parse_count(row[3] if len(row) > 3 else row[0]),
     )
 
 
-def _list_counts(tally: Tally) -> tuple[int, int, int]:
-    return tally.answers, tally.failures, tally.slow
+def _list_counts(tally: Tally) -> tuple[int, int, int, int]:
+    return tally.answers, tally.failures, tally.slow, tally.timed
 
 
 def _parse_state(field: Any) -> str:
--- a/laurelwind/state/rollouts.py
+++ b/laurelwind/state/rollouts.py
@@ -46,19 +46,28 @@
 
     :ivar answers: number of answers evaluated.
     :ivar failures: number of answers that failed or were cut off.
-    :ivar slow: number of answers far slower than the baseline latency of the
-        version in use.
+    :ivar slow: number of answers far slower than those of the version in use.
+    :ivar timed: number of answers whose latency was compared, also while they
+        were under way.
     """
 
     answers: int = 0
     failures: int = 0
     slow: int = 0
+    timed: int = 0
 
     @property
     def bad_answers(self) -> int:
         """Number of answers that count against the version."""
         return self.failures + self.slow
 
+    def has_more(self, other: 'Tally') -> bool:
+        """Return whether the tally counts more than an earlier one.
+
+        :param other: the earlier tally.
+        """
+        return (self.answers, self.timed) > (other.answers, other.timed)
+
     def add(self, other: 'Tally') -> 'Tally':
         """Return the sum of two tallies.
 
@@ -68,6 +77,7 @@
             answers=self.answers + other.answers,
             failures=self.failures + other.failures,
             slow=self.slow + other.slow,
+            timed=self.timed + other.timed,
         )
 
     def subtract(self, other: 'Tally') -> 'Tally':
@@ -79,6 +89,7 @@
             answers=self.answers - other.answers,
             failures=self.failures - other.failures,
             slow=self.slow - other.slow,
+            timed=self.timed - other.timed,
         )
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -307,7 +307,7 @@
         lambda _, outcome: outcomes.append(outcome),
     )
     await harness.serve(build_request('draft'))
-    assert (outcomes[0].unit_latency_s is not None) == has_latency
+    assert (outcomes[0].latency.unit_s is not None) == has_latency
 
 
 async def test_an_endpoint_that_answers_with_failures_is_avoided():
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -9,6 +9,7 @@
     should_accept,
     should_reject,
 )
+from laurelwind.coordination.rollouts.latencies import Latency
 from laurelwind.coordination.rollouts.progress import SHIFT_NOTICE_S
 from laurelwind.coordination.rollouts.ranks import compute_rank_delay
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
@@ -86,7 +87,7 @@
             AnswerOutcome(
                 route='draft',
                 failed=failed,
-                unit_latency_s=unit_latency_s,
+                latency=Latency(unit_s=unit_latency_s),
             ),
         )
 
