Bound endless answers and broken attempts of the chat interface

Callers would see: an engine or a service in trouble that sends without end fills the memory of the daemon, and a chat request that crashes its engine is sent to four of them for each version of its plan.

--- a/laurelwind/coordination/attempts.py
+++ b/laurelwind/coordination/attempts.py
@@ -13,10 +13,12 @@
 from laurelwind.coordination.engine_silence import EngineSilenceMonitor
 from laurelwind.coordination.follower import ConfigurationFollower
 from laurelwind.coordination.retries import RetryBudget, sleep_before_retry
+from laurelwind.coordination.retry_limits import MAX_BROKEN_ATTEMPTS
 from laurelwind.coordination.routing import EndpointRequirements, Router, Slot
 from laurelwind.errors import (
     CallerError,
     CapacityError,
+    EndpointBrokenError,
     EndpointError,
     EndpointSilentError,
     ErrorKind,
@@ -74,12 +76,20 @@
     :ivar reference: ``model@version`` of the current step.
     :ivar progress: progress of the answer of that version.
     :ivar run_state: whether the request reached an endpoint, if known.
+    :ivar broken_attempts: number of attempts, at any version, whose connection
+        broke before the answer began.
     """
 
     request: ChatRequest
     reference: str = ''
     progress: AnswerProgress = field(factory=AnswerProgress)
     run_state: RunState = RunState.NOT_RUN
+    broken_attempts: int = 0
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the request itself is the likely cause of its failures."""
+        return self.broken_attempts >= MAX_BROKEN_ATTEMPTS
 
 
 @define(kw_only=True)
@@ -143,6 +153,12 @@
         :param emit: called with the events, in order and without gaps.
         :raises LaurelwindError: when no attempt completed the answer.
         """
+        if fetch_state.is_suspect:
+            raise EndpointError(
+                ErrorKind.ENDPOINT_FAILED,
+                'no further attempt: the connection broke in '
+                f'{MAX_BROKEN_ATTEMPTS} attempts before the answer began',
+            )
         with contextlib.ExitStack() as reservation:
             fetch = _Fetch(
                 fetch_state=fetch_state, emit=emit, reservation=reservation
@@ -150,7 +166,7 @@
             while error := await self._run_attempt(fetch):
                 if fetch.reserved_slot is not None:
                     continue
-                if not self._may_retry(fetch.attempts):
+                if not self._may_retry(fetch):
                     raise error
                 await sleep_before_retry(fetch.attempts)
         return fetch_state.progress
@@ -183,6 +199,9 @@
         except EndpointError as error:
             slot.load.record_failure(read_monotonic_clock())
             fetch.failed_addresses |= {address}
+            has_begun = fetch.fetch_state.progress.last_part != NO_PART
+            if isinstance(error, EndpointBrokenError) and not has_begun:
+                fetch.fetch_state.broken_attempts += 1
             return error
         slot.load.record_success()
         return None
@@ -310,8 +329,10 @@
             fetch.reservation.push(slots.pop_all())
         return True
 
-    def _may_retry(self, attempt: int) -> bool:
-        return attempt < _MAX_ATTEMPTS and self._dependencies.budget.try_spend()
+    def _may_retry(self, fetch: _Fetch) -> bool:
+        if fetch.fetch_state.is_suspect or fetch.attempts >= _MAX_ATTEMPTS:
+            return False
+        return self._dependencies.budget.try_spend()
 
 
 @contextlib.contextmanager
--- a/laurelwind/transport/service_client.py
+++ b/laurelwind/transport/service_client.py
@@ -17,6 +17,8 @@
 from laurelwind.transport.pools import EndpointPools
 
 _CONNECT_TIMEOUT_S: Final = 0.5
+# Longest answer, in bytes; it is buffered as a whole and recorded.
+MAX_ANSWER_BYTES: Final = 4_194_304
 _FORWARDED_HEADERS: Final = frozenset(('content-type', 'location', 'etag'))
 _NOT_SENT_FAILURES: Final = (
     httpcore.ConnectError,
@@ -47,24 +49,25 @@
     async def call(self, call: ServiceCall) -> ServiceAnswer:
         """Call a service once; see :class:`ServiceClient`."""
         try:
-            answer = await self._send(call)
+            answer, body = await self._send(call)
         except _NOT_SENT_FAILURES as error:
             raise _build_call_error(error, RunState.NOT_RUN) from error
         except _POSSIBLY_SENT_FAILURES as error:
             self._pools.retire(call.address)
             raise _build_call_error(error, RunState.UNKNOWN) from error
-        return _read_answer(answer, call)
+        return _read_answer(answer, body, call)
 
-    async def _send(self, call: ServiceCall) -> httpcore.Response:
+    async def _send(self, call: ServiceCall) -> tuple[httpcore.Response, bytes]:
         with self._pools.borrow(call.address) as pool:
             with anyio.fail_after(call.timeout_s):
-                return await pool.request(
+                async with pool.stream(
                     call.method,
                     f'http://{call.address}{call.path}',
                     headers=self._build_headers(call),
                     content=call.body,
                     extensions={'timeout': _build_timeouts(call)},
-                )
+                ) as answer:
+                    return answer, await _read_body(answer)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -95,8 +98,22 @@
     }
 
 
+async def _read_body(answer: httpcore.Response) -> bytes:
+    body = bytearray()
+    async for chunk in answer.aiter_stream():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            raise EndpointError(
+                ErrorKind.ANSWER_BROKEN,
+                f'the answer is longer than {MAX_ANSWER_BYTES} bytes',
+                run=RunState.UNKNOWN,
+            )
+    return bytes(body)
+
+
 def _read_answer(
     answer: httpcore.Response,
+    body: bytes,
     call: ServiceCall,
 ) -> ServiceAnswer:
     headers = {
@@ -117,7 +134,7 @@
     return ServiceAnswer(
         status=answer.status,
         headers=forwarded_headers,
-        body=answer.content,
+        body=body,
     )
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -36,6 +36,8 @@
         string for the requested one.
     :ivar faulty_answers: number of answers still to be affected by
         ``cut_after``, ``silent_after`` or ``cross_after``.
+    :ivar crash_prompt: text whose prompts break the connection before the first
+        part, or an empty string.
     :ivar pass_rates: share of good answers by version, from 0 to 1.
     """
 
@@ -47,6 +49,7 @@
     cross_after: int = -1
     wrong_version: str = ''
     faulty_answers: int = _UNLIMITED
+    crash_prompt: str = ''
     pass_rates: dict[str, float] = attrs.field(factory=dict)
 
 
@@ -57,6 +60,8 @@
     :ivar reference: the model version that answers.
     :ivar part_texts: texts of all parts, including those already received.
     :ivar first_number: number of the first part to send.
+    :ivar is_faulty: whether the faults by number of a part apply.
+    :ivar is_deadly: whether the connection breaks before the first part.
     """
 
     request_id: str
@@ -65,6 +70,7 @@
     first_number: int
     prompt_tokens: int
     is_faulty: bool
+    is_deadly: bool
 
     def list_remaining_parts(self) -> list[tuple[int, str]]:
         """List the numbers and texts of the parts to send."""
@@ -151,6 +157,8 @@
             first_number=int(last_id.rpartition('/')[2]) + 1 if last_id else 0,
             prompt_tokens=len(prompt) // _CHARACTERS_PER_TOKEN + 1,
             is_faulty=is_faulty,
+            is_deadly=bool(self.switches.crash_prompt)
+            and self.switches.crash_prompt in prompt,
         )
 
     def _is_fault_enabled(self) -> bool:
@@ -167,6 +175,10 @@
     async def _generate(self, answer: _Answer) -> AsyncIterator[bytes]:
         self.in_flight += 1
         try:
+            if answer.is_deadly:
+                raise ConnectionAbortedError(
+                    'connection cut by the crash_prompt switch'
+                )
             await anyio.sleep(
                 self.switches.first_part_s * self._slowdown_factor
             )
