Blame no prompt for an endpoint that is down

Callers would see: while all endpoints of a service are down behind proxies that accept connections and break them, each part that several requests hold is blocked, and sound prompts are rejected for ten minutes.

An endpoint crashes once in its lifetime, and a service that answers nobody says nothing about a prompt.

Now an attempt counts only if it broke together with the first connection to its endpoint, unless an event came from there since; daemons tell each other of the first one. A group is blocked only if its service answered others meanwhile.

Tests: test_endpoints_that_are_down_blame_no_part and test_a_service_that_answers_nothing_blames_no_part; the scenario, with prompts that crash endpoints, bytes without end and answers without length, is played in every test run.

--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -17,6 +17,7 @@
 from laurelwind.state.blocked_parts import Block, BlockedParts
 from laurelwind.state.crash_evidence import CrashEvidence
 from laurelwind.state.crash_reports import CrashReport, PartKey, PartKeys
+from laurelwind.state.endpoint_breaks import EndpointBreak
 from laurelwind.state.load import read_monotonic_clock
 
 # Seconds for which notices are repeated to peers.
@@ -77,6 +78,14 @@
             self._blocked.count_request(block, self._clock())
         return block is not None
 
+    def record_break(self, broken: EndpointBreak) -> None:
+        """Record a connection that broke, whatever was sent on it.
+
+        :param broken: the connection.
+        """
+        if self._evidence.record_break(broken):
+            self._add_news(broken)
+
     def record_crash(self, report: CrashReport) -> None:
         """Record an attempt that broke before its answer began.
 
@@ -119,6 +128,7 @@
         :param parts: parts of the prompt.
         """
         now = self._clock()
+        self._evidence.record_service_answer(service, now)
         for part in build_part_keys(service, parts):
             self._apply_answer(PartAnswer(part=part, began_at=now))
 
@@ -141,6 +151,8 @@
         for notice in notices:
             if isinstance(notice, CrashReport):
                 self.record_crash(notice)
+            elif isinstance(notice, EndpointBreak):
+                self.record_break(notice)
             elif isinstance(notice, PartAnswer):
                 self._apply_answer(notice)
             else:
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 import anyio
-from attrs import frozen
+from attrs import asdict, frozen
 
 from laurelwind.coordination.admission import (
     Admission,
@@ -36,6 +36,7 @@
 from laurelwind.protocol.exchanges import CallerAnswer, RelayRequest
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.state.crash_reports import CrashReport
+from laurelwind.state.endpoint_breaks import EndpointBreak
 from laurelwind.state.load import read_monotonic_clock
 
 # Parts of a prompt in one log line.
@@ -218,9 +219,8 @@
         backoff_s: float = 0
         if error.run is not RunState.NOT_RUN:
             job.may_have_run = True
-            if isinstance(error, EndpointBrokenError) and not job.events:
-                job.broken_attempts += 1
-                self._report_crash(job, attempt)
+            if isinstance(error, EndpointBrokenError):
+                self._report_break(job, attempt)
             obstacle = dependencies.sender.selector.find_obstacle(
                 job, attempt.endpoint
             )
@@ -255,22 +255,30 @@
             elapsed_ms=job.elapsed_ms,
         )
 
-    def _report_crash(self, job: Job, attempt: Attempt) -> None:
+    def _report_break(self, job: Job, attempt: Attempt) -> None:
+        dependencies = self._dependencies
         request = job.request
         endpoint = attempt.endpoint
-        parts = build_part_keys(job.service, request.parts)
-        if not parts:
+        broken = EndpointBreak(
+            endpoint=limit_name(f'{endpoint.started_ms}/{endpoint.name}'),
+            broke_at=read_monotonic_clock(),
+            alive_at=dependencies.placement.get_last_event_time(endpoint),
+        )
+        dependencies.screen.record_break(broken)
+        if job.events:
             return
-        self._dependencies.screen.record_crash(
-            CrashReport(
-                attempt=limit_name(f'{job.attempts}/{request.request_id}'),
-                endpoint=limit_name(f'{endpoint.started_ms}/{endpoint.name}'),
-                prompt=limit_name(request.parts[-1].name),
-                parts=parts,
-                sent_at=attempt.sent_at,
-                broke_at=read_monotonic_clock(),
+        job.broken_attempts += 1
+        parts = build_part_keys(job.service, request.parts)
+        if parts:
+            dependencies.screen.record_crash(
+                CrashReport(
+                    attempt=limit_name(f'{job.attempts}/{request.request_id}'),
+                    prompt=limit_name(request.parts[-1].name),
+                    parts=parts,
+                    sent_at=attempt.sent_at,
+                    **asdict(broken),
+                )
             )
-        )
 
     def _ensure_retry_possible(
         self, job: Job, error: EndpointError, answer: CallerAnswer
--- a/laurelwind/coordination/scheduling/endpoint_states.py
+++ b/laurelwind/coordination/scheduling/endpoint_states.py
@@ -40,6 +40,7 @@
     :ivar report: last reported load, as of ``reported_at``.
     :ivar in_flight_at_report: value of ``in_flight`` at ``reported_at``.
     :ivar unit_latency_s: seconds per event, as of ``unit_latency_at``.
+    :ivar last_event_at: moment of the last event, or minus infinity.
     :ivar failures: consecutive failures since the last success.
     :ivar backoff_until: end of the backoff.
     :ivar silent_requests: this daemon's requests that wait for the endpoint
@@ -60,6 +61,7 @@
     in_flight_at_report: int = 0
     unit_latency_s: float = 0
     unit_latency_at: float = 0
+    last_event_at: float = float('-inf')
     failures: int = 0
     backoff_until: float = 0
     silent_requests: int = 0
--- a/laurelwind/coordination/scheduling/observations.py
+++ b/laurelwind/coordination/scheduling/observations.py
@@ -84,10 +84,17 @@
         :param endpoint: the endpoint.
         :param unit_latency_s: seconds per event, or ``None`` for the first one.
         """
+        state = self._get_state(endpoint)
+        state.last_event_at = read_monotonic_clock()
         if unit_latency_s is not None:
-            self._get_state(endpoint).record_unit_latency(
-                unit_latency_s, read_monotonic_clock()
-            )
+            state.record_unit_latency(unit_latency_s, state.last_event_at)
+
+    def get_last_event_time(self, endpoint: EndpointRecord) -> float:
+        """Return the moment of the last event, or minus infinity.
+
+        :param endpoint: the endpoint.
+        """
+        return self._get_state(endpoint).last_event_at
 
     def record_report(
         self, endpoint: EndpointRecord, report: LoadReport
--- a/laurelwind/protocol/crash_notices.py
+++ b/laurelwind/protocol/crash_notices.py
@@ -10,10 +10,11 @@
 from typing import Any, Final
 
 import orjson
-from attrs import frozen
+from attrs import asdict, frozen
 
 from laurelwind.state.blocked_parts import Block
 from laurelwind.state.crash_reports import CrashReport, PartKey, PartKeys
+from laurelwind.state.endpoint_breaks import EndpointBreak
 
 # Size of a datagram in bytes; it stays within the smallest MTU.
 MAX_DATAGRAM_BYTES: Final = 1200
@@ -26,6 +27,9 @@
 _REPORT: Final = 'report'
 _ANSWER: Final = 'answer'
 _BLOCK: Final = 'block'
+_BREAK: Final = 'break'
+# Age of a moment that never was.
+_NEVER_MS: Final = -1
 _MS_PER_S: Final = 1000
 
 
@@ -41,7 +45,7 @@
     began_at: float
 
 
-CrashNotice = CrashReport | PartAnswer | Block
+CrashNotice = CrashReport | EndpointBreak | PartAnswer | Block
 
 
 def limit_name(name: str) -> str:
@@ -93,6 +97,13 @@
 def _encode_row(notice: CrashNotice, now: float) -> list[Any]:
     if isinstance(notice, PartAnswer):
         return [_ANSWER, *notice.part, _encode_age(notice.began_at, now)]
+    if isinstance(notice, EndpointBreak):
+        return [
+            _BREAK,
+            notice.endpoint,
+            _encode_age(notice.broke_at, now),
+            _encode_age(notice.alive_at, now),
+        ]
     if isinstance(notice, Block):
         return [
             _BLOCK,
@@ -107,6 +118,7 @@
         (
             _encode_age(notice.sent_at, now),
             _encode_age(notice.broke_at, now),
+            _encode_age(notice.alive_at, now),
         ),
     ]
 
@@ -119,14 +131,22 @@
 def _decode_report(fields: list[Any], now: float) -> CrashReport:
     service, names, identifiers, ages = fields
     attempt, endpoint, prompt = map(_decode_name, identifiers)
-    sent_at, broke_at = (_decode_age(age_ms, now) for age_ms in ages)
+    sent_ms, *break_ages = ages
     return CrashReport(
         attempt=attempt,
-        endpoint=endpoint,
         prompt=prompt,
         parts=_decode_parts(service, names),
-        sent_at=sent_at,
-        broke_at=broke_at,
+        sent_at=_decode_age(sent_ms, now),
+        **asdict(_decode_break([endpoint, *break_ages], now)),
+    )
+
+
+def _decode_break(fields: list[Any], now: float) -> EndpointBreak:
+    endpoint, broke_ms, alive_ms = fields
+    return EndpointBreak(
+        endpoint=_decode_name(endpoint),
+        broke_at=_decode_age(broke_ms, now),
+        alive_at=_decode_last_age(alive_ms, now),
     )
 
 
@@ -161,6 +181,8 @@
 
 
 def _encode_age(moment: float, now: float) -> int:
+    if moment == float('-inf'):
+        return _NEVER_MS
     return max(round((now - moment) * _MS_PER_S), 0)
 
 
@@ -171,6 +193,12 @@
     return now - age_s
 
 
+def _decode_last_age(age_ms: Any, now: float) -> float:
+    if age_ms == _NEVER_MS:
+        return float('-inf')
+    return _decode_age(age_ms, now)
+
+
 def _decode_name(name: Any) -> str:
     if not isinstance(name, str) or len(name) > MAX_NAME_LENGTH:
         raise ValueError
@@ -179,5 +207,10 @@
 
 _Decoder = Callable[[list[Any], float], CrashNotice]
 _DECODERS: Final[Mapping[str, _Decoder]] = MappingProxyType(
-    {_REPORT: _decode_report, _ANSWER: _decode_answer, _BLOCK: _decode_block}
+    {
+        _REPORT: _decode_report,
+        _ANSWER: _decode_answer,
+        _BLOCK: _decode_block,
+        _BREAK: _decode_break,
+    }
 )
--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -19,6 +19,7 @@
     PartKeys,
     find_series,
 )
+from laurelwind.state.endpoint_breaks import EndpointBreak, EndpointBreaks
 
 # Failures, and different prompts among them, that blame a part.  The repeats of
 # one prompt are one piece of evidence against each of its parts.
@@ -63,6 +64,8 @@
     def __init__(self) -> None:
         self._reports: dict[str, CrashReport] = {}
         self._known_attempts: dict[str, None] = {}
+        self._breaks = EndpointBreaks()
+        self._answered_services: dict[str, float] = {}
         # Moments of the last answers, the latest at the end.
         self._answered: dict[PartKey, float] = {}
 
@@ -78,6 +81,7 @@
         """
         if report.attempt in self._known_attempts:
             return False
+        self.record_break(report.broken)
         if not self.list_suspects(report):
             return False
         self._known_attempts[report.attempt] = None
@@ -87,6 +91,21 @@
         self._expire(report.broke_at)
         return True
 
+    def record_break(self, broken: EndpointBreak) -> bool:
+        """Record a broken connection; return whether it begins an outage.
+
+        :param broken: the connection.
+        """
+        return self._breaks.record(broken)
+
+    def record_service_answer(self, service: str, began_at: float) -> None:
+        """Record that a service answers, whatever the prompt.
+
+        :param service: name of the service.
+        :param began_at: moment at which an answer began.
+        """
+        self._answered_services[service] = began_at
+
     def record_answer(self, part: PartKey, began_at: float) -> bool:
         """Record an answer that began; return whether it clears any report.
 
@@ -133,7 +152,8 @@
         unexplained = [
             (report, self.list_suspects(report))
             for report in self._reports.values()
-            if not any(group <= report.parts for group in blocked)
+            if self._breaks.is_crash(report.endpoint, report.broke_at)
+            and not any(group <= report.parts for group in blocked)
         ]
         for parts in _list_remainders(blocked, unexplained):
             culprit = _build_culprit(
@@ -143,8 +163,19 @@
                 min_prompts=1,
             )
             if culprit is not None:
-                return culprit
-        return _find_common_cause(unexplained)
+                return self._confirm(culprit)
+        return self._confirm(_find_common_cause(unexplained))
+
+    def _confirm(self, culprit: Culprit | None) -> Culprit | None:
+        """Return a culprit whose service has answered others meanwhile.
+
+        Where nothing is answered, the failures have another cause.
+        """
+        if culprit is None:
+            return None
+        service = next(service for service, _ in culprit.parts)
+        answered_at = self._answered_services.get(service, float('-inf'))
+        return culprit if answered_at > culprit.since else None
 
     def _expire(self, now: float) -> None:
         outdated = [
--- a/laurelwind/state/crash_reports.py
+++ b/laurelwind/state/crash_reports.py
@@ -6,6 +6,8 @@
 
 from attrs import frozen
 
+from laurelwind.state.endpoint_breaks import EndpointBreak
+
 # Shortest time, in seconds, from the first to the last of the failures that
 # blame a part.  Endpoints that fail together, as a zone loses power, are
 # reported at slightly different moments.
@@ -31,6 +33,8 @@
     :ivar endpoint: the endpoint and the start time of its process.
     :ivar prompt: key of the prompt, the same for its repeats.
     :ivar parts: the shared parts of the prompt.
+    :ivar alive_at: moment at which the endpoint last sent an event to the
+        daemon that reports, or minus infinity.
     :ivar sent_at: moment of sending.
     :ivar broke_at: moment at which the connection broke.
     """
@@ -41,6 +45,16 @@
     parts: PartKeys
     sent_at: float
     broke_at: float
+    alive_at: float = float('-inf')
+
+    @property
+    def broken(self) -> EndpointBreak:
+        """The broken connection."""
+        return EndpointBreak(
+            endpoint=self.endpoint,
+            broke_at=self.broke_at,
+            alive_at=self.alive_at,
+        )
 
 
 def find_series(
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -56,7 +56,9 @@
         fleet=fleet,
         rng=random.Random(seed + 1),
         has_large_requests=scenario.has_large_requests,
+        has_prompts=scenario.has_prompts,
     )
+    fleet.unusual = scenario.unusual
     async with anyio.create_task_group() as group:
         faults = FaultInjector(
             fleet=fleet,
--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -36,3 +36,8 @@
 # service of the route `look`, which has a roll-out.
 POOLS: Final = ('pool-0', 'pool-1', 'pool-2', 'pool-3')
 ROLLOUT_SERVICE: Final = 'desk'
+# Part of a prompt that crashes endpoints, and the most requests with it that
+# may reach endpoints once this many have crashed and SETTLE_S has passed.
+DEADLY_PART: Final = 'deadly'
+MIN_CRASHES: Final = 5
+MAX_LATE_CRASHES: Final = 3
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -32,6 +32,10 @@
 LARGE_BODY_SHARE = 0.25
 MIN_BODY_BYTES = 10_000
 MAX_BODY_BYTES = 70_000
+# Owners of prompts, each with a part of its own, and the share of prompts that
+# crash endpoints while a fault asks for them.
+PROMPT_OWNERS = 4
+DEADLY_SHARE = 0.1
 # Most seconds that a caller takes to send a large body, and its chunks.
 MAX_BODY_S = 1.0
 BODY_CHUNKS = 10
@@ -49,6 +53,7 @@
     :ivar answer_bytes: size of the answer that it asks for.
     :ivar incarnation: process of the daemon that the request was sent to.
     :ivar link: link that it was sent through.
+    :ivar is_deadly: whether its prompt crashes endpoints.
     :ivar outcome: ``answered``, ``cut`` (connection closed without a complete
         answer), ``unsent`` (no connection), ``silent`` (time-out) or ``open``.
     """
@@ -61,6 +66,7 @@
     incarnation: str
     link: Link
     sent_at: float
+    is_deadly: bool = False
     ended_at: float = 0
     outcome: str = 'open'
     status: int = 0
@@ -74,6 +80,7 @@
     :param rng: random generator that chooses daemons, routes and keys.
     :param has_large_requests: whether some requests and answers are large, and
         some callers have narrow links.
+    :param has_prompts: whether streams have prompts.
     :ivar requests: every request sent.
     :ivar empty_answers: daemons whose registry returned no addresses, one
         entry for each such answer outside of fault windows.
@@ -81,7 +88,12 @@
     """
 
     def __init__(
-        self, *, fleet: Fleet, rng: random.Random, has_large_requests: bool
+        self,
+        *,
+        fleet: Fleet,
+        rng: random.Random,
+        has_large_requests: bool,
+        has_prompts: bool = False,
     ):
         self.requests: list[CallerRequest] = []
         self.empty_answers: list[str] = []
@@ -89,6 +101,7 @@
         self._fleet = fleet
         self._rng = rng
         self._has_large_requests = has_large_requests
+        self._has_prompts = has_prompts
 
     async def run_caller(self, number: int) -> None:
         """Send requests as one caller until callers are stopped."""
@@ -164,6 +177,7 @@
             sent_at=anyio.current_time(),
         )
         self.requests.append(request)
+        prompt = self._choose_prompt(request)
         body_bytes = self._choose_size(
             LARGE_BODY_SHARE, MIN_BODY_BYTES, MAX_BODY_BYTES
         )
@@ -183,6 +197,7 @@
                         'X-Deadline-Ms': str(int(bounds.TIMEOUT_S * 1000)),
                         'X-Tenant-Id': 'forged',
                         'Authorization': f'Bearer {request.key}',
+                        **prompt,
                     },
                     content=_send_body(body, body_s) if body_s else body,
                 )
@@ -199,6 +214,21 @@
         request.ended_at = anyio.current_time()
         return request
 
+    def _choose_prompt(self, request: CallerRequest) -> dict[str, str]:
+        """Choose the parts of a stream's prompt; return its header."""
+        if not self._has_prompts or request.route != 'draft':
+            return {}
+        owner = self._rng.randrange(PROMPT_OWNERS)
+        is_drawn = self._rng.random() < DEADLY_SHARE
+        request.is_deadly = is_drawn and request.sent_at < (
+            self._fleet.deadly_until
+        )
+        names = ['first', f'own{owner}', request.request_id]
+        if request.is_deadly:
+            names.insert(self._rng.randint(0, 2), bounds.DEADLY_PART)
+        parts = ','.join(f'{name}:10' for name in names)
+        return {'X-Prefix-Hash': parts}
+
     def _choose_size(self, share: float, least: int, most: int) -> int:
         """Choose a size in bytes: 1, or a large one for a share of requests."""
         if not self._has_large_requests or self._rng.random() >= share:
--- a/soak/endings.py
+++ b/soak/endings.py
@@ -6,7 +6,8 @@
 from soak import bounds
 from soak.callers import CallerRequest
 from soak.fleet import Fleet
-from standins.relayed_endpoint import Run
+from standins.relayed_endpoint import CRASH_S
+from standins.run_log import Run
 
 # Answers of a daemon that gives up a request, other than refusals.
 _GIVEN_UP: Final = frozenset((500, 502, 504))
@@ -16,8 +17,9 @@
     """Checks that requests end with a complete answer or a refusal.
 
     Not checked: requests that a daemon cannot have read completely, those that
-    an endpoint broke off, those that reached their deadline, and those with a
-    fault of the daemon or its links, or of the endpoint's link.  Stops,
+    an endpoint broke off or crashed on, those that reached their deadline, and
+    those with a fault of the daemon or its links, or of the endpoint's link.
+    Stops,
     reloads, changes of the table, faults of the store, and endpoints that are
     silent and go on excuse nothing: callers' deadlines pass before the time to
     stop ends.
@@ -65,9 +67,19 @@
             self._fleet.fault_windows.is_fault_free(
                 f'endpoint {name}', request.sent_at, request.ended_at, settle_s
             )
+            and not self._has_crashed(name, request, settle_s)
             for name in names
         )
 
+    def _has_crashed(
+        self, name: str, request: CallerRequest, settle_s: float
+    ) -> bool:
+        since = request.sent_at - CRASH_S - settle_s
+        return any(
+            since <= crashed_at <= request.ended_at
+            for crashed_at in self._fleet.run_log.crashed_at.get(name, ())
+        )
+
     def _was_sent_whole(self, request: CallerRequest) -> bool:
         return request.request_id in request.link.forwarded_at
 
--- a/soak/endpoint_faults.py
+++ b/soak/endpoint_faults.py
@@ -21,6 +21,9 @@
 # Seconds for which a sound endpoint may be silent.
 MIN_SILENCE_S = 0.5
 MAX_SILENCE_S = 2.0
+# Seconds for which prompts with the deadly part come.
+MIN_POISON_S = 6.0
+MAX_POISON_S = 15.0
 
 
 class EndpointFaults:
@@ -64,6 +67,13 @@
             self._journal.record('silence', endpoint.name, duration_s)
             endpoint.fall_silent(duration_s)
 
+    async def poison(self, rng: random.Random) -> None:
+        """Let some prompts crash the endpoints that begin to answer them."""
+        duration_s = rng.uniform(MIN_POISON_S, MAX_POISON_S)
+        until = anyio.current_time() + duration_s
+        self._journal.record('poison', bounds.DEADLY_PART, duration_s)
+        self._fleet.deadly_until = max(self._fleet.deadly_until, until)
+
     async def withdraw(self, rng: random.Random) -> None:
         """Withdraw an endpoint; later another one takes its address."""
         fleet = self._fleet
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -95,6 +95,7 @@
             'leave': self.endpoints.withdraw,
             'rollout': self.endpoints.roll_out,
             'silence': self.endpoints.silence,
+            'poison': self.endpoints.poison,
             'tables': self._tables.change_in_series,
             'reloads': self.daemons.reload_in_series,
             'stops': self.daemons.stop_in_series,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,8 +11,10 @@
 from soak.fault_windows import FaultWindows
 from soak.tables import PoolShare, PublishedTable, encode_table
 from standins.link import Link
-from standins.relayed_endpoint import RelayedEndpoint, RunLog
+from standins.relayed_endpoint import RelayedEndpoint
+from standins.run_log import RunLog
 from standins.store import StoreMode, StoreStandin
+from standins.unusual import UnusualBehaviour
 
 
 class Fleet:
@@ -22,6 +24,8 @@
     :param folder: directory of settings and logs.
     :ivar tables: every routing table, oldest first.
     :ivar extra_keys: temporary keys of the newest table.
+    :ivar unusual: what endpoints do that are added from now on.
+    :ivar deadly_until: end of the time in which prompts have a deadly part.
     :ivar withdrawn_at: acknowledgement time of each endpoint's withdrawal.
     """
 
@@ -37,6 +41,8 @@
         self.tables: list[PublishedTable] = []
         self.extra_keys: set[str] = set()
         self.withdrawn_at: dict[str, float] = {}
+        self.deadly_until = float('-inf')
+        self.unusual = UnusualBehaviour()
         self._number = 0
 
     async def add_endpoint(
@@ -52,6 +58,7 @@
             pause_s=bounds.EVENT_PAUSE_S,
             **fields,
         )
+        endpoint.unusual = self.unusual
         await endpoint.start(group)
         link = Link(target=endpoint.address)
         await link.start(group)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from operator import itemgetter
 
 from soak import bounds
 from soak.callers import CallerRequest, Callers
@@ -10,12 +11,13 @@
 from soak.fleet import Fleet
 from soak.tables import PublishedTable
 from standins.relayed_answers import encode_answer, encode_events
-from standins.relayed_endpoint import Run
+from standins.run_log import Run
 
 # Statuses that guarantee that the request was not executed.
 _NOT_EXECUTED = frozenset((408, 421, 429, 503))
 _DENIED = frozenset((401, 403, 404))
 _OK = 200
+_BAD_REQUEST = 400
 # Requests below which a share is not significant.
 _MIN_SAMPLE = 8
 
@@ -46,6 +48,7 @@
             *self._check_deadlines(),
             *self._check_table_order(),
             *self._check_rollout(),
+            *self._check_crashes(),
             *(
                 f'registry: {name} returned no addresses'
                 for name in self._empty_answers
@@ -105,6 +108,8 @@
                 yield 'answer: body differs from the expected bytes'
         if request.status in _NOT_EXECUTED and runs:
             yield 'refused: request was executed'
+        if request.status == _BAD_REQUEST and not request.is_deadly:
+            yield 'denied: a sound prompt was rejected'
         if request.status in _DENIED and request.key == bounds.PERMANENT_KEY:
             yield 'denied: every table allows the key'
 
@@ -276,3 +281,26 @@
         allowed = versions.total() * bounds.EXPOSURE_SHARE
         if versions['v2'] > allowed + bounds.EXPOSURE_EXTRA:
             yield f'exposure: {versions}'
+
+    def _check_crashes(self) -> Iterator[str]:
+        """Check that prompts which crash endpoints cease to reach them."""
+        crashes = sorted(
+            (
+                (run.arrived_at, request)
+                for request in self._requests
+                for run in self._fleet.run_log.runs.get(request.request_id, [])
+                if run.action == 'crash'
+            ),
+            key=itemgetter(0),
+        )
+        if len(crashes) < bounds.MIN_CRASHES:
+            return
+        known_at = crashes[bounds.MIN_CRASHES - 1][0] + bounds.SETTLE_S
+        late = [
+            f'{request.request_id} {arrived_at:.2f}'
+            for arrived_at, request in crashes
+            if arrived_at > known_at
+            and self._is_daemon_fault_free(request, bounds.SETTLE_S)
+        ]
+        if len(late) > bounds.MAX_LATE_CRASHES:
+            yield f'crashes: {len(crashes)}, after {known_at:.2f}: {late}'
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -39,4 +39,11 @@
         8,
         'begun streams given up for silence; answers cut as a stop ended',
     ),
+    RegressionSeed(
+        1,
+        'answers',
+        12,
+        'prompts that crash endpoints; bytes without end; answers without'
+        ' length',
+    ),
 )
--- a/soak/scenarios.py
+++ b/soak/scenarios.py
@@ -3,9 +3,11 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-from attrs import frozen
+from attrs import field, frozen
 
+from soak import bounds
 from soak.endpoint_faults import FAULT_SHARE
+from standins.unusual import UnusualBehaviour
 
 _FAULTS: Final = (
     *('stop', 'kill', 'pause', 'reload', 'store', 'forget', 'link', 'table'),
@@ -13,6 +15,10 @@
     # These are chosen twice as often.
     *('table', 'keys', 'revoke', 'link', 'stop', 'leave'),
 )
+_ANSWERS: Final = (
+    *('poison', 'poison', 'poison', 'stop', 'kill', 'store', 'link', 'table'),
+    *('leave', 'silence', 'rollout'),
+)
 _OPERATIONS: Final = (
     *('silence', 'silence', 'silence', 'tables', 'tables', 'reloads'),
     *('stops', 'stops', 'keys', 'leave'),
@@ -28,15 +34,20 @@
         pools, between 0 and 1.
     :ivar has_large_requests: whether some requests and answers are large, and
         some callers have narrow links.
+    :ivar unusual: what endpoints do besides faults.
+    :ivar has_prompts: whether streams have prompts, some of which crash
+        endpoints.
     """
 
     fault_names: Sequence[str]
     fault_share: float
     has_large_requests: bool
+    unusual: UnusualBehaviour = field(factory=UnusualBehaviour)
+    has_prompts: bool = False
 
 
-# Scenarios by name: faults alone, planned work and silent endpoints alone, and
-# both at once.
+# Scenarios by name: faults alone; planned work and silent endpoints alone;
+# unusual answers and prompts that crash endpoints; faults with planned work.
 SCENARIOS: Final[Mapping[str, Scenario]] = {
     'faults': Scenario(
         fault_names=_FAULTS,
@@ -48,6 +59,17 @@
         fault_share=0,
         has_large_requests=True,
     ),
+    'answers': Scenario(
+        fault_names=_ANSWERS,
+        fault_share=FAULT_SHARE,
+        has_large_requests=False,
+        unusual=UnusualBehaviour(
+            unframed_share=0.2,
+            has_floods=True,
+            crash_part=bounds.DEADLY_PART,
+        ),
+        has_prompts=True,
+    ),
     'all': Scenario(
         fault_names=(*_FAULTS, *_OPERATIONS),
         fault_share=FAULT_SHARE,
--- a/standins/relayed_answers.py
+++ b/standins/relayed_answers.py
@@ -1,10 +1,17 @@
-"""Bodies of the answers of stand-in endpoints behind the relay."""
+"""Answers of stand-in endpoints behind the relay."""
 
+import random
 import re
 from typing import Final
 
+from anyio.abc import SocketStream
+
 # Events of every stream.
 EVENT_COUNT: Final = 6
+# Sizes of what is sent without end: of a piece, and of all until a caller that
+# does not close is given up.
+_PIECE_BYTES: Final = 65536
+_FLOOD_BYTES: Final = 67_108_864
 _SIZE: Final = re.compile(rb'^[A-Z]+ /[^ ]*?/([0-9]+) ')
 
 
@@ -48,3 +55,29 @@
     :param size: bytes by which the data of all events are padded.
     """
     return b''.join(encode_each_event(request_id, size))
+
+
+async def send_without_end(
+    stream: SocketStream, head_template: bytes, rng: random.Random
+) -> None:
+    """Send bytes that are no answer until the caller closes.
+
+    :param stream: connection of the caller.
+    :param head_template: head of an answer, without its status.
+    :param rng: random generator that chooses what is sent.
+    """
+    status = head_template % b'200 OK'
+    chunked = b'Transfer-Encoding: chunked\r\n\r\n'
+    start, unit = rng.choice(
+        (
+            (status, b'X-Fill: x\r\n'),
+            (b'%bX-Fill: ' % status, b'x'),
+            (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+            (b'', b'x'),
+            (b'%b%b1;' % (status, chunked), b'x'),
+        )
+    )
+    await stream.send(start)
+    piece = unit * (_PIECE_BYTES // len(unit))
+    for _ in range(_FLOOD_BYTES // len(piece)):
+        await stream.send(piece)
--- a/standins/relayed_endpoint.py
+++ b/standins/relayed_endpoint.py
@@ -2,25 +2,34 @@
 
 import contextlib
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from typing import Final
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 from anyio.streams.buffered import BufferedByteReceiveStream
-from attrs import define, field, frozen
 
 from standins.relayed_answers import (
     encode_answer,
     encode_each_event,
     read_size,
+    send_without_end,
 )
+from standins.run_log import Run, RunLog
+from standins.unusual import UnusualBehaviour
 
 # Largest number of bytes of a plain answer that are sent at once.
 _PIECE_BYTES: Final = 65536
 # Faults of an endpoint, drawn with equal probability.
 PLAIN_FAULTS: Final = ('shed', 'fail', 'reset', 'cut', 'twice', 'junk')
 STREAM_FAULTS: Final = ('shed', 'reset', 'tear', 'stop', 'twice')
+# Actions whose answers may end with the connection: a stream that is torn ends
+# within an event.
+_UNFRAMED_ACTIONS: Final = frozenset(('serve', 'tear'))
+_INCOMPLETE_ACTIONS: Final = frozenset(('tear', 'stop'))
+_ABRUPT_ACTIONS: Final = frozenset(('reset', 'flood', 'crash'))
+# Seconds until an endpoint that crashed accepts connections again.
+CRASH_S: Final = 2.0
 _END_OF_HEAD: Final = b'\r\n\r\n'
 _MAX_HEAD_BYTES: Final = 65536
 # Seconds between an answer and the unsolicited data sent after it.
@@ -33,47 +42,6 @@
 )
 
 
-@frozen(kw_only=True)
-class Run:
-    """One execution of a request by an endpoint.
-
-    :ivar endpoint: the endpoint's name.
-    :ivar service: the endpoint's service.
-    :ivar version: the endpoint's version.
-    :ivar workspace: workspace in the request's headers.
-    :ivar arrived_at: arrival on the monotonic clock, in seconds.
-    :ivar action: ``serve``, or the fault that the endpoint showed.
-    """
-
-    request_id: str
-    endpoint: str
-    service: str
-    version: str
-    workspace: str
-    arrived_at: float
-    action: str
-
-
-@define
-class RunLog:
-    """Record of the requests that all endpoints executed.
-
-    :ivar runs: executions by request id.
-    :ivar misdirected: number of requests addressed to another endpoint.
-    """
-
-    runs: dict[str, list[Run]] = field(factory=dict)
-    misdirected: int = 0
-
-    def record(self, run: Run) -> None:
-        """Add an execution."""
-        self.runs.setdefault(run.request_id, []).append(run)
-
-    def count_runs(self, request_id: str) -> int:
-        """Return the number of executions of a request."""
-        return len(self.runs.get(request_id, ()))
-
-
 class RelayedEndpoint:
     """An HTTP endpoint on loopback that shows faults.
 
@@ -87,6 +55,7 @@
     :param pause_s: seconds before an answer, and between two events of a
         stream.
     :param version: its model version.
+    :ivar unusual: what it does besides faults.
     """
 
     def __init__(
@@ -106,9 +75,13 @@
         self.fault_share = fault_share
         self.pause_s = pause_s
         self.address = ''
+        self.unusual = UnusualBehaviour()
         self._run_log = run_log
         self._rng = rng
         self._silent_until: float = 0
+        self._down_until: float = 0
+        self._streams: set[SocketStream] = set()
+        self._unframed: set[SocketStream] = set()
 
     async def start(self, group: TaskGroup) -> None:
         """Listen on a free port.
@@ -134,14 +107,32 @@
 
     async def _serve(self, stream: SocketStream) -> None:
         reader = BufferedByteReceiveStream(stream)
+        self._streams.add(stream)
         async with stream:
             with contextlib.suppress(*_DISCONNECTED):
-                while await self._serve_request(stream, reader):
+                while (
+                    anyio.current_time() >= self._down_until
+                    and await self._serve_request(stream, reader)
+                ):
                     """Serve the next request of the connection."""
+        self._streams.discard(stream)
+        self._unframed.discard(stream)
+
+    async def _crash(self) -> None:
+        now = anyio.current_time()
+        self._down_until = now + CRASH_S
+        self._run_log.crashed_at.setdefault(self.name, []).append(now)
+        for unframed in tuple(self._unframed):
+            # Breaks off within an event.
+            await unframed.send(b'id')
+        for stream in tuple(self._streams):
+            await stream.aclose()
 
     async def _serve_request(
         self, stream: SocketStream, reader: BufferedByteReceiveStream
     ) -> bool:
+        if anyio.current_time() < self._down_until:
+            return False
         head = await reader.receive_until(_END_OF_HEAD, _MAX_HEAD_BYTES)
         headers = _read_headers(head)
         length = int(headers.get(b'content-length', b'0'))
@@ -165,12 +156,13 @@
             await _refuse(stream, head_template % b'421 Misdirected')
             return True
         is_stream = b' /draft/' in head
-        action = self._choose_action(is_stream)
+        action = self._choose_action(headers, is_stream=is_stream)
         if action == 'shed':
             await _refuse(stream, head_template % b'503 Full')
             return True
         self._record_run(headers, action, arrived_at)
-        if action == 'reset':
+        if action in _ABRUPT_ACTIONS:
+            await self._end_abruptly(stream, head_template, action)
             return False
         size = read_size(head)
         if is_stream:
@@ -182,10 +174,33 @@
         body = encode_answer(request_id, size)
         return await self._send_answer(stream, head_template, body, action)
 
-    def _choose_action(self, is_stream: bool) -> str:
+    def _choose_action(
+        self, headers: Mapping[bytes, bytes], *, is_stream: bool
+    ) -> str:
+        part = self.unusual.crash_part.encode()
+        if part and part in headers.get(b'x-prefix-hash', b''):
+            return 'crash'
         if self._rng.random() >= self.fault_share:
             return 'serve'
-        return self._rng.choice(STREAM_FAULTS if is_stream else PLAIN_FAULTS)
+        faults = STREAM_FAULTS if is_stream else PLAIN_FAULTS
+        if self.unusual.has_floods:
+            faults = (*faults, 'flood')
+        return self._rng.choice(faults)
+
+    async def _end_abruptly(
+        self, stream: SocketStream, head_template: bytes, action: str
+    ) -> None:
+        if action == 'flood':
+            await send_without_end(stream, head_template, self._rng)
+        if action == 'crash':
+            await self._crash()
+
+    def _is_unframed(self, action: str) -> bool:
+        return (
+            self.unusual.unframed_share > 0
+            and action in _UNFRAMED_ACTIONS
+            and self._rng.random() < self.unusual.unframed_share
+        )
 
     def _record_run(
         self, headers: Mapping[bytes, bytes], action: str, arrived_at: float
@@ -211,10 +226,11 @@
     ) -> bool:
         await anyio.sleep(self.pause_s)
         status = b'500 No' if action == 'fail' else b'200 OK'
-        answer = (
-            head_template % status
-            + b'X-Response-Seal: 1\r\nContent-Length: %d\r\n\r\n%b'
-            % (len(body), body)
+        is_unframed = self._is_unframed(action)
+        frame = b'' if is_unframed else b'Content-Length: %d\r\n' % len(body)
+        answer = head_template % status + b'X-Response-Seal: 1\r\n%b\r\n%b' % (
+            frame,
+            body,
         )
         if action == 'cut':
             await self._send_pieces(stream, answer[:-3])
@@ -223,7 +239,7 @@
         if action in {'twice', 'junk'}:
             await anyio.sleep(_UNSOLICITED_DELAY_S)
             await stream.send(answer if action == 'twice' else b'\x00junk')
-        return True
+        return not is_unframed
 
     async def _send_stream(
         self,
@@ -233,23 +249,33 @@
         last_event_id: int,
         action: str,
     ) -> bool:
+        is_unframed = self._is_unframed(action)
+        frame = b'' if is_unframed else b'Transfer-Encoding: chunked\r\n'
         await stream.send(
-            head_template % b'200 OK'
-            + b'X-Response-Seal: 1\r\nTransfer-Encoding: chunked\r\n\r\n'
+            head_template % b'200 OK' + b'X-Response-Seal: 1\r\n%b\r\n' % frame
         )
-        for number, raw in enumerate(events[last_event_id:], last_event_id + 1):
-            await self._wait_while_silent()
-            if action != 'serve' and number == last_event_id + 3:
-                sent = raw[:5] if action == 'tear' else raw
-                await stream.send(_encode_chunk(sent))
-                if action == 'twice':
-                    continue
-                return False
-            await stream.send(_encode_chunk(raw))
-            await anyio.sleep(self.pause_s)
+        encode = bytes if is_unframed else _encode_chunk
+        if is_unframed:
+            self._unframed.add(stream)
+        async for raw in self._generate_events(events[last_event_id:], action):
+            await stream.send(encode(raw))
+        self._unframed.discard(stream)
+        if is_unframed or action in _INCOMPLETE_ACTIONS:
+            return False
         await stream.send(b'0\r\n\r\n')
         return True
 
+    async def _generate_events(
+        self, events: Sequence[bytes], action: str
+    ) -> AsyncIterator[bytes]:
+        for number, raw in enumerate(events):
+            await self._wait_while_silent()
+            if action in _INCOMPLETE_ACTIONS and number == 2:
+                yield raw[:5] if action == 'tear' else raw
+                return
+            yield raw
+            await anyio.sleep(self.pause_s)
+
     async def _send_pieces(self, stream: SocketStream, answer: bytes) -> None:
         for start in range(0, len(answer), _PIECE_BYTES):
             await self._wait_while_silent()
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -17,6 +17,7 @@
     CrashEvidence,
 )
 from laurelwind.state.crash_reports import CrashReport
+from laurelwind.state.endpoint_breaks import EndpointBreak
 
 
 def keys(*names):
@@ -29,21 +30,26 @@
     def __init__(self):
         self.evidence = CrashEvidence()
         self.numbers = itertools.count()
+        self.last_at = 0
 
-    def add(self, at, *names, prompt=None, sent_at=None, endpoint=None):
+    def add(self, at, *names, prompt=None, endpoint=None, alive_at=0):
         number = next(self.numbers)
+        self.last_at = at
         report = CrashReport(
             attempt=str(number),
             endpoint=endpoint or f'e{number}',
             prompt=prompt or f'p{number}',
             parts=keys(*names),
-            sent_at=at - 0.1 if sent_at is None else sent_at,
+            sent_at=at - 0.1,
             broke_at=at,
+            alive_at=alive_at,
         )
         self.evidence.add(report)
         return report
 
-    def blame(self, *blocked):
+    def blame(self, *blocked, is_answering=True):
+        if is_answering:
+            self.evidence.record_service_answer('pool', self.last_at)
         culprit = self.evidence.find_culprit(blocked)
         return None if culprit is None else culprit.parts
 
@@ -79,6 +85,37 @@
     assert crashes.blame() is None
 
 
+# All endpoints of a service were down behind proxies, and each part was blamed.
+def test_endpoints_that_are_down_blame_no_part():
+    crashes = Crashes()
+    for number in range(3):
+        crashes.evidence.record_break(
+            EndpointBreak(endpoint=f'e{number}', broke_at=1, alive_at=0.9)
+        )
+    for at in range(2, 8):
+        crashes.add(at, 'rare', endpoint=f'e{at % 3}')
+    assert crashes.blame() is None
+
+
+def test_an_endpoint_that_was_alive_again_may_crash_again():
+    crashes = Crashes()
+    for number in range(3):
+        crashes.evidence.record_break(
+            EndpointBreak(endpoint=f'e{number}', broke_at=1, alive_at=0.9)
+        )
+    for at in range(2, 5):
+        crashes.add(at, 'deadly', endpoint=f'e{at % 3}', alive_at=at - 0.5)
+    assert crashes.blame() == keys('deadly')
+
+
+def test_a_service_that_answers_nothing_blames_no_part():
+    crashes = Crashes()
+    for at in range(1, 9):
+        crashes.add(at, 'rare')
+    assert crashes.blame(is_answering=False) is None
+    assert crashes.blame() == keys('rare')
+
+
 def test_an_answer_clears_what_was_sent_before_it():
     crashes = Crashes()
     for at in (1, 2, 3):
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -117,6 +117,9 @@
                 broke_at=now + 0.2,
             )
         )
+        # Other prompts are answered meanwhile.
+        for screen in self.screens.values():
+            screen.record_answer('pool', ())
 
     def count_blocking(self):
         return sum(
@@ -262,8 +265,10 @@
         ['answer', 'pool', 'x' * 99, 1],
         ['block', 'pool', [], 1, 1],
         ['block', 'pool', 'part', 1, 1],
-        ['report', 'pool', ['part'], ['a', 'e'], [1, 2]],
-        ['report', 'pool', ['part'], [1, 2, 3], [1, 2]],
+        ['report', 'pool', ['part'], ['a', 'e'], [1, 2, 3]],
+        ['report', 'pool', ['part'], [1, 2, 3], [1, 2, 3]],
+        ['report', 'pool', ['part'], ['a', 'e', 'p'], [1, 2]],
+        ['break', 'e', -1, -1],
         ['other'],
         [],
         7,
--- a/tests/test_relay_storm.py
+++ b/tests/test_relay_storm.py
@@ -13,7 +13,8 @@
 
 from laurelwind.protocol.keyed_store import Topic
 from standins.relayed_answers import encode_events
-from standins.relayed_endpoint import RelayedEndpoint, RunLog
+from standins.relayed_endpoint import RelayedEndpoint
+from standins.run_log import RunLog
 from tests.helpers import wait_until
 from tests.test_relay_path import CONFIG, DaemonHarness
 from tests.test_tracker import build_endpoint
