Let a crash have one cause

Their part was on board of three crashes, beside the one that is deadly, and was blocked as well.

Cause: each report of a crash counted for each part, also where a blocked prompt on board explains the crash.

Now the attempts at a crash that a blocked prompt explains count no more, and parts are looked at by the number of crashes, then by how long ago an answer with them began. test_sound_prompts_on_board_of_the_same_crashes_are_not_blamed failed before.

--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -151,9 +151,7 @@
         """
         unexplained = [
             (report, self.list_suspects(report))
-            for report in self._reports.values()
-            if self._breaks.is_crash(report.endpoint, report.broke_at)
-            and not any(group <= report.parts for group in blocked)
+            for report in self._list_unexplained(blocked)
         ]
         for parts in _list_remainders(blocked, unexplained):
             culprit = _build_culprit(
@@ -164,7 +162,55 @@
             )
             if culprit is not None:
                 return self._confirm(culprit)
-        return self._confirm(_find_common_cause(unexplained))
+        return self._confirm(self._find_common_cause(unexplained))
+
+    def _list_unexplained(
+        self, blocked: Collection[PartKeys]
+    ) -> list[CrashReport]:
+        """List the reports of crashes that no blocked prompt was on board of.
+
+        A crash has one cause, so that the other attempts had no part in it.
+        """
+        crashes = [
+            report
+            for report in self._reports.values()
+            if self._breaks.is_crash(report.endpoint, report.broke_at)
+        ]
+        explained = {
+            report.endpoint
+            for report in crashes
+            if any(group <= report.parts for group in blocked)
+        }
+        return [
+            report for report in crashes if report.endpoint not in explained
+        ]
+
+    def _find_common_cause(
+        self, reports: Collection[_SuspectReport]
+    ) -> Culprit | None:
+        """Return the largest group of parts that the failures prove.
+
+        The parts at the most crashes come first, and of these the ones whose
+        last answer is the longest ago.
+        """
+        frequencies = _count_endpoints(reports)
+        ranked = sorted(frequencies, key=self.get_answered_at)
+        ranked.sort(key=frequencies.__getitem__, reverse=True)
+        cause: Culprit | None = None
+        for part in ranked:
+            if frequencies[part] < MIN_FAILURES:
+                break
+            group = {part} if cause is None else cause.parts | {part}
+            cause = (
+                _build_culprit(
+                    frozenset(group),
+                    reports,
+                    min_endpoints=MIN_FAILURES,
+                    min_prompts=MIN_PROMPTS,
+                )
+                or cause
+            )
+        return cause
 
     def _confirm(self, culprit: Culprit | None) -> Culprit | None:
         """Return a culprit whose service has answered others meanwhile.
@@ -216,28 +262,14 @@
     return remainders - {frozenset()}
 
 
-def _find_common_cause(
-    reports: Collection[_SuspectReport],
-) -> Culprit | None:
-    """Return the largest group of parts that the failures prove."""
-    frequencies = Counter(
-        itertools.chain.from_iterable(suspects for _, suspects in reports)
-    )
-    cause: Culprit | None = None
-    for part, frequency in frequencies.most_common():
-        if frequency < MIN_FAILURES:
-            break
-        group = {part} if cause is None else cause.parts | {part}
-        cause = (
-            _build_culprit(
-                frozenset(group),
-                reports,
-                min_endpoints=MIN_FAILURES,
-                min_prompts=MIN_PROMPTS,
-            )
-            or cause
-        )
-    return cause
+def _count_endpoints(reports: Iterable[_SuspectReport]) -> Counter[PartKey]:
+    """Count the endpoints that crashed with each part on board."""
+    pairs = {
+        (part, report.endpoint)
+        for report, suspects in reports
+        for part in suspects
+    }
+    return Counter(part for part, _ in pairs)
 
 
 def _build_culprit(
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -140,6 +140,21 @@
     assert crashes.blame(report.parts) is None
 
 
+# Beside load, sound prompts were on board of each crash, and their part was
+# blocked as well.
+def test_sound_prompts_on_board_of_the_same_crashes_are_not_blamed():
+    crashes = Crashes()
+    for name in ('first', 'own'):
+        crashes.evidence.record_answer(('pool', name), 0.5)
+    for at in (1, 2, 3):
+        for names in (('first', 'own'), ('first', 'deadly'), ('own',)):
+            crashes.add(at, *names, endpoint=f'e{at}')
+    found = crashes.blame()
+    assert ('pool', 'deadly') in found
+    assert ('pool', 'own') not in found
+    assert crashes.blame(found) is None
+
+
 def test_further_failures_tell_the_part_among_those_blamed_together():
     crashes = Crashes()
     for at in (1, 2, 3):
