Let stand-ins of the soak break streams off from their own task

Cause: the stand-in that crashes wrote the beginning of an event to every open stream without length, while the task of that stream might be in its own write. A fault of the stand-in, not of the relay: no daemon's log had a line that does not belong to a crash.

Now the task of each such stream breaks it off within its next event, once the endpoint has crashed since the stream began. Streams with a length or chunks are closed at once, as before.

--- a/standins/relayed_endpoint.py
+++ b/standins/relayed_endpoint.py
@@ -110,10 +110,7 @@
         self._streams.add(stream)
         async with stream:
             with contextlib.suppress(*_DISCONNECTED):
-                while (
-                    anyio.current_time() >= self._down_until
-                    and await self._serve_request(stream, reader)
-                ):
+                while await self._serve_request(stream, reader):
                     """Serve the next request of the connection."""
         self._streams.discard(stream)
         self._unframed.discard(stream)
@@ -122,10 +119,8 @@
         now = anyio.current_time()
         self._down_until = now + CRASH_S
         self._run_log.crashed_at.setdefault(self.name, []).append(now)
-        for unframed in tuple(self._unframed):
-            # Breaks off within an event.
-            await unframed.send(b'id')
-        for stream in tuple(self._streams):
+        # Streams without length break off within their next event.
+        for stream in self._streams - self._unframed:
             await stream.aclose()
 
     async def _serve_request(
@@ -257,7 +252,11 @@
         encode = bytes if is_unframed else _encode_chunk
         if is_unframed:
             self._unframed.add(stream)
+        started_at = anyio.current_time()
         async for raw in self._generate_events(events[last_event_id:], action):
+            if is_unframed and self._down_until > started_at:
+                await stream.send(raw[:2])
+                return False
             await stream.send(encode(raw))
         self._unframed.discard(stream)
         if is_unframed or action in _INCOMPLETE_ACTIONS:
