End the daemons of a test run that is ended

Cause: pytest does not handle SIGTERM, so no fixture was closed. Ruled out: the soak's own SIGTERM handling, which ends its daemons when it is started by hand. SIGTERM interrupts the run now, as Ctrl-C does, and the fixtures end what they started.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Runs async tests on asyncio, and Hypothesis tests without randomness."""
 
+import signal
+
 import pytest
 from hypothesis import settings
 
@@ -7,6 +9,11 @@
 settings.load_profile('ci')
 
 
+def pytest_configure():
+    """Let SIGTERM interrupt the run, so that it ends what it has started."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+
+
 @pytest.fixture
 def anyio_backend():
     return 'asyncio'
