Begin no new outage by a late notice of the same crash

Beside load, reports of a crash were dropped, so that its part needed a further crash. Each daemon tells the others of its broken connections; the moments in a notice are ages, so that one that was long under way shows them too late. Its `alive_at` could lie after the crash by this daemon's own clock, and a new outage began, whose beginning came after the reports of the crash.

Read in the code beside a soak run under 16 busy processes (answers), shown by the new test, which failed before: `breaks.record(late)` was true. Ruled out: clocks, as moments of other daemons are never compared.

An endpoint now counts as alive again only if it was seen alive later than CRASH_S after its last break, the time within which breaks belong to one crash. A second test guards that a report which was discarded for others is not new when it is repeated; it passed before.

--- a/laurelwind/state/endpoint_breaks.py
+++ b/laurelwind/state/endpoint_breaks.py
@@ -52,7 +52,8 @@
         :param broken: the connection.
         """
         known = self._outages.get(broken.endpoint)
-        if known is None or broken.alive_at > known.last_break_at:
+        # A notice that was long under way shows its moments too late.
+        if known is None or broken.alive_at > known.last_break_at + CRASH_S:
             self._outages.pop(broken.endpoint, None)
             self._outages[broken.endpoint] = _Outage(
                 started_at=broken.broke_at, last_break_at=broken.broke_at
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -17,7 +17,11 @@
     CrashEvidence,
 )
 from laurelwind.state.crash_reports import CrashReport
-from laurelwind.state.endpoint_breaks import EndpointBreak
+from laurelwind.state.endpoint_breaks import (
+    CRASH_S,
+    EndpointBreak,
+    EndpointBreaks,
+)
 
 
 def keys(*names):
@@ -108,6 +112,32 @@
     assert crashes.blame() == keys('deadly')
 
 
+# The notice of another daemon came late, and seemed to show that the endpoint
+# was alive after its crash, so that the reports of the crash were dropped.
+def test_a_late_notice_of_a_crash_begins_no_new_outage():
+    breaks = EndpointBreaks()
+    first = EndpointBreak(endpoint='e1', broke_at=10, alive_at=9.9)
+    assert breaks.record(first)
+    late = EndpointBreak(endpoint='e1', broke_at=10.1, alive_at=10.05)
+    assert not breaks.record(late)
+    assert breaks.is_crash('e1', 10)
+    assert breaks.is_crash('e1', 10.1)
+    assert not breaks.is_crash('e1', 10.1 + CRASH_S)
+    alive = EndpointBreak(endpoint='e1', broke_at=14, alive_at=13)
+    assert breaks.record(alive)
+    assert breaks.is_crash('e1', 14)
+
+
+# Reports that were discarded for others were new again with each repeat.
+def test_a_discarded_report_is_not_taken_for_new():
+    crashes = Crashes()
+    weak = crashes.add(1, 'rare')
+    for number in range(MAX_REPORTS):
+        crashes.add(2 + number / 100, 'common')
+    assert weak not in crashes.evidence.reports
+    assert not crashes.evidence.add(weak)
+
+
 def test_a_service_that_answers_nothing_blames_no_part():
     crashes = Crashes()
     for at in range(1, 9):
