Keep the beginning of a block as it is repeated

Blocks are repeated to all daemons with the age of their beginning, and each hears it a little late. The latest moment was kept, so that the beginning moved on with each repeat: answers that had begun shortly after the block came before it, and an answer that proves a block wrong might not lift it.

Found by reading the reports again; the new test failed before (1.2 in place of 1.0). The earliest moment is kept now. A block that ended and begins again is another entry, so its beginning is its own.

--- a/laurelwind/state/blocked_parts.py
+++ b/laurelwind/state/blocked_parts.py
@@ -62,7 +62,8 @@
         if known is not None:
             self._blocks[block.parts] = evolve(
                 known,
-                since=max(known.since, block.since),
+                # Each repeat shows the moment a little later.
+                since=min(known.since, block.since),
                 seen_at=max(known.seen_at, block.seen_at),
             )
             return False
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -279,6 +279,14 @@
     assert not blocked.list_all(51 + 2 * BLOCK_TTL_S)
 
 
+# Each repeat arrives a little later than it was sent, and moved the moment on.
+def test_repeats_of_a_block_do_not_move_its_beginning():
+    blocked = BlockedParts()
+    blocked.add(build_block('deadly', since=1.0))
+    blocked.add(build_block('deadly', since=1.2))
+    assert [block.since for block in blocked.list_all(2)] == [1.0]
+
+
 def test_blocks_are_bounded():
     blocked = BlockedParts()
     added = [blocked.add(build_block(str(n))) for n in range(MAX_BLOCKS + 1)]
