Charge a plain answer that is cut to its endpoint

A plain request whose answers were cut twice, each after its head, was not sent again and answered 502, though a third endpoint could answer it; its parts were reported as well.

Cause: whether an attempt's answer had begun was told by the events of the stream, and a plain answer has none. The new test failed before with EndpointError after the second cut. A plain answer has its head once it is ready, so a cut after it is a fault of the connection or the endpoint, and is retried as such.

--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -265,7 +265,9 @@
             alive_at=dependencies.placement.get_last_event_time(endpoint),
         )
         dependencies.screen.record_break(broken)
-        if job.events:
+        # Engines send the head of a stream before they begin to answer.
+        has_plain_head = attempt.first_byte_at > 0 and not job.is_stream
+        if job.events or has_plain_head:
             return
         job.broken_attempts += 1
         parts = build_part_keys(job.service, request.parts)
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -58,7 +58,7 @@
         a begun answer; they are used again if no other one is left.
     :ivar refusals: number of attempts that did not run.
     :ivar broken_attempts: number of attempts whose connection broke before the
-        caller had an event.
+        answer began.
     :ivar reserved_retries: retries of the budget that are held for the request.
     :ivar saved_failure: complete failure answer of an endpoint, delivered if
         every later attempt fails as well.
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -113,6 +113,17 @@
     assert caught.value.status == 502
 
 
+# A plain answer that was cut counted as a request that breaks its endpoint.
+async def test_a_plain_answer_that_is_cut_counts_for_the_endpoint():
+    cut = EndpointScript(chunks=[b'begun', build_broken_error()])
+    harness = RelayHarness(
+        cut, cut, EndpointScript(chunks=[b'whole']), names=ENDPOINTS
+    )
+    answer = await harness.serve(build_prompt(1, 'part', request='look'))
+    assert answer.body == b'whole'
+    assert not harness.screen.summarize()
+
+
 async def test_a_stream_without_length_that_ends_at_once_counts_as_broken():
     harness = RelayHarness(EndpointScript(), EndpointScript(), names=ENDPOINTS)
     with pytest.raises(EndpointError):
