Bound the groups of latencies, and compute each limit once a review

Samples of answers are kept by service, route and group of comparable answers, without a bound: routes that were removed from the table stayed for the life of the daemon. At most MAX_GROUPS are kept now, the oldest are dropped; the new test of it failed before. The limit of a group was computed again for each answer under way at each review; it is computed once a review.

A test guards that answers which were not compared do not dilute the share of slow ones, which a mutation of that line showed to be missing. The manual clock of two test files is one fixture.

--- a/laurelwind/coordination/rollouts/latencies.py
+++ b/laurelwind/coordination/rollouts/latencies.py
@@ -25,6 +25,10 @@
 _OVERDUE_QUANTILE: Final = 0.9
 _MAX_SAMPLES: Final = 64
 _MIN_SAMPLES: Final = 8
+# Groups that are kept; of routes that were removed the oldest are dropped.
+MAX_GROUPS: Final = 512
+# Seconds between two reviews of the answers under way.
+REVIEW_PERIOD_S: Final = 0.25
 
 # Service, route and group of comparable answers.
 LatencyGroup = tuple[str, str, str]
@@ -73,11 +77,14 @@
         :param latency: its latency.
         """
         for name in _list_groups(group):
-            samples = self._samples.setdefault(name, _Samples())
+            samples = self._samples.pop(name, None) or _Samples()
+            self._samples[name] = samples
             samples.recorded_at = self._clock()
             samples.elapsed.append(latency.elapsed_s)
             if latency.unit_s is not None:
                 samples.units.append(latency.unit_s)
+        while len(self._samples) > MAX_GROUPS:
+            self._samples.pop(next(iter(self._samples)))
 
     def is_slow(self, group: LatencyGroup, latency: Latency) -> bool | None:
         """Return whether an answer is slow, or ``None`` if that is not known.
@@ -152,9 +159,6 @@
     :param clock: monotonic clock, in seconds.
     """
 
-    # Seconds between two reviews.
-    _review_period_s: Final = 0.25
-
     def __init__(
         self,
         *,
@@ -171,7 +175,7 @@
 
         :param answer: the answer.
         """
-        if self._clock() - self._reviewed_at >= self._review_period_s:
+        if self._clock() - self._reviewed_at >= REVIEW_PERIOD_S:
             self._reviewed_at = self._clock()
             self.review()
         self._answers.add(answer)
@@ -186,8 +190,12 @@
     def review(self) -> None:
         """Record the answers that are overdue."""
         now = self._clock()
+        groups = {answer.group for answer in self._answers}
+        limits = {
+            group: self._baselines.get_overdue_s(group) for group in groups
+        }
         for answer in tuple(self._answers):
-            overdue_s = self._baselines.get_overdue_s(answer.group)
+            overdue_s = limits[answer.group]
             if overdue_s is not None and now - answer.sent_at > overdue_s:
                 self._answers.discard(answer)
                 answer.record_overdue()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,3 +17,18 @@
 @pytest.fixture
 def anyio_backend():
     return 'asyncio'
+
+
+class ManualClock:
+    """A clock that a test sets."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -30,19 +30,6 @@
 SESSIONS = [f's{number}' for number in range(400)]
 
 
-class Clock:
-    def __init__(self):
-        self.now = 100.0
-
-    def __call__(self):
-        return self.now
-
-
-@pytest.fixture
-def clock():
-    return Clock()
-
-
 def build_book(clock, name='d1', **fields):
     return RolloutRegistry(
         local_daemon=name,
--- a/tests/test_slow_versions.py
+++ b/tests/test_slow_versions.py
@@ -9,6 +9,7 @@
 )
 from laurelwind.coordination.rollouts.latencies import (
     BASELINE_TTL_S,
+    MAX_GROUPS,
     Latency,
     LatencyBaselines,
     OpenAnswer,
@@ -40,19 +41,6 @@
 PACE_S = 0.04
 
 
-class Clock:
-    def __init__(self):
-        self.now = 100.0
-
-    def __call__(self):
-        return self.now
-
-
-@pytest.fixture
-def clock():
-    return Clock()
-
-
 @pytest.fixture
 def rollouts(clock):
     registry = RolloutRegistry(
@@ -97,6 +85,14 @@
     assert list_states(rollouts) == [RolloutState.ROLLED_BACK]
 
 
+def test_answers_that_were_not_compared_do_not_hide_slow_ones(rollouts):
+    record(rollouts, OLD, 60, unit_s=PACE_S)
+    for _ in range(40):
+        rollouts.record_outcome(TARGET, AnswerOutcome(route=GROUP[1]))
+    record(rollouts, TARGET, 8, unit_s=4.5 * PACE_S)
+    assert list_states(rollouts) == [RolloutState.ROLLED_BACK]
+
+
 def test_a_version_as_fast_as_the_old_one_is_accepted(rollouts, clock):
     record(rollouts, OLD, 60, unit_s=PACE_S)
     record(rollouts, TARGET, 30, unit_s=1.8 * PACE_S)
@@ -132,6 +128,16 @@
         assert baselines.is_slow(unknown, Latency(unit_s=1)) is None
 
 
+def test_the_groups_of_latencies_are_bounded():
+    baselines = LatencyBaselines()
+    for number in range(MAX_GROUPS + 1):
+        for _ in range(8):
+            baselines.record(('pool', str(number), ''), Latency(unit_s=1))
+    latency = Latency(unit_s=9)
+    assert baselines.is_slow(('pool', '0', ''), latency) is None
+    assert baselines.is_slow(('pool', '1', ''), latency) is True
+
+
 # Half of the answers are fast and end first; the version was accepted by them.
 def test_answers_under_way_count_once_they_are_overdue(rollouts, clock):
     record(rollouts, OLD, 60, unit_s=PACE_S, elapsed_s=1.0)
