Move chat requests, small JSON answers and the check of crashes

Progress of a chat request is in coordination/chat_requests.py, send_json in transport/json_answers.py, parse_idle_timeout beside the answers that it is read from, and the soak's check of crashes in soak/crashes.py.

--- a/laurelwind/coordination/attempts.py
+++ b/laurelwind/coordination/attempts.py
@@ -3,13 +3,14 @@
 import contextlib
 import functools
 from collections.abc import Awaitable, Callable, Iterator, Mapping
-from typing import Any, Final
+from typing import Final
 
 import orjson
 from anyio.abc import TaskGroup
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, frozen
 
 from laurelwind.coordination.cascade import accepts_work, find_version
+from laurelwind.coordination.chat_requests import FetchState
 from laurelwind.coordination.engine_silence import EngineSilenceMonitor
 from laurelwind.coordination.follower import ConfigurationFollower
 from laurelwind.coordination.retries import RetryBudget, sleep_before_retry
@@ -33,7 +34,6 @@
 )
 from laurelwind.state.document import Document, Preference, Version, Workspace
 from laurelwind.state.load import read_monotonic_clock
-from laurelwind.state.sessions import Session
 from laurelwind.tracing import Tracing, format_traceparent
 
 # Silence of an engine, in seconds, after which another one may take over.
@@ -47,51 +47,6 @@
 EmitEvents = Callable[[bytes], Awaitable[None]]
 
 
-@frozen(kw_only=True)
-class ChatRequest:
-    """A caller's chat completion request.
-
-    :ivar request_id: identifier passed on with every hop.
-    :ivar workspace: workspace of the caller.
-    :ivar requested: a task, a model, or ``model@version``.
-    :ivar body: JSON body of the request.
-    :ivar session: the session of the request, if any.
-    :ivar deadline_s: time limit in seconds, or ``None`` for the limit of the
-        workspace.
-    """
-
-    request_id: str
-    workspace: str
-    requested: str
-    body: Mapping[str, Any]
-    session: Session | None = None
-    deadline_s: float | None = None
-
-
-@define(kw_only=True)
-class FetchState:
-    """Progress of a request through its versions and attempts.
-
-    :ivar request: the request.
-    :ivar reference: ``model@version`` of the current step.
-    :ivar progress: progress of the answer of that version.
-    :ivar run_state: whether the request reached an endpoint, if known.
-    :ivar broken_attempts: number of attempts, at any version, whose connection
-        broke before the answer began.
-    """
-
-    request: ChatRequest
-    reference: str = ''
-    progress: AnswerProgress = field(factory=AnswerProgress)
-    run_state: RunState = RunState.NOT_RUN
-    broken_attempts: int = 0
-
-    @property
-    def is_suspect(self) -> bool:
-        """Whether the request itself is the likely cause of its failures."""
-        return self.broken_attempts >= MAX_BROKEN_ATTEMPTS
-
-
 @define(kw_only=True)
 class _Fetch:
     """Attempts to complete one answer.
--- /dev/null
+++ b/laurelwind/coordination/chat_requests.py
@@ -0,0 +1,56 @@
+"""Chat requests of callers, and their progress."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import define, field, frozen
+
+from laurelwind.coordination.retry_limits import MAX_BROKEN_ATTEMPTS
+from laurelwind.errors import RunState
+from laurelwind.protocol.endpoints import AnswerProgress
+from laurelwind.state.sessions import Session
+
+
+@frozen(kw_only=True)
+class ChatRequest:
+    """A caller's chat completion request.
+
+    :ivar request_id: identifier passed on with every hop.
+    :ivar workspace: workspace of the caller.
+    :ivar requested: a task, a model, or ``model@version``.
+    :ivar body: JSON body of the request.
+    :ivar session: the session of the request, if any.
+    :ivar deadline_s: time limit in seconds, or ``None`` for the limit of the
+        workspace.
+    """
+
+    request_id: str
+    workspace: str
+    requested: str
+    body: Mapping[str, Any]
+    session: Session | None = None
+    deadline_s: float | None = None
+
+
+@define(kw_only=True)
+class FetchState:
+    """Progress of a request through its versions and attempts.
+
+    :ivar request: the request.
+    :ivar reference: ``model@version`` of the current step.
+    :ivar progress: progress of the answer of that version.
+    :ivar run_state: whether the request reached an endpoint, if known.
+    :ivar broken_attempts: number of attempts, at any version, whose connection
+        broke before the answer began.
+    """
+
+    request: ChatRequest
+    reference: str = ''
+    progress: AnswerProgress = field(factory=AnswerProgress)
+    run_state: RunState = RunState.NOT_RUN
+    broken_attempts: int = 0
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the request itself is the likely cause of its failures."""
+        return self.broken_attempts >= MAX_BROKEN_ATTEMPTS
--- a/laurelwind/coordination/dispatch.py
+++ b/laurelwind/coordination/dispatch.py
@@ -9,13 +9,10 @@
 from anyio.abc import TaskGroup
 from attrs import define, field, frozen
 
-from laurelwind.coordination.attempts import (
-    AnswerFetcher,
-    ChatRequest,
-    FetchState,
-)
+from laurelwind.coordination.attempts import AnswerFetcher
 from laurelwind.coordination.cascade import CascadePlanner, Plan, find_version
 from laurelwind.coordination.chat_answers import ChatAnswerHead, ChatAnswerSink
+from laurelwind.coordination.chat_requests import ChatRequest, FetchState
 from laurelwind.coordination.follower import ConfigurationFollower
 from laurelwind.coordination.ledger import Ledger
 from laurelwind.coordination.quarantine import Quarantine
--- a/laurelwind/platform/discovery.py
+++ b/laurelwind/platform/discovery.py
@@ -7,6 +7,8 @@
 import orjson
 from starlette.types import Receive, Scope, Send
 
+from laurelwind.transport.json_answers import send_json
+
 _MAX_ADDRESSES: Final = 64
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
@@ -26,7 +28,7 @@
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Answer a request."""
-        await _send_answer(send, _OK if self._is_ready() else _UNAVAILABLE, b'')
+        await send_json(send, _OK if self._is_ready() else _UNAVAILABLE)
 
 
 class RegistryApplication:
@@ -51,27 +53,13 @@
     ) -> None:
         """Answer a request."""
         if scope['path'] != '/resolve':
-            await _send_answer(send, _NOT_FOUND, b'')
+            await send_json(send, _NOT_FOUND)
             return
         query = parse_qs(scope.get('query_string', b'').decode('latin-1'))
         zone = query.get('zone', [''])[0]
         addresses = self._list_addresses(zone, _MAX_ADDRESSES)
         if not addresses:
-            await _send_answer(send, _UNAVAILABLE, b'')
+            await send_json(send, _UNAVAILABLE)
             return
         body = {'addresses': addresses, 'ttl_s': self._ttl_s}
-        await _send_answer(send, _OK, orjson.dumps(body))
-
-
-async def _send_answer(send: Send, status: int, body: bytes) -> None:
-    await send(
-        {
-            'type': 'http.response.start',
-            'status': status,
-            'headers': [
-                (b'content-type', b'application/json'),
-                (b'content-length', str(len(body)).encode()),
-            ],
-        }
-    )
-    await send({'type': 'http.response.body', 'body': body})
+        await send_json(send, _OK, orjson.dumps(body))
--- a/laurelwind/transport/block_application.py
+++ b/laurelwind/transport/block_application.py
@@ -10,6 +10,7 @@
 from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.state.blocked_parts import Block
 from laurelwind.state.load import read_monotonic_clock
+from laurelwind.transport.json_answers import send_json
 
 BLOCKS_PATH: Final = '/blocked-parts'
 _OK: Final = 200
@@ -57,18 +58,8 @@
 async def _send_blocks(
     send: Send, status: int, blocks: Sequence[Block]
 ) -> None:
-    body = orjson.dumps({'blocked': [_describe(block) for block in blocks]})
-    await send(
-        {
-            'type': 'http.response.start',
-            'status': status,
-            'headers': [
-                (b'content-type', b'application/json'),
-                (b'content-length', str(len(body)).encode()),
-            ],
-        }
-    )
-    await send({'type': 'http.response.body', 'body': body})
+    document = {'blocked': [_describe(block) for block in blocks]}
+    await send_json(send, status, orjson.dumps(document))
 
 
 def _describe(block: Block) -> dict[str, Any]:
--- a/laurelwind/transport/caller_handlers.py
+++ b/laurelwind/transport/caller_handlers.py
@@ -9,8 +9,8 @@
 from anyio.abc import TaskGroup
 from attrs import frozen
 
-from laurelwind.coordination.attempts import ChatRequest
 from laurelwind.coordination.cascade import CascadePlanner
+from laurelwind.coordination.chat_requests import ChatRequest
 from laurelwind.coordination.dispatch import ChatDispatcher
 from laurelwind.coordination.follower import ConfigurationFollower
 from laurelwind.errors import (
--- a/laurelwind/transport/connection.py
+++ b/laurelwind/transport/connection.py
@@ -24,7 +24,10 @@
 from laurelwind.protocol.exchanges import HeaderPairs
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.state.timers import is_timer_late
-from laurelwind.transport.incoming_answers import IncomingAnswer
+from laurelwind.transport.incoming_answers import (
+    IncomingAnswer,
+    parse_idle_timeout,
+)
 from laurelwind.transport.liveness import (
     set_liveness_options,
     set_user_timeout,
@@ -43,7 +46,6 @@
 # of their bodies.
 MAX_DISCARDED_ANSWERS: Final = 16
 MAX_DISCARDED_BYTES: Final = 1_048_576
-_IDLE_TIMEOUT_MARGIN_S: Final = 0.5
 _STREAM_ERRORS: Final = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -232,7 +234,7 @@
         if name in {b'content-length', b'transfer-encoding'}:
             self._answers[-1].is_framed = True
         if name == b'keep-alive':
-            self._idle_timeout_s = _parse_idle_timeout(header_value)
+            self._idle_timeout_s = parse_idle_timeout(header_value)
 
     async def _read_more(self) -> None:
         if self.is_closed:
@@ -282,14 +284,6 @@
     return await _connect(address, is_repeated=True)
 
 
-def _parse_idle_timeout(header_value: bytes) -> float | None:
-    for parameter in header_value.split(b','):
-        name, _, seconds = parameter.strip().partition(b'=')
-        if name.lower() == b'timeout' and seconds.isdigit():
-            return max(int(seconds) - _IDLE_TIMEOUT_MARGIN_S, 0)
-    return None
-
-
 def _build_invalid_error(message: str) -> EndpointError:
     return EndpointError(ErrorKind.ANSWER_BROKEN, message, run=RunState.UNKNOWN)
 
--- a/laurelwind/transport/incoming_answers.py
+++ b/laurelwind/transport/incoming_answers.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 _FIRST_FINAL_STATUS: Final = 200
+_IDLE_TIMEOUT_MARGIN_S: Final = 0.5
 
 
 class IncomingAnswer:
@@ -29,3 +30,16 @@
     def is_interim(self) -> bool:
         """Whether it is a 1xx answer that precedes the final one."""
         return self.status < _FIRST_FINAL_STATUS
+
+
+def parse_idle_timeout(header_value: bytes) -> float | None:
+    """Return the seconds for which an idle connection may be used again.
+
+    :param header_value: value of the header ``Keep-Alive``.
+    :returns: ``None`` if it names no time-out.
+    """
+    for parameter in header_value.split(b','):
+        name, _, seconds = parameter.strip().partition(b'=')
+        if name.lower() == b'timeout' and seconds.isdigit():
+            return max(int(seconds) - _IDLE_TIMEOUT_MARGIN_S, 0)
+    return None
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -2,10 +2,10 @@
 
 from collections import Counter
 from collections.abc import Iterator
-from operator import itemgetter
 
 from soak import bounds
 from soak.callers import CallerRequest, Callers
+from soak.crashes import check_crashes
 from soak.endings import EndingChecker
 from soak.faults import FaultInjector
 from soak.fleet import Fleet
@@ -48,7 +48,7 @@
             *self._check_deadlines(),
             *self._check_table_order(),
             *self._check_rollout(),
-            *self._check_crashes(),
+            *check_crashes(self._fleet, self._requests),
             *(
                 f'registry: {name} returned no addresses'
                 for name in self._empty_answers
@@ -281,26 +281,3 @@
         allowed = versions.total() * bounds.EXPOSURE_SHARE
         if versions['v2'] > allowed + bounds.EXPOSURE_EXTRA:
             yield f'exposure: {versions}'
-
-    def _check_crashes(self) -> Iterator[str]:
-        """Check that prompts which crash endpoints cease to reach them."""
-        crashes = sorted(
-            (
-                (run.arrived_at, request)
-                for request in self._requests
-                for run in self._fleet.run_log.runs.get(request.request_id, [])
-                if run.action == 'crash'
-            ),
-            key=itemgetter(0),
-        )
-        if len(crashes) < bounds.MIN_CRASHES:
-            return
-        known_at = crashes[bounds.MIN_CRASHES - 1][0] + bounds.SETTLE_S
-        late = [
-            f'{request.request_id} {arrived_at:.2f}'
-            for arrived_at, request in crashes
-            if arrived_at > known_at
-            and self._is_daemon_fault_free(request, bounds.SETTLE_S)
-        ]
-        if len(late) > bounds.MAX_LATE_CRASHES:
-            yield f'crashes: {len(crashes)}, after {known_at:.2f}: {late}'
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -195,18 +195,19 @@
     assert not screen.blocks
 
 
+async def block_soon(harness, part):
+    """Block a part while a request is under way."""
+    await anyio.sleep(0.1)
+    now = read_monotonic_clock()
+    parts = frozenset({('pool', part)})
+    harness.screen.apply([Block(parts=parts, since=now, seen_at=now)])
+
+
 # Attempts under way when a part was blocked still crashed their endpoints.
 async def test_an_attempt_under_way_ends_when_its_prompt_is_blocked():
     harness = RelayHarness(EndpointScript(head=None), names=ENDPOINTS)
-    block = Block(parts=frozenset({('pool', 'deadly')}), since=0, seen_at=0)
-
-    async def block_soon():
-        await anyio.sleep(0.1)
-        now = read_monotonic_clock()
-        harness.screen.apply([evolve(block, since=now, seen_at=now)])
-
     async with anyio.create_task_group() as group:
-        group.start_soon(block_soon)
+        group.start_soon(block_soon, harness, 'deadly')
         started_at = anyio.current_time()
         with pytest.raises(LaurelwindError) as caught:
             await harness.serve(build_prompt(1, 'deadly', request='talk'))
@@ -220,14 +221,7 @@
     harness = RelayHarness(
         EndpointScript(chunks=[EVENT, Pause(0.3), EVENT]), names=ENDPOINTS
     )
-    block = Block(parts=frozenset({('pool', 'part')}), since=0, seen_at=0)
-
-    async def block_soon():
-        await anyio.sleep(0.1)
-        now = read_monotonic_clock()
-        harness.screen.apply([evolve(block, since=now, seen_at=now)])
-
     async with anyio.create_task_group() as group:
-        group.start_soon(block_soon)
+        group.start_soon(block_soon, harness, 'part')
         answer = await harness.serve(build_prompt(1, 'part', request='talk'))
     assert answer.is_whole
