Confirm a deadly part by the answers of other prompts

Cause: as traffic begins, all endpoints of a pool crash within a second, with several prompts on board of each crash; hardly any other prompt is answered, so that nothing clears the sound parts on board. One answer of the service was taken for a proof that prompts without the part are answered, and one is none: if the part were innocent, it might well not be in a single answer.

Now the culprit is confirmed once the answers since its first failure make its innocence unlikely: with a share s of the prompts on board, n answers of m daemons that answer about as often, (1 - s) ** (n * m) must be at most MAX_FALSE_BLAME, 1 in 100. Until then it is looked at again every 0.25 s, not only as the next endpoint crashes. Of parts at equally many crashes the one of the most prompts is taken, as a sound one rides along with few.

The new tests failed before: the part of one owner was blamed.

--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -24,6 +24,8 @@
 REPEAT_S: Final = 10.0
 # Seconds between a report and its review.
 REVIEW_DELAY_S: Final = 0.15
+# Seconds between two reviews while a part is to be confirmed.
+CONFIRMATION_PERIOD_S: Final = 0.25
 
 
 class PartScreen:
@@ -33,6 +35,7 @@
 
     :param log: decision log.
     :param clock: monotonic clock, in seconds.
+    :param count_members: returns the number of daemons.
     :ivar has_news: set when there are notices to spread.
     :ivar watch: attempts to end when their prompt is blocked.
     """
@@ -41,12 +44,14 @@
         self,
         *,
         log: DecisionLog,
+        count_members: Callable[[], int],
         clock: Callable[[], float] = read_monotonic_clock,
     ) -> None:
         self.has_news = anyio.Event()
         self.watch = AttemptWatch()
         self._log = log
         self._clock = clock
+        self._count_members = count_members
         self._evidence = CrashEvidence()
         self._blocked = BlockedParts()
         self._news: list[CrashNotice] = []
@@ -100,26 +105,32 @@
         self._has_unreviewed.set()
 
     async def run(self) -> None:
-        """Review new reports until cancelled."""
+        """Review reports until cancelled."""
         while True:
             await self._has_unreviewed.wait()
             # Answers that peers know of have arrived by then.
             await anyio.sleep(REVIEW_DELAY_S)
             self._has_unreviewed = anyio.Event()
-            self.review()
+            if self.review():
+                await anyio.sleep(CONFIRMATION_PERIOD_S)
+                self._has_unreviewed.set()
 
-    def review(self) -> None:
-        """Block the parts that the reports prove to crash endpoints."""
-        is_blocked = True
-        while is_blocked:
+    def review(self) -> bool:
+        """Block the parts that the reports prove to crash endpoints.
+
+        :returns: whether a part is to be confirmed by further answers.
+        """
+        while True:
             culprit = self._evidence.find_culprit(self._blocked.groups)
-            is_blocked = culprit is not None and self._block(
-                Block(
-                    parts=culprit.parts,
-                    since=culprit.since,
-                    seen_at=self._clock(),
-                )
+            if culprit is None:
+                return False
+            if not self._evidence.is_confirmed(culprit, self._count_members()):
+                return True
+            block = Block(
+                parts=culprit.parts, since=culprit.since, seen_at=self._clock()
             )
+            if not self._block(block):
+                return False
 
     def record_answer(self, service: str, parts: Sequence[PromptPart]) -> None:
         """Record an answer that began, which clears the parts of its prompt.
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -109,7 +109,9 @@
         self.datagrams = PeerDatagrams(
             address=settings.listen.peers, log=self.log
         )
-        self.screen = PartScreen(log=self.log)
+        self.screen = PartScreen(
+            log=self.log, count_members=lambda: len(self.membership.members)
+        )
         self.gossip = CrashGossip(
             screen=self.screen,
             channel=self.datagrams,
--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -7,17 +7,17 @@
 """
 
 import itertools
-from collections import Counter
-from collections.abc import Collection, Iterable, Iterator
+from collections import Counter, deque
+from collections.abc import Collection, Iterator
 from typing import Final
 
-from attrs import frozen
-
-from laurelwind.state.crash_reports import (
-    CrashReport,
-    PartKey,
-    PartKeys,
-    find_series,
+from laurelwind.state.crash_reports import CrashReport, PartKey, PartKeys
+from laurelwind.state.culprits import (
+    Culprit,
+    SuspectReport,
+    build_culprit,
+    count_values,
+    list_remainders,
 )
 from laurelwind.state.endpoint_breaks import EndpointBreak, EndpointBreaks
 
@@ -27,6 +27,10 @@
 MIN_PROMPTS: Final = 2
 # Failures that suffice for some of the parts that were blamed together.
 MIN_FURTHER_FAILURES: Final = 2
+# Probability with which an innocent part may be blamed though other prompts
+# were answered meanwhile, and the most answers of a service that are kept.
+MAX_FALSE_BLAME: Final = 0.01
+MAX_SERVICE_ANSWERS: Final = 256
 # Lifetime of a report, in seconds.
 REPORT_TTL_S: Final = 300.0
 # The most reports that are kept, and how many of them make room for others.
@@ -39,25 +43,6 @@
 MAX_ANSWERED_PARTS: Final = 4096
 
 
-# A report, and the parts that no answer has cleared.
-_SuspectReport = tuple[CrashReport, PartKeys]
-
-
-@frozen(kw_only=True)
-class Culprit:
-    """Parts that failures prove to be the cause of crashes.
-
-    These are all parts that the failures have in common; the cause may be any
-    of them.
-
-    :ivar parts: the parts.
-    :ivar since: moment since which all attempts with the parts have failed.
-    """
-
-    parts: PartKeys
-    since: float
-
-
 class CrashEvidence:
     """Reports of crashes, and the parts whose answers began."""
 
@@ -65,7 +50,7 @@
         self._reports: dict[str, CrashReport] = {}
         self._known_attempts: dict[str, None] = {}
         self._breaks = EndpointBreaks()
-        self._answered_services: dict[str, float] = {}
+        self._service_answers: dict[str, deque[float]] = {}
         # Moments of the last answers, the latest at the end.
         self._answered: dict[PartKey, float] = {}
 
@@ -104,7 +89,10 @@
         :param service: name of the service.
         :param began_at: moment at which an answer began.
         """
-        self._answered_services[service] = began_at
+        answers = self._service_answers.setdefault(
+            service, deque(maxlen=MAX_SERVICE_ANSWERS)
+        )
+        answers.append(began_at)
 
     def record_answer(self, part: PartKey, began_at: float) -> bool:
         """Record an answer that began; return whether it clears any report.
@@ -153,16 +141,33 @@
             (report, self.list_suspects(report))
             for report in self._list_unexplained(blocked)
         ]
-        for parts in _list_remainders(blocked, unexplained):
-            culprit = _build_culprit(
+        for parts in list_remainders(blocked, unexplained):
+            culprit = build_culprit(
                 parts,
                 unexplained,
                 min_endpoints=MIN_FURTHER_FAILURES,
                 min_prompts=1,
             )
             if culprit is not None:
-                return self._confirm(culprit)
-        return self._confirm(self._find_common_cause(unexplained))
+                return culprit
+        return self._find_common_cause(unexplained)
+
+    def is_confirmed(self, culprit: Culprit, members: int) -> bool:
+        """Return whether the answers of others confirm a culprit.
+
+        If its parts were innocent, prompts with them would be among the answers
+        that began meanwhile, in about the share that they have of the failures.
+
+        :param culprit: parts of which no answer began.
+        :param members: number of daemons, which answer about as often as this.
+        """
+        service = next(service for service, _ in culprit.parts)
+        answers = sum(
+            began_at > culprit.since
+            for began_at in self._service_answers.get(service, ())
+        )
+        chance = (1 - culprit.share) ** (answers * members)
+        return chance <= MAX_FALSE_BLAME
 
     def _list_unexplained(
         self, blocked: Collection[PartKeys]
@@ -186,15 +191,17 @@
         ]
 
     def _find_common_cause(
-        self, reports: Collection[_SuspectReport]
+        self, reports: Collection[SuspectReport]
     ) -> Culprit | None:
         """Return the largest group of parts that the failures prove.
 
-        The parts at the most crashes come first, and of these the ones whose
-        last answer is the longest ago.
+        The parts at the most crashes come first, of these the ones whose last
+        answer is the longest ago, and of these the ones of the most prompts.
         """
-        frequencies = _count_endpoints(reports)
-        ranked = sorted(frequencies, key=self.get_answered_at)
+        frequencies = count_values(reports, 'endpoint')
+        prompts = count_values(reports, 'prompt')
+        ranked = sorted(frequencies, key=prompts.__getitem__, reverse=True)
+        ranked.sort(key=self.get_answered_at)
         ranked.sort(key=frequencies.__getitem__, reverse=True)
         cause: Culprit | None = None
         for part in ranked:
@@ -202,7 +209,7 @@
                 break
             group = {part} if cause is None else cause.parts | {part}
             cause = (
-                _build_culprit(
+                build_culprit(
                     frozenset(group),
                     reports,
                     min_endpoints=MIN_FAILURES,
@@ -212,17 +219,6 @@
             )
         return cause
 
-    def _confirm(self, culprit: Culprit | None) -> Culprit | None:
-        """Return a culprit whose service has answered others meanwhile.
-
-        Where nothing is answered, the failures have another cause.
-        """
-        if culprit is None:
-            return None
-        service = next(service for service, _ in culprit.parts)
-        answered_at = self._answered_services.get(service, float('-inf'))
-        return culprit if answered_at > culprit.since else None
-
     def _expire(self, now: float) -> None:
         outdated = [
             report.attempt
@@ -246,43 +242,3 @@
             for attempt, parts in suspects.items()
         }
         yield from sorted(strengths, key=strengths.__getitem__)[:count]
-
-
-def _list_remainders(
-    blocked: Iterable[PartKeys], reports: Iterable[_SuspectReport]
-) -> set[PartKeys]:
-    """List what is left of blocked groups in reports that they don't explain.
-
-    One of the parts of a group is the cause, so that the others are likely to
-    be sound.
-    """
-    remainders = {
-        group & suspects for group in blocked for _, suspects in reports
-    }
-    return remainders - {frozenset()}
-
-
-def _count_endpoints(reports: Iterable[_SuspectReport]) -> Counter[PartKey]:
-    """Count the endpoints that crashed with each part on board."""
-    pairs = {
-        (part, report.endpoint)
-        for report, suspects in reports
-        for part in suspects
-    }
-    return Counter(part for part, _ in pairs)
-
-
-def _build_culprit(
-    parts: PartKeys,
-    reports: Iterable[_SuspectReport],
-    *,
-    min_endpoints: int,
-    min_prompts: int,
-) -> Culprit | None:
-    """Return a group of parts as the culprit if its failures suffice."""
-    series = find_series(
-        (report for report, suspects in reports if suspects.issuperset(parts)),
-        min_endpoints=min_endpoints,
-        min_prompts=min_prompts,
-    )
-    return Culprit(parts=parts, since=series[0].sent_at) if series else None
--- /dev/null
+++ b/laurelwind/state/culprits.py
@@ -0,0 +1,99 @@
+"""What the reports of crashes have in common."""
+
+from collections import Counter
+from collections.abc import Collection, Iterable
+
+from attrs import frozen
+
+from laurelwind.state.crash_reports import (
+    CrashReport,
+    PartKey,
+    PartKeys,
+    find_series,
+)
+
+# A report, and the parts that no answer has cleared.
+SuspectReport = tuple[CrashReport, PartKeys]
+
+
+@frozen(kw_only=True)
+class Culprit:
+    """Parts that failures prove to be the cause of crashes.
+
+    These are all parts that the failures have in common; the cause may be any
+    of them.
+
+    :ivar parts: the parts.
+    :ivar since: moment since which all attempts with the parts have failed.
+    :ivar share: share of the prompts on board of the crashes that hold them.
+    """
+
+    parts: PartKeys
+    since: float
+    share: float
+
+
+def list_remainders(
+    blocked: Iterable[PartKeys], reports: Iterable[SuspectReport]
+) -> set[PartKeys]:
+    """List what is left of blocked groups in reports that they don't explain.
+
+    One of the parts of a group is the cause, so that the others are likely to
+    be sound.
+
+    :param blocked: groups of parts that are blocked.
+    :param reports: reports that no group explains.
+    """
+    remainders = {
+        group & suspects for group in blocked for _, suspects in reports
+    }
+    return remainders - {frozenset()}
+
+
+def count_values(
+    reports: Iterable[SuspectReport], attribute: str
+) -> Counter[PartKey]:
+    """Count the different values of an attribute in the reports of each part.
+
+    :param reports: the reports.
+    :param attribute: name of an attribute of the reports.
+    """
+    pairs = {
+        (part, getattr(report, attribute))
+        for report, suspects in reports
+        for part in suspects
+    }
+    return Counter(part for part, _ in pairs)
+
+
+def build_culprit(
+    parts: PartKeys,
+    reports: Collection[SuspectReport],
+    *,
+    min_endpoints: int,
+    min_prompts: int,
+) -> Culprit | None:
+    """Return a group of parts as the culprit if its failures suffice.
+
+    :param parts: the group.
+    :param reports: reports that no blocked group explains.
+    :param min_endpoints: fewest different endpoints in a series of failures.
+    :param min_prompts: fewest different prompts in the series.
+    """
+    failures = [
+        report for report, suspects in reports if suspects.issuperset(parts)
+    ]
+    series = find_series(
+        failures, min_endpoints=min_endpoints, min_prompts=min_prompts
+    )
+    if not series:
+        return None
+    endpoints = {report.endpoint for report in failures}
+    prompts = {
+        report.prompt for report, _ in reports if report.endpoint in endpoints
+    }
+    return Culprit(
+        parts=parts,
+        since=series[0].sent_at,
+        share=len({report.prompt for report in failures}) / len(prompts),
+    )
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -257,7 +257,7 @@
             local_daemon='d1', exposure_share=0.15, log=self.log
         )
         self.placement = Placement(zone='a')
-        self.screen = PartScreen(log=self.log)
+        self.screen = PartScreen(log=self.log, count_members=lambda: 1)
         self.tracker = FakeTracker(build_routing_table())
         self.gateway = FakeGateway(scripts)
         self.retry_budget = FleetRetryBudget(
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -51,11 +51,13 @@
         self.evidence.add(report)
         return report
 
-    def blame(self, *blocked, is_answering=True):
-        if is_answering:
+    def blame(self, *blocked, answers=50):
+        for _ in range(answers):
             self.evidence.record_service_answer('pool', self.last_at)
         culprit = self.evidence.find_culprit(blocked)
-        return None if culprit is None else culprit.parts
+        if culprit is None or not self.evidence.is_confirmed(culprit, 1):
+            return None
+        return culprit.parts
 
 
 def test_the_part_that_three_failures_have_in_common_is_blamed():
@@ -142,7 +144,7 @@
     crashes = Crashes()
     for at in range(1, 9):
         crashes.add(at, 'rare')
-    assert crashes.blame(is_answering=False) is None
+    assert crashes.blame(answers=0) is None
     assert crashes.blame() == keys('rare')
 
 
@@ -170,6 +172,29 @@
     assert crashes.blame(report.parts) is None
 
 
+# All endpoints of a pool crashed as its traffic began, and a sound part was
+# blocked, though hardly any other prompt had been answered.
+def test_a_part_is_confirmed_by_answers_of_prompts_without_it():
+    crashes = Crashes()
+    for at in (1, 2, 3):
+        crashes.add(at, 'first', 'own', endpoint=f'e{at}')
+        crashes.evidence.record_answer(('pool', 'first'), at + 0.01)
+        crashes.add(at, f'x{at}', endpoint=f'e{at}')
+    assert crashes.blame(answers=3) is None
+    assert crashes.blame(answers=3) is None
+    assert crashes.blame(answers=1) == keys('own')
+
+
+def test_of_parts_at_all_crashes_the_one_of_most_prompts_is_blamed():
+    crashes = Crashes()
+    for at in (1, 2, 3):
+        for number in range(3):
+            crashes.add(at, 'deadly', f'x{at}{number}', endpoint=f'e{at}')
+        crashes.add(at, 'own', endpoint=f'e{at}')
+    assert crashes.blame() == keys('deadly')
+    assert crashes.blame(keys('deadly')) is None
+
+
 # Beside load, sound prompts were on board of each crash, and their part was
 # blocked as well.
 def test_sound_prompts_on_board_of_the_same_crashes_are_not_blamed():
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -8,6 +8,7 @@
 import pytest
 
 from laurelwind.coordination.crash_gossip import (
+    NEWS_DELAY_S,
     NEWS_FANOUT,
     REPEAT_FANOUT,
     CrashGossip,
@@ -15,6 +16,7 @@
 from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.protocol.crash_notices import (
     MAX_DATAGRAM_BYTES,
+    PartAnswer,
     decode_notices,
     encode_notices,
 )
@@ -35,6 +37,18 @@
 DEADLY = (PromptPart(name='deadly', tokens=9), PromptPart(name='x', tokens=9))
 
 
+def build_report(number, broke_at, *parts):
+    """Build the report of an attempt that lasted 0.2 s."""
+    return CrashReport(
+        attempt=f'a{number}',
+        endpoint=f'e{number}',
+        prompt=f'p{number}',
+        parts=frozenset(('pool', part) for part in parts),
+        sent_at=broke_at - 0.2,
+        broke_at=broke_at,
+    )
+
+
 class LossyNetwork:
     """Delivers datagrams after random delays, or not at all."""
 
@@ -88,7 +102,11 @@
 
     def start(self, group, name):
         clock = asyncio.get_running_loop().time
-        screen = PartScreen(log=build_silent_log(), clock=clock)
+        screen = PartScreen(
+            log=build_silent_log(),
+            clock=clock,
+            count_members=lambda: len(self.names),
+        )
         gossip = CrashGossip(
             screen=screen,
             channel=EmulatedChannel(self.network, name),
@@ -107,16 +125,7 @@
         now = asyncio.get_running_loop().time()
         await anyio.sleep(0.2)
         screen = self.screens[self.names[number % len(self.names)]]
-        screen.record_crash(
-            CrashReport(
-                attempt=f'a{number}',
-                endpoint=f'e{number}',
-                prompt=f'p{number}',
-                parts=frozenset(('pool', part) for part in parts),
-                sent_at=now,
-                broke_at=now + 0.2,
-            )
-        )
+        screen.record_crash(build_report(number, now + 0.2, *parts))
         # Other prompts are answered meanwhile.
         for screen in self.screens.values():
             screen.record_answer('pool', ())
@@ -171,19 +180,26 @@
     run_emulated(check, monkeypatch)
 
 
-# A daemon that had just started blocked the part that all prompts begin with.
-def test_a_daemon_that_knows_no_answers_blocks_no_sound_part(monkeypatch):
+# A daemon that had just started blocked the part that all prompts begin with,
+# as the answers that clear it were still under way.
+def test_a_daemon_that_knows_no_answers_waits_for_those_of_others(monkeypatch):
     async def check():
-        fleet = Fleet(7)
+        loop = asyncio.get_running_loop()
+        screen = PartScreen(
+            log=build_silent_log(), clock=loop.time, count_members=lambda: 1
+        )
         async with anyio.create_task_group() as group:
-            fleet.start_all(group)
-            fresh = fleet.screens[fleet.names[0]]
-            for number in range(1, 4):
-                await fleet.crash(number, 'first', f'x{number}')
-                for name in fleet.names[1:]:
-                    fleet.screens[name].record_answer('pool', build_sound())
-            await anyio.sleep(CONTACT_S)
-            assert not fresh.blocks
+            group.start_soon(screen.run)
+            for number in range(3):
+                await anyio.sleep(0.2)
+                screen.record_answer('pool', ())
+                screen.apply([build_report(number, loop.time(), 'first')])
+            await anyio.sleep(NEWS_DELAY_S + 0.02)
+            assert not screen.blocks
+            part = ('pool', 'first')
+            screen.apply([PartAnswer(part=part, began_at=loop.time() - 0.05)])
+            await anyio.sleep(1)
+            assert not screen.blocks
             group.cancel_scope.cancel()
 
     run_emulated(check, monkeypatch)
