Block the parts of all the same crashes together

What cannot be told apart by the crashes is blocked together now: a part that was on board of all crashes of the culprit joins it, if a prompt held both. The block then rejects only prompts with all of these, and is narrowed as before. The new test failed before: 'own' was blamed alone.

--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -15,6 +15,7 @@
 from laurelwind.state.culprits import (
     Culprit,
     SuspectReport,
+    add_companions,
     build_culprit,
     count_values,
     list_remainders,
@@ -150,7 +151,8 @@
             )
             if culprit is not None:
                 return culprit
-        return self._find_common_cause(unexplained)
+        cause = self._find_common_cause(unexplained)
+        return None if cause is None else add_companions(cause, unexplained)
 
     def is_confirmed(self, culprit: Culprit, members: int) -> bool:
         """Return whether the answers of others confirm a culprit.
--- a/laurelwind/state/culprits.py
+++ b/laurelwind/state/culprits.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Collection, Iterable
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from laurelwind.state.crash_reports import (
     CrashReport,
@@ -50,6 +50,34 @@
     return remainders - {frozenset()}
 
 
+def add_companions(
+    culprit: Culprit, reports: Collection[SuspectReport]
+) -> Culprit:
+    """Add the parts that were on board of all the same crashes.
+
+    Either may be the cause, so that only prompts which hold them all are to be
+    rejected.
+
+    :param culprit: parts that the failures prove to be the cause.
+    :param reports: reports that no blocked group explains.
+    """
+    crashes = {
+        report.endpoint
+        for report, suspects in reports
+        if suspects >= culprit.parts
+    }
+    parts = culprit.parts
+    for part in sorted({part for _, suspects in reports for part in suspects}):
+        group = parts | {part}
+        endpoints = {
+            report.endpoint for report, suspects in reports if part in suspects
+        }
+        is_held = any(suspects >= group for _, suspects in reports)
+        if is_held and endpoints >= crashes:
+            parts = group
+    return evolve(culprit, parts=parts)
+
+
 def count_values(
     reports: Iterable[SuspectReport], attribute: str
 ) -> Counter[PartKey]:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -195,6 +195,17 @@
     assert crashes.blame(keys('deadly')) is None
 
 
+# Both deadly prompts were of one owner, and its part was blocked without the
+# deadly one, for a further sound prompt of that owner.
+def test_parts_of_all_the_same_crashes_are_blamed_together():
+    crashes = Crashes()
+    crashes.add(1.0, 'deadly', 'own', prompt='p1', endpoint='e1')
+    crashes.add(1.15, 'deadly', 'own', prompt='p1', endpoint='e2')
+    crashes.add(1.24, 'deadly', 'own', prompt='p2', endpoint='e3')
+    crashes.add(1.3, 'own', endpoint='e3')
+    assert crashes.blame() == keys('deadly', 'own')
+
+
 # Beside load, sound prompts were on board of each crash, and their part was
 # blocked as well.
 def test_sound_prompts_on_board_of_the_same_crashes_are_not_blamed():
