Block a part at another service with its first failure there

Blocks are kept by service, as a part may crash one model only, so that the new pool had to learn the part by three endpoints.

A part that is blocked at another service is blocked with its first failure at this one. Blocking it there at once was ruled out: a prompt may be moved to another model just because that one bears it, and no answer could show it. The new test failed before.

--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -18,6 +18,7 @@
     add_companions,
     build_culprit,
     count_values,
+    find_known_elsewhere,
     list_remainders,
 )
 from laurelwind.state.endpoint_breaks import EndpointBreak, EndpointBreaks
@@ -142,6 +143,9 @@
             (report, self.list_suspects(report))
             for report in self._list_unexplained(blocked)
         ]
+        known = find_known_elsewhere(blocked, unexplained)
+        if known is not None:
+            return known
         for parts in list_remainders(blocked, unexplained):
             culprit = build_culprit(
                 parts,
--- a/laurelwind/state/culprits.py
+++ b/laurelwind/state/culprits.py
@@ -50,6 +50,23 @@
     return remainders - {frozenset()}
 
 
+def find_known_elsewhere(
+    blocked: Iterable[PartKeys], reports: Iterable[SuspectReport]
+) -> Culprit | None:
+    """Return parts that are blocked at another service and failed at this one.
+
+    :param blocked: groups of parts that are blocked.
+    :param reports: reports that no group explains.
+    """
+    names_blocked = [{name for _, name in group} for group in blocked]
+    for report, suspects in reports:
+        for names in names_blocked:
+            parts = frozenset(part for part in suspects if part[1] in names)
+            if len(parts) == len(names):
+                return Culprit(parts=parts, since=report.sent_at, share=1)
+    return None
+
+
 def add_companions(
     culprit: Culprit, reports: Collection[SuspectReport]
 ) -> Culprit:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -206,6 +206,16 @@
     assert crashes.blame() == keys('deadly', 'own')
 
 
+# After a route had moved, each service had to learn of the part by itself.
+def test_a_part_that_is_blocked_at_another_service_is_blocked_at_its_failure():
+    crashes = Crashes()
+    blocked = frozenset({('other', 'deadly')})
+    crashes.add(1, 'own', 'x')
+    assert crashes.blame(blocked) is None
+    crashes.add(2, 'deadly', 'own')
+    assert crashes.blame(blocked) == keys('deadly')
+
+
 # Beside load, sound prompts were on board of each crash, and their part was
 # blocked as well.
 def test_sound_prompts_on_board_of_the_same_crashes_are_not_blamed():
