Guard the confirmation of a part by tests of its reviews and of the members

Tests only, for mutations that no test had noticed: a part that is to be confirmed is looked at again without a further crash, answers count by the number of daemons, and a daemon refuses a block that its own answers disprove and tells the others of them.

--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -6,6 +6,7 @@
 import anyio
 import orjson
 import pytest
+from attrs import evolve
 
 from laurelwind.coordination.crash_gossip import (
     NEWS_DELAY_S,
@@ -22,6 +23,7 @@
 )
 from laurelwind.protocol.datagrams import DatagramChannel
 from laurelwind.protocol.exchanges import PromptPart
+from laurelwind.state.blocked_parts import Block
 from laurelwind.state.crash_reports import CrashReport
 from laurelwind.transport.peer_datagrams import PeerDatagrams
 from standins.addresses import find_free_addresses
@@ -205,6 +207,61 @@
     run_emulated(check, monkeypatch)
 
 
+# The part was looked at only when another endpoint had crashed.
+@pytest.mark.parametrize(('members', 'is_blocked'), [(7, True), (1, False)])
+def test_a_part_is_confirmed_once_other_prompts_are_answered(
+    monkeypatch, members, is_blocked
+):
+    async def check():
+        loop = asyncio.get_running_loop()
+        screen = PartScreen(
+            log=build_silent_log(),
+            clock=loop.time,
+            count_members=lambda: members,
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(screen.run)
+            for number in range(3):
+                await anyio.sleep(0.2)
+                deadly = build_report(number, loop.time(), 'deadly')
+                other = build_report(number, loop.time(), f'x{number}')
+                screen.apply(
+                    [deadly, evolve(other, attempt=f'b{number}', prompt='y')]
+                )
+            await anyio.sleep(2)
+            assert not screen.blocks
+            # Three quarters of the prompts on board were deadly.
+            for _ in range(2):
+                screen.record_answer('pool', ())
+            await anyio.sleep(1)
+            assert bool(screen.blocks) == is_blocked
+            group.cancel_scope.cancel()
+
+    run_emulated(check, monkeypatch)
+
+
+# A daemon took over a block though it had answered such a prompt since.
+def test_a_daemon_refuses_a_block_that_its_answers_disprove(monkeypatch):
+    async def check():
+        loop = asyncio.get_running_loop()
+        screen = PartScreen(
+            log=build_silent_log(), clock=loop.time, count_members=lambda: 1
+        )
+        screen.record_answer('pool', build_sound())
+        block = Block(
+            parts=frozenset({('pool', 'first')}),
+            since=loop.time() - 1,
+            seen_at=loop.time(),
+        )
+        screen.apply([block])
+        assert not screen.blocks
+        # The daemon that blocked it hears of the answer.
+        [answer] = screen.take_news()
+        assert answer.part == ('pool', 'first')
+
+    run_emulated(check, monkeypatch)
+
+
 def build_sound():
     return PromptPart(name='first', tokens=9), PromptPart(name='y', tokens=9)
 
