Look for the cause of crashes at each service by itself

Found by reading: one culprit was looked for among the reports of all services, the one at the most crashes. If its service answered nobody it was never confirmed, and hid the deadly part of every other service for as long as its reports lasted, 300 s.

Reports are parted by service now, as an endpoint serves one service and a part is blamed at one, and each service has a culprit of its own. The new test failed before: nothing was blocked.

--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -17,6 +17,7 @@
 from laurelwind.state.blocked_parts import Block, BlockedParts
 from laurelwind.state.crash_evidence import CrashEvidence
 from laurelwind.state.crash_reports import CrashReport, PartKey, PartKeys
+from laurelwind.state.culprits import Culprit
 from laurelwind.state.endpoint_breaks import EndpointBreak
 from laurelwind.state.load import read_monotonic_clock
 
@@ -120,17 +121,17 @@
 
         :returns: whether a part is to be confirmed by further answers.
         """
-        while True:
-            culprit = self._evidence.find_culprit(self._blocked.groups)
-            if culprit is None:
-                return False
-            if not self._evidence.is_confirmed(culprit, self._count_members()):
-                return True
-            block = Block(
-                parts=culprit.parts, since=culprit.since, seen_at=self._clock()
-            )
-            if not self._block(block):
-                return False
+        is_found = True
+        while is_found:
+            culprits = self._evidence.find_culprits(self._blocked.groups)
+            confirmed = [
+                culprit
+                for culprit in culprits
+                if self._evidence.is_confirmed(culprit, self._count_members())
+            ]
+            blocks = [self._block_culprit(culprit) for culprit in confirmed]
+            is_found = any(blocks)
+        return len(confirmed) < len(culprits)
 
     def record_answer(self, service: str, parts: Sequence[PromptPart]) -> None:
         """Record an answer that began, which clears the parts of its prompt.
@@ -240,6 +241,13 @@
             PartAnswer(part=part, began_at=self._evidence.get_answered_at(part))
         )
 
+    def _block_culprit(self, culprit: Culprit) -> bool:
+        return self._block(
+            Block(
+                parts=culprit.parts, since=culprit.since, seen_at=self._clock()
+            )
+        )
+
     def _block(self, block: Block) -> bool:
         if not self._blocked.add(block):
             return False
--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -8,7 +8,7 @@
 
 import itertools
 from collections import Counter, deque
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Sequence
 from typing import Final
 
 from laurelwind.state.crash_reports import CrashReport, PartKey, PartKeys
@@ -134,29 +134,21 @@
             if self.get_answered_at(part) < report.sent_at
         )
 
-    def find_culprit(self, blocked: Collection[PartKeys]) -> Culprit | None:
-        """Return what the reports prove to be the cause of crashes, if any.
+    def find_culprits(self, blocked: Collection[PartKeys]) -> Sequence[Culprit]:
+        """Return what the reports prove to be the cause of crashes.
 
         :param blocked: groups of parts that were found before.
+        :returns: at most one culprit of each service.
         """
-        unexplained = [
-            (report, self.list_suspects(report))
-            for report in self._list_unexplained(blocked)
-        ]
-        known = find_known_elsewhere(blocked, unexplained)
-        if known is not None:
-            return known
-        for parts in list_remainders(blocked, unexplained):
-            culprit = build_culprit(
-                parts,
-                unexplained,
-                min_endpoints=MIN_FURTHER_FAILURES,
-                min_prompts=1,
-            )
-            if culprit is not None:
-                return culprit
-        cause = self._find_common_cause(unexplained)
-        return None if cause is None else add_companions(cause, unexplained)
+        by_service: dict[str, list[SuspectReport]] = {}
+        for report in self._list_unexplained(blocked):
+            suspects = self.list_suspects(report)
+            by_service.setdefault(report.service, []).append((report, suspects))
+        culprits = (
+            self._find_culprit(blocked, reports)
+            for reports in by_service.values()
+        )
+        return [culprit for culprit in culprits if culprit is not None]
 
     def is_confirmed(self, culprit: Culprit, members: int) -> bool:
         """Return whether the answers of others confirm a culprit.
@@ -167,10 +159,9 @@
         :param culprit: parts of which no answer began.
         :param members: number of daemons, which answer about as often as this.
         """
-        service = next(service for service, _ in culprit.parts)
         answers = sum(
             began_at > culprit.since
-            for began_at in self._service_answers.get(service, ())
+            for began_at in self._service_answers.get(culprit.service, ())
         )
         chance = (1 - culprit.share) ** (answers * members)
         return chance <= MAX_FALSE_BLAME
@@ -196,6 +187,27 @@
             report for report in crashes if report.endpoint not in explained
         ]
 
+    def _find_culprit(
+        self,
+        blocked: Collection[PartKeys],
+        reports: Collection[SuspectReport],
+    ) -> Culprit | None:
+        """Return the culprit of the reports of a service, if any."""
+        known = find_known_elsewhere(blocked, reports)
+        if known is not None:
+            return known
+        for parts in list_remainders(blocked, reports):
+            culprit = build_culprit(
+                parts,
+                reports,
+                min_endpoints=MIN_FURTHER_FAILURES,
+                min_prompts=1,
+            )
+            if culprit is not None:
+                return culprit
+        cause = self._find_common_cause(reports)
+        return None if cause is None else add_companions(cause, reports)
+
     def _find_common_cause(
         self, reports: Collection[SuspectReport]
     ) -> Culprit | None:
--- a/laurelwind/state/crash_reports.py
+++ b/laurelwind/state/crash_reports.py
@@ -47,6 +47,11 @@
     broke_at: float
     alive_at: float = float('-inf')
 
+    @property
+    def service(self) -> str:
+        """Name of the service that all parts belong to."""
+        return next((service for service, _ in self.parts), '')
+
     @property
     def broken(self) -> EndpointBreak:
         """The broken connection."""
--- a/laurelwind/state/culprits.py
+++ b/laurelwind/state/culprits.py
@@ -32,6 +32,11 @@
     since: float
     share: float
 
+    @property
+    def service(self) -> str:
+        """Name of the service of the parts."""
+        return next(service for service, _ in self.parts)
+
 
 def list_remainders(
     blocked: Iterable[PartKeys], reports: Iterable[SuspectReport]
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -54,10 +54,13 @@
     def blame(self, *blocked, answers=50):
         for _ in range(answers):
             self.evidence.record_service_answer('pool', self.last_at)
-        culprit = self.evidence.find_culprit(blocked)
-        if culprit is None or not self.evidence.is_confirmed(culprit, 1):
-            return None
-        return culprit.parts
+        confirmed = [
+            culprit.parts
+            for culprit in self.evidence.find_culprits(blocked)
+            if self.evidence.is_confirmed(culprit, 1)
+        ]
+        assert len(confirmed) <= 1
+        return confirmed[0] if confirmed else None
 
 
 def test_the_part_that_three_failures_have_in_common_is_blamed():
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -207,6 +207,23 @@
     run_emulated(check, monkeypatch)
 
 
+# Crashes at a service that answered nobody hid the deadly part of another one.
+def test_a_part_is_blocked_beside_a_service_that_answers_nothing(clock):
+    screen = PartScreen(
+        log=build_silent_log(), clock=clock, count_members=lambda: 7
+    )
+    for number in range(4):
+        clock.now += 1
+        down = build_report(number, clock.now, 'first')
+        down = evolve(down, parts=frozenset({('down', 'first')}))
+        deadly = build_report(number + 10, clock.now, 'deadly')
+        screen.apply([down] if number == 3 else [down, deadly])
+    for _ in range(9):
+        screen.record_answer('pool', ())
+    assert screen.review()
+    assert [block.parts for block in screen.blocks] == [{('pool', 'deadly')}]
+
+
 # The part was looked at only when another endpoint had crashed.
 @pytest.mark.parametrize(('members', 'is_blocked'), [(7, True), (1, False)])
 def test_a_part_is_confirmed_once_other_prompts_are_answered(
