Review a part that is to be confirmed only as its service answers

While a culprit was unconfirmed, all reports were reviewed every 0.25 s, though only a further answer can confirm it. With 242 reports a review takes 20 ms (a run of its own), and a service that answers nobody keeps its reports for 300 s: about 8 in 100 of a core for nothing.

The next answer of the service that begins starts the review now, 0.15 s later as after a report. The test of it failed before: further reviews were made in the two seconds without an answer.

--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -25,8 +25,6 @@
 REPEAT_S: Final = 10.0
 # Seconds between a report and its review.
 REVIEW_DELAY_S: Final = 0.15
-# Seconds between two reviews while a part is to be confirmed.
-CONFIRMATION_PERIOD_S: Final = 0.25
 
 
 class PartScreen:
@@ -57,6 +55,8 @@
         self._blocked = BlockedParts()
         self._news: list[CrashNotice] = []
         self._has_unreviewed = anyio.Event()
+        # Services whose next answers may confirm a culprit.
+        self._unconfirmed: set[str] = set()
         # Answers that cleared a report, by part.
         self._answers: dict[PartKey, PartAnswer] = {}
 
@@ -112,26 +112,19 @@
             # Answers that peers know of have arrived by then.
             await anyio.sleep(REVIEW_DELAY_S)
             self._has_unreviewed = anyio.Event()
-            if self.review():
-                await anyio.sleep(CONFIRMATION_PERIOD_S)
-                self._has_unreviewed.set()
+            self.review()
 
-    def review(self) -> bool:
-        """Block the parts that the reports prove to crash endpoints.
-
-        :returns: whether a part is to be confirmed by further answers.
-        """
+    def review(self) -> None:
+        """Block the parts that the reports prove to crash endpoints."""
         is_found = True
         while is_found:
-            culprits = self._evidence.find_culprits(self._blocked.groups)
-            confirmed = [
-                culprit
-                for culprit in culprits
-                if self._evidence.is_confirmed(culprit, self._count_members())
-            ]
-            blocks = [self._block_culprit(culprit) for culprit in confirmed]
-            is_found = any(blocks)
-        return len(confirmed) < len(culprits)
+            is_found = False
+            self._unconfirmed.clear()
+            for culprit in self._evidence.find_culprits(self._blocked.groups):
+                if self._evidence.is_confirmed(culprit, self._count_members()):
+                    is_found = self._block_culprit(culprit) or is_found
+                else:
+                    self._unconfirmed.add(culprit.service)
 
     def record_answer(self, service: str, parts: Sequence[PromptPart]) -> None:
         """Record an answer that began, which clears the parts of its prompt.
@@ -141,6 +134,8 @@
         """
         now = self._clock()
         self._evidence.record_service_answer(service, now)
+        if service in self._unconfirmed:
+            self._has_unreviewed.set()
         for part in build_part_keys(service, parts):
             self._apply_answer(PartAnswer(part=part, began_at=now))
 
