Count each lifetime of an endpoint as a crash, whatever the order of notices

Cause: failures at three different endpoints were needed, and a lifetime of an endpoint counted as another one only where its start time changed. Of each endpoint the last outage alone was kept, so that the reports of the ones before lost their meaning. A notice of a daemon that had had no answer of the endpoint also hid that it had been alive, if it came before the notice of another one.

Ruled out: lost notices (six daemons blocked within 0.06 s), confirmation (no culprit was found before), answers that cleared the part (none).

Of each endpoint the series of broken connections are kept, and the last moment before each at which it was alive, so that its outages follow from the notices in any order. Failures count by lifetimes. An endpoint that is down behind a proxy still blames nothing.

--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -11,6 +11,8 @@
 from collections.abc import Collection, Iterator, Sequence
 from typing import Final
 
+from attrs import evolve
+
 from laurelwind.state.crash_reports import CrashReport, PartKey, PartKeys
 from laurelwind.state.culprits import (
     Culprit,
@@ -173,11 +175,7 @@
 
         A crash has one cause, so that the other attempts had no part in it.
         """
-        crashes = [
-            report
-            for report in self._reports.values()
-            if self._breaks.is_crash(report.endpoint, report.broke_at)
-        ]
+        crashes = list(self._iterate_crashes())
         explained = {
             report.endpoint
             for report in crashes
@@ -187,6 +185,15 @@
             report for report in crashes if report.endpoint not in explained
         ]
 
+    def _iterate_crashes(self) -> Iterator[CrashReport]:
+        """Iterate over the reports of crashes, by lifetimes of endpoints."""
+        for report in self._reports.values():
+            lifetime = self._breaks.find_lifetime(
+                report.endpoint, report.broke_at
+            )
+            if lifetime is not None:
+                yield evolve(report, endpoint=lifetime)
+
     def _find_culprit(
         self,
         blocked: Collection[PartKeys],
--- a/laurelwind/state/culprits.py
+++ b/laurelwind/state/culprits.py
@@ -83,18 +83,15 @@
     :param culprit: parts that the failures prove to be the cause.
     :param reports: reports that no blocked group explains.
     """
-    crashes = {
-        report.endpoint
-        for report, suspects in reports
-        if suspects >= culprit.parts
-    }
+    failures = [pair for pair in reports if pair[1] >= culprit.parts]
+    crashes = {report.endpoint for report, _ in failures}
     parts = culprit.parts
-    for part in sorted({part for _, suspects in reports for part in suspects}):
+    for part in sorted({part for _, suspects in failures for part in suspects}):
         group = parts | {part}
         endpoints = {
             report.endpoint for report, suspects in reports if part in suspects
         }
-        is_held = any(suspects >= group for _, suspects in reports)
+        is_held = any(suspects >= group for _, suspects in failures)
         if is_held and endpoints >= crashes:
             parts = group
     return evolve(culprit, parts=parts)
--- a/laurelwind/state/endpoint_breaks.py
+++ b/laurelwind/state/endpoint_breaks.py
@@ -1,14 +1,20 @@
-"""Tells a crash of an endpoint from the failures while it is down."""
+"""Tells the crashes of an endpoint from the failures while it is down."""
 
+import itertools
+import math
+from collections.abc import Sequence
+from operator import attrgetter
 from typing import Final
 
-from attrs import evolve, frozen
+from attrs import define, field, frozen
 
 # Seconds within which the connections to an endpoint break as it crashes, and
 # the daemons that lose one hear of each other.
 CRASH_S: Final = 0.25
-# The most endpoints of which breaks are kept; the newest count.
+# The most endpoints, and series of breaks of each, that are kept; the newest
+# count.
 MAX_ENDPOINTS: Final = 1024
+MAX_BREAKS: Final = 16
 
 
 @frozen(kw_only=True)
@@ -28,53 +34,103 @@
     alive_at: float
 
 
-@frozen(kw_only=True)
-class _Outage:
-    """Time in which an endpoint only broke connections."""
-
-    started_at: float
-    last_break_at: float
-
-
 class EndpointBreaks:
-    """The last outage of each endpoint.
+    """What is known of the broken connections to each endpoint.
 
     An endpoint that is down, behind a proxy, breaks whatever it is sent.  Only
     what breaks together with the first connection may have caused the outage.
     """
 
     def __init__(self) -> None:
-        self._outages: dict[str, _Outage] = {}
+        self._histories: dict[str, _History] = {}
 
     def record(self, broken: EndpointBreak) -> bool:
         """Record a broken connection; return whether it begins an outage.
 
         :param broken: the connection.
         """
-        known = self._outages.get(broken.endpoint)
-        # A notice that was long under way shows its moments too late.
-        if known is None or broken.alive_at > known.last_break_at + CRASH_S:
-            self._outages.pop(broken.endpoint, None)
-            self._outages[broken.endpoint] = _Outage(
-                started_at=broken.broke_at, last_break_at=broken.broke_at
-            )
-            if len(self._outages) > MAX_ENDPOINTS:
-                self._outages.pop(next(iter(self._outages)))
-            return True
-        self._outages[broken.endpoint] = evolve(
-            known,
-            started_at=min(known.started_at, broken.broke_at),
-            last_break_at=max(known.last_break_at, broken.broke_at),
+        history = self._histories.pop(broken.endpoint, None) or _History()
+        self._histories[broken.endpoint] = history
+        if len(self._histories) > MAX_ENDPOINTS:
+            self._histories.pop(next(iter(self._histories)))
+        known = history.outages
+        history.add(broken)
+        return len(history.outages) != len(known) or any(
+            after < before - CRASH_S
+            for before, after in zip(known, history.outages, strict=True)
         )
-        return broken.broke_at < known.started_at - CRASH_S
 
-    def is_crash(self, endpoint: str, broke_at: float) -> bool:
-        """Return whether a connection broke as the endpoint went down.
+    def find_lifetime(self, endpoint: str, broke_at: float) -> str | None:
+        """Return the lifetime of an endpoint that ended as a connection broke.
 
         :param endpoint: the endpoint and the start time of its process.
         :param broke_at: moment at which the connection broke.
+        :returns: a name that no other lifetime of any endpoint has, or ``None``
+            if the endpoint had been down before.
+        """
+        history = self._histories.get(endpoint)
+        outages = () if history is None else history.outages
+        for number, started_at in enumerate(outages):
+            if started_at <= broke_at <= started_at + CRASH_S:
+                return f'{number}/{endpoint}'
+        return None
+
+
+@define(kw_only=True)
+class _Series:
+    """Broken connections that followed each other within ``CRASH_S``.
+
+    The endpoint was alive for the last time at ``alive_at`` before them, as far
+    as is known.
+    """
+
+    started_at: float
+    ended_at: float
+    alive_at: float = -math.inf
+
+
+@define
+class _History:
+    """Broken connections to one endpoint, whatever the order of the notices.
+
+    :ivar outages: moments at which the endpoint went down.
+    """
+
+    outages: Sequence[float] = ()
+    _breaks: list[_Series] = field(factory=list)
+
+    def add(self, broken: EndpointBreak) -> None:
+        """Add a broken connection.
+
+        :param broken: the connection.
         """
-        outage = self._outages.get(endpoint)
-        return outage is not None and (
-            outage.started_at <= broke_at <= outage.started_at + CRASH_S
+        alive_at = [series.alive_at for series in self._breaks]
+        alive_at.append(broken.alive_at)
+        self._breaks.append(
+            _Series(started_at=broken.broke_at, ended_at=broken.broke_at)
         )
+        self._breaks.sort(key=attrgetter('started_at'))
+        self._merge()
+        for series in self._breaks:
+            # A notice that was long under way shows its moments too late.
+            until = series.started_at + CRASH_S
+            series.alive_at = max(
+                (at for at in alive_at if at <= until), default=-math.inf
+            )
+        self.outages = [
+            self._breaks[0].started_at,
+            *(
+                later.started_at
+                for earlier, later in itertools.pairwise(self._breaks)
+                if later.alive_at > earlier.ended_at + CRASH_S
+            ),
+        ]
+
+    def _merge(self) -> None:
+        """Merge the series that are close, and the oldest of too many."""
+        for earlier, later in list(itertools.pairwise(self._breaks)):
+            is_close = later.started_at <= earlier.ended_at + CRASH_S
+            if is_close or len(self._breaks) > MAX_BREAKS:
+                later.started_at = earlier.started_at
+                later.ended_at = max(earlier.ended_at, later.ended_at)
+                self._breaks.remove(earlier)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -19,6 +19,7 @@
 from laurelwind.state.crash_reports import CrashReport
 from laurelwind.state.endpoint_breaks import (
     CRASH_S,
+    MAX_BREAKS,
     EndpointBreak,
     EndpointBreaks,
 )
@@ -125,12 +126,64 @@
     assert breaks.record(first)
     late = EndpointBreak(endpoint='e1', broke_at=10.1, alive_at=10.05)
     assert not breaks.record(late)
-    assert breaks.is_crash('e1', 10)
-    assert breaks.is_crash('e1', 10.1)
-    assert not breaks.is_crash('e1', 10.1 + CRASH_S)
+    lifetime = breaks.find_lifetime('e1', 10)
+    assert lifetime is not None
+    assert breaks.find_lifetime('e1', 10.1) == lifetime
+    assert breaks.find_lifetime('e1', 10.1 + CRASH_S) is None
     alive = EndpointBreak(endpoint='e1', broke_at=14, alive_at=13)
     assert breaks.record(alive)
-    assert breaks.is_crash('e1', 14)
+    assert breaks.find_lifetime('e1', 14) not in {lifetime, None}
+
+
+# A service of two endpoints kept crashing, as three different ones were needed.
+def test_each_lifetime_of_an_endpoint_counts():
+    crashes = Crashes()
+    crashes.add(1, 'deadly', endpoint='e1', alive_at=0.9)
+    crashes.add(2, 'deadly', endpoint='e2', alive_at=1.9)
+    assert crashes.blame() is None
+    crashes.add(5, 'deadly', endpoint='e1', alive_at=4.5)
+    assert crashes.blame() == keys('deadly')
+
+
+def test_a_notice_of_an_earlier_outage_does_not_move_the_last_one():
+    breaks = EndpointBreaks()
+    breaks.record(EndpointBreak(endpoint='e1', broke_at=14, alive_at=13))
+    early = EndpointBreak(endpoint='e1', broke_at=10, alive_at=9)
+    assert breaks.record(early)
+    assert not breaks.record(early)
+    first, last = (breaks.find_lifetime('e1', at) for at in (10, 14))
+    assert None not in {first, last}
+    assert first != last
+
+
+# A daemon that had had no answer of the endpoint reported its crash first.
+def test_notices_of_an_outage_count_in_any_order():
+    down = EndpointBreak(endpoint='e1', broke_at=10, alive_at=9)
+    unknowing = EndpointBreak(endpoint='e1', broke_at=14.1, alive_at=0)
+    knowing = EndpointBreak(endpoint='e1', broke_at=14.2, alive_at=13)
+    for notices in itertools.permutations((down, unknowing, knowing)):
+        breaks = EndpointBreaks()
+        for broken in notices:
+            breaks.record(broken)
+        assert breaks.find_lifetime('e1', 14.1) is not None
+
+
+def test_the_breaks_of_an_endpoint_are_bounded():
+    breaks = EndpointBreaks()
+    for number in range(2 * MAX_BREAKS):
+        breaks.record(
+            EndpointBreak(endpoint='e1', broke_at=number, alive_at=-1)
+        )
+    ends = [breaks.find_lifetime('e1', at) for at in range(2 * MAX_BREAKS)]
+    assert ends == ['0/e1'] + [None] * (2 * MAX_BREAKS - 1)
+
+
+def test_an_outage_that_began_earlier_is_moved():
+    breaks = EndpointBreaks()
+    breaks.record(EndpointBreak(endpoint='e1', broke_at=14, alive_at=9))
+    assert breaks.record(EndpointBreak(endpoint='e1', broke_at=10, alive_at=9))
+    assert breaks.find_lifetime('e1', 10) is not None
+    assert breaks.find_lifetime('e1', 14) is None
 
 
 # Reports that were discarded for others were new again with each repeat.
