Keep the reports of crashes before those of endpoints that were down

Both endpoints of the service were down for most of 6 s, and 430 attempts broke, nearly all of them while the endpoints were down. Reports beyond 256 are discarded, those whose parts failed least first, and the deadly part was in fewer prompts than that of the owner, so that its reports went and the owner's part was left.

Ruled out: an unknown deadly part (its prompts were on board of each crash, by attempt_failed). That its reports were gone at the daemon that blocked is read from the code and shown by the test; reports are not logged one by one.

Reports of attempts that broke while the endpoint was down say nothing of its crash and go first now. The new test failed before: the deadly part was lost.

--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -256,11 +256,13 @@
             self._reports.pop(attempt, None)
 
     def _iterate_weakest(self, count: int) -> Iterator[str]:
-        """Iterate over the reports to drop: those whose parts failed least."""
-        suspects = {
-            report.attempt: self.list_suspects(report)
-            for report in self._reports.values()
-        }
+        """Iterate over the reports to drop: those whose parts failed least.
+
+        Failures while an endpoint was down say nothing of its crash.
+        """
+        suspects = dict.fromkeys(self._reports, PartKeys())
+        for report in self._iterate_crashes():
+            suspects[report.attempt] = self.list_suspects(report)
         frequencies = Counter(itertools.chain.from_iterable(suspects.values()))
         strengths = {
             attempt: max((frequencies[part] for part in parts), default=0)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -338,6 +338,17 @@
     assert len(crashes.evidence.reports) == 1
 
 
+# Failures at endpoints that were down displaced the reports of their crashes,
+# and a sound part was blocked in place of the deadly one.
+def test_failures_of_a_down_endpoint_displace_no_reports_of_crashes():
+    crashes = Crashes()
+    for at in (1, 2, 3):
+        crashes.add(at, 'deadly', f'x{at}', endpoint=f'e{at}')
+    for number in range(2 * MAX_REPORTS):
+        crashes.add(4 + number / 100, 'common', endpoint=f'e{number % 3 + 1}')
+    assert crashes.blame() == keys('deadly')
+
+
 def test_answered_parts_are_bounded():
     evidence = CrashEvidence()
     for number in range(MAX_ANSWERED_PARTS + 9):
