Let few answers of a daemon stand for few of the others

The answers of other daemons are inferred from the own ones still, as telling them all of each is a notice for each answer. But n answers stand for no more than n of each of n daemons. The new test failed before: one answer confirmed a part that half of the prompts held.

--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -158,15 +158,18 @@
         If its parts were innocent, prompts with them would be among the answers
         that began meanwhile, in about the share that they have of the failures.
 
+        The answers of the other daemons are inferred from the own ones.  A few
+        say little of the others, so that they stand for no more than as many.
+
         :param culprit: parts of which no answer began.
-        :param members: number of daemons, which answer about as often as this.
+        :param members: number of daemons.
         """
-        answers = sum(
+        own_answers = sum(
             began_at > culprit.since
             for began_at in self._service_answers.get(culprit.service, ())
         )
-        chance = (1 - culprit.share) ** (answers * members)
-        return chance <= MAX_FALSE_BLAME
+        answers = own_answers * min(own_answers, members)
+        return (1 - culprit.share) ** answers <= MAX_FALSE_BLAME
 
     def _list_unexplained(
         self, blocked: Collection[PartKeys]
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -241,6 +241,21 @@
     assert crashes.blame(answers=1) == keys('own')
 
 
+# One answer was taken for that of each daemon, and a sound part was blocked.
+def test_a_few_answers_stand_for_few_of_other_daemons():
+    crashes = Crashes()
+    for at in (1, 2, 3):
+        crashes.add(at, 'own', endpoint=f'e{at}')
+        crashes.add(at, f'x{at}', endpoint=f'e{at}')
+    crashes.evidence.record_service_answer('pool', crashes.last_at)
+    [culprit] = crashes.evidence.find_culprits([])
+    assert not crashes.evidence.is_confirmed(culprit, 371)
+    for _ in range(2):
+        crashes.evidence.record_service_answer('pool', crashes.last_at)
+    assert crashes.evidence.is_confirmed(culprit, 371)
+    assert not crashes.evidence.is_confirmed(culprit, 1)
+
+
 def test_of_parts_at_all_crashes_the_one_of_most_prompts_is_blamed():
     crashes = Crashes()
     for at in (1, 2, 3):
