Count attempts that were given up as on board of a crash

Three of the crashes had no attempt with the part on board, by attempt_failed of all daemons.

Cause: these endpoints had got the request at a small model, and its answer was dropped at its head for low confidence. The engine goes on until it notices, and crashed 0.09 to 0.12 s later (4.57, 7.09 and 10.27 s; answer_dropped 4.48, 7.00 and 10.15 s). The daemon had closed the connection, so that nobody knew of the attempt. The same holds for a caller that leaves and for an endpoint that was left for its silence.

Ruled out: confirmation, which was never asked before 10.8 s (a trial that logs each culprit); lost notices (all seven daemons blocked within 0.03 s).

Attempts that are given up before their answer began are kept for 0.5 s. If their endpoint breaks a connection meanwhile, at any daemon, they are reported as on board. Two of the new tests failed before.

The reports are built in a module of their own, crash_reporting.py.

--- /dev/null
+++ b/laurelwind/coordination/crash_reporting.py
@@ -0,0 +1,91 @@
+"""Reports attempts whose endpoint crashed before their answer began."""
+
+from attrs import asdict
+
+from laurelwind.coordination.part_screen import PartScreen, build_part_keys
+from laurelwind.coordination.relay_jobs import Attempt, Job
+from laurelwind.coordination.scheduling.placement import Placement
+from laurelwind.errors import (
+    EndpointBrokenError,
+    EndpointError,
+    EndpointSilentError,
+)
+from laurelwind.protocol.crash_notices import limit_name
+from laurelwind.state.crash_reports import CrashReport
+from laurelwind.state.endpoint_breaks import EndpointBreak
+from laurelwind.state.load import read_monotonic_clock
+
+
+class CrashReporter:
+    """Tells the screen of attempts whose answer did not begin.
+
+    :param screen: learns which prompts crash endpoints.
+    :param placement: tracks the state of endpoints.
+    """
+
+    def __init__(self, *, screen: PartScreen, placement: Placement) -> None:
+        self._screen = screen
+        self._placement = placement
+
+    def report_failed(
+        self, job: Job, attempt: Attempt, error: EndpointError
+    ) -> None:
+        """Report an attempt that failed after it had reached its endpoint.
+
+        :param job: the request.
+        :param attempt: the attempt.
+        :param error: its failure.
+        """
+        if isinstance(error, EndpointBrokenError):
+            self._report_broken(job, attempt)
+        elif isinstance(error, EndpointSilentError):
+            self.report_abandoned(job, attempt)
+
+    def report_abandoned(self, job: Job, attempt: Attempt) -> None:
+        """Report an attempt that was given up while its endpoint worked on it.
+
+        :param job: the request.
+        :param attempt: the attempt.
+        """
+        if job.shared_parts and not _has_begun(job, attempt):
+            broken = self._build_break(attempt)
+            self._screen.record_abandoned(_build_report(job, attempt, broken))
+
+    def _report_broken(self, job: Job, attempt: Attempt) -> None:
+        broken = self._build_break(attempt)
+        self._screen.record_break(broken)
+        if _has_begun(job, attempt):
+            return
+        job.broken_attempts += 1
+        if job.shared_parts:
+            self._screen.record_crash(_build_report(job, attempt, broken))
+
+    def _build_break(self, attempt: Attempt) -> EndpointBreak:
+        endpoint = attempt.endpoint
+        return EndpointBreak(
+            endpoint=limit_name(f'{endpoint.started_ms}/{endpoint.name}'),
+            broke_at=read_monotonic_clock(),
+            alive_at=self._placement.get_last_event_time(endpoint),
+        )
+
+
+def _build_report(
+    job: Job, attempt: Attempt, broken: EndpointBreak
+) -> CrashReport:
+    request = job.request
+    return CrashReport(
+        attempt=limit_name(f'{job.attempts}/{request.request_id}'),
+        prompt=limit_name(request.parts[-1].name),
+        parts=build_part_keys(job.service, request.parts),
+        sent_at=attempt.sent_at,
+        **asdict(broken),
+    )
+
+
+def _has_begun(job: Job, attempt: Attempt) -> bool:
+    """Return whether the caller's answer has begun.
+
+    Engines send the head of a stream before they begin to answer.
+    """
+    has_plain_head = attempt.first_byte_at > 0 and not job.is_stream
+    return job.events > 0 or has_plain_head
--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -14,6 +14,7 @@
     limit_name,
 )
 from laurelwind.protocol.exchanges import PromptPart
+from laurelwind.state.abandoned_attempts import AbandonedAttempts
 from laurelwind.state.blocked_parts import Block, BlockedParts
 from laurelwind.state.crash_evidence import CrashEvidence
 from laurelwind.state.crash_reports import CrashReport, PartKey, PartKeys
@@ -52,6 +53,7 @@
         self._clock = clock
         self._count_members = count_members
         self._evidence = CrashEvidence()
+        self._abandoned = AbandonedAttempts()
         self._blocked = BlockedParts()
         self._news: list[CrashNotice] = []
         self._has_unreviewed = anyio.Event()
@@ -91,6 +93,15 @@
         """
         if self._evidence.record_break(broken):
             self._add_news(broken)
+        for report in self._abandoned.take(broken):
+            self.record_crash(report)
+
+    def record_abandoned(self, attempt: CrashReport) -> None:
+        """Record an attempt that was given up without an answer.
+
+        :param attempt: the attempt; it was given up at ``broke_at``.
+        """
+        self._abandoned.add(attempt)
 
     def record_crash(self, report: CrashReport) -> None:
         """Record an attempt that broke before its answer began.
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -3,13 +3,14 @@
 from typing import Final
 
 import anyio
-from attrs import asdict, frozen
+from attrs import frozen
 
 from laurelwind.coordination.admission import (
     Admission,
     AdmissionDependencies,
 )
 from laurelwind.coordination.attempt_watch import WatchedAttempt
+from laurelwind.coordination.crash_reporting import CrashReporter
 from laurelwind.coordination.delivery import (
     Delivery,
     DeliveryDependencies,
@@ -25,19 +26,14 @@
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
     CapacityError,
-    EndpointBrokenError,
     EndpointError,
     EndpointSilentError,
     ErrorKind,
     LaurelwindError,
     RunState,
 )
-from laurelwind.protocol.crash_notices import limit_name
 from laurelwind.protocol.exchanges import CallerAnswer, RelayRequest
 from laurelwind.relay_metrics import RelayMetrics
-from laurelwind.state.crash_reports import CrashReport
-from laurelwind.state.endpoint_breaks import EndpointBreak
-from laurelwind.state.load import read_monotonic_clock
 
 # Parts of a prompt in one log line.
 MAX_LOGGED_PARTS: Final = 8
@@ -50,6 +46,7 @@
     :ivar admission: checks requests against the routing table.
     :ivar placement: tracks the state of endpoints.
     :ivar screen: learns which prompts crash endpoints.
+    :ivar reporter: reports attempts whose answer did not begin.
     :ivar sender: sends requests to endpoints.
     :ivar delivery: delivers answers to callers.
     :ivar log: decision log.
@@ -58,6 +55,7 @@
     admission: Admission
     placement: Placement
     screen: PartScreen
+    reporter: CrashReporter
     sender: Sender
     delivery: Delivery
     log: DecisionLog
@@ -103,6 +101,9 @@
             ),
             placement=dependencies.placement,
             screen=dependencies.screen,
+            reporter=CrashReporter(
+                screen=dependencies.screen, placement=dependencies.placement
+            ),
             sender=sender,
             delivery=delivery,
             log=dependencies.log,
@@ -205,10 +206,14 @@
             parts=build_part_keys(job.service, job.request.parts),
             has_begun=lambda: attempt.events > 0,
         )
-        with self._dependencies.screen.watch.track(watched):
-            return await self._dependencies.delivery.deliver(
-                job, attempt, answer
-            )
+        try:
+            with self._dependencies.screen.watch.track(watched):
+                return await self._dependencies.delivery.deliver(
+                    job, attempt, answer
+                )
+        except (LowConfidenceError, anyio.get_cancelled_exc_class()):
+            self._dependencies.reporter.report_abandoned(job, attempt)
+            raise
 
     def _record_failure(
         self, job: Job, attempt: Attempt, error: EndpointError
@@ -219,8 +224,7 @@
         backoff_s: float = 0
         if error.run is not RunState.NOT_RUN:
             job.may_have_run = True
-            if isinstance(error, EndpointBrokenError):
-                self._report_break(job, attempt)
+            dependencies.reporter.report_failed(job, attempt, error)
             obstacle = dependencies.sender.selector.find_obstacle(
                 job, attempt.endpoint
             )
@@ -255,33 +259,6 @@
             elapsed_ms=job.elapsed_ms,
         )
 
-    def _report_break(self, job: Job, attempt: Attempt) -> None:
-        dependencies = self._dependencies
-        request = job.request
-        endpoint = attempt.endpoint
-        broken = EndpointBreak(
-            endpoint=limit_name(f'{endpoint.started_ms}/{endpoint.name}'),
-            broke_at=read_monotonic_clock(),
-            alive_at=dependencies.placement.get_last_event_time(endpoint),
-        )
-        dependencies.screen.record_break(broken)
-        # Engines send the head of a stream before they begin to answer.
-        has_plain_head = attempt.first_byte_at > 0 and not job.is_stream
-        if job.events or has_plain_head:
-            return
-        job.broken_attempts += 1
-        parts = build_part_keys(job.service, request.parts)
-        if parts:
-            dependencies.screen.record_crash(
-                CrashReport(
-                    attempt=limit_name(f'{job.attempts}/{request.request_id}'),
-                    prompt=limit_name(request.parts[-1].name),
-                    parts=parts,
-                    sent_at=attempt.sent_at,
-                    **asdict(broken),
-                )
-            )
-
     def _ensure_retry_possible(
         self, job: Job, error: EndpointError, answer: CallerAnswer
     ) -> None:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -8,7 +8,10 @@
 
 from laurelwind.errors import EndpointError, LaurelwindError, RunState
 from laurelwind.protocol.exchanges import PromptPart
+from laurelwind.protocol.headers import AnswerHead
 from laurelwind.state.blocked_parts import Block
+from laurelwind.state.crash_reports import CrashReport
+from laurelwind.state.endpoint_breaks import EndpointBreak
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.transport.block_application import (
     BLOCKS_PATH,
@@ -124,6 +127,54 @@
     assert not harness.screen.summarize()
 
 
+async def abandon(harness, route='talk'):
+    """Give up a request within 0.1 s."""
+    with anyio.move_on_after(0.1):
+        await harness.serve(build_prompt(1, 'part', request=route))
+
+
+def break_endpoint(harness, age_s=0.0):
+    """Hear of a crash of the endpoint that a request was sent to."""
+    endpoint = harness.gateway.sent[0].endpoint
+    broken = EndpointBreak(
+        endpoint=f'1/{endpoint}',
+        broke_at=read_monotonic_clock() - age_s,
+        alive_at=0,
+    )
+    harness.screen.record_break(broken)
+    return [
+        notice
+        for notice in harness.screen.take_news()
+        if isinstance(notice, CrashReport)
+    ]
+
+
+# Endpoints crashed on prompts whose answer had been dropped for low confidence
+# or whose caller had left, and nobody knew that these were on board.
+async def test_an_attempt_that_was_given_up_counts_if_its_endpoint_crashes():
+    harness = RelayHarness(EndpointScript(head=None), names=ENDPOINTS)
+    await abandon(harness)
+    assert not break_endpoint(harness, age_s=9)
+    [report] = break_endpoint(harness)
+    assert report.parts == {('pool', 'part')}
+    assert not break_endpoint(harness)
+
+
+async def test_an_attempt_given_up_after_its_answer_began_does_not_count():
+    harness = RelayHarness(
+        EndpointScript(chunks=[EVENT, Pause(9)]), names=ENDPOINTS
+    )
+    await abandon(harness)
+    assert not break_endpoint(harness)
+
+
+async def test_an_answer_that_was_dropped_counts_if_its_endpoint_crashes():
+    low = EndpointScript(head=AnswerHead(status=200, confidence=20))
+    harness = RelayHarness(low, EndpointScript(head=None), names=ENDPOINTS)
+    await abandon(harness, 'sized')
+    assert '1/r1' in {report.attempt for report in break_endpoint(harness)}
+
+
 async def test_a_stream_without_length_that_ends_at_once_counts_as_broken():
     harness = RelayHarness(EndpointScript(), EndpointScript(), names=ENDPOINTS)
     with pytest.raises(EndpointError):
