Tell daemons of outages that they do not know of

A trial that logs each culprit with its reports showed why: the daemon that blocked, d6, had been restarted while both endpoints of the service were down. It took its own first failures there, all of one owner's prompts, for crashes, had one answer since, and told the others of its block.

Ruled out: discarded reports (56 of 256 were kept), lost notices of the deadly prompts' own crash (they were older than what is repeated at first in a storm).

A daemon that hears of a failure in an outage that it knows tells when that began, once a batch. The fresh daemon hears it before its review, as it hears of the answers that it has missed, and its failures blame nothing. The new test failed before: nothing was told.

build_part_keys moves to a module of its own.

--- a/laurelwind/coordination/crash_reporting.py
+++ b/laurelwind/coordination/crash_reporting.py
@@ -2,7 +2,8 @@
 
 from attrs import asdict
 
-from laurelwind.coordination.part_screen import PartScreen, build_part_keys
+from laurelwind.coordination.part_keys import build_part_keys
+from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay_jobs import Attempt, Job
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.errors import (
--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -6,12 +6,11 @@
 import anyio
 
 from laurelwind.coordination.attempt_watch import AttemptWatch
+from laurelwind.coordination.part_keys import build_part_keys
 from laurelwind.decisions import DecisionLog
 from laurelwind.protocol.crash_notices import (
-    MAX_PARTS,
     CrashNotice,
     PartAnswer,
-    limit_name,
 )
 from laurelwind.protocol.exchanges import PromptPart
 from laurelwind.state.abandoned_attempts import AbandonedAttempts
@@ -111,6 +110,10 @@
         if not self._evidence.add(report):
             return
         self._add_news(report)
+        outage = self._evidence.find_outage(report)
+        if outage is not None and outage not in self._news:
+            # The daemon that sent the report may not know of the outage.
+            self._add_news(outage)
         for part in report.parts - self._evidence.list_suspects(report):
             # The daemon that sent the report may not know of the answer.
             self._announce_known_answer(part)
@@ -277,21 +280,6 @@
         self.has_news.set()
 
 
-def build_part_keys(service: str, parts: Sequence[PromptPart]) -> PartKeys:
-    """Return the keys of a prompt's shared parts.
-
-    The last part is specific to the request or its session.  Of long prompts
-    the last parts count, which fewer prompts share.
-
-    :param service: name of the service.
-    :param parts: parts of the prompt, in order.
-    """
-    shared = parts[-MAX_PARTS - 1 : -1]
-    return frozenset(
-        (limit_name(service), limit_name(part.name)) for part in shared
-    )
-
-
 def _describe(block: Block) -> dict[str, object]:
     return {
         'service': next(service for service, _ in block.parts),
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -18,7 +18,8 @@
 )
 from laurelwind.coordination.endpoint_notices import EndpointNotices
 from laurelwind.coordination.model_planning import ModelPlanner
-from laurelwind.coordination.part_screen import PartScreen, build_part_keys
+from laurelwind.coordination.part_keys import build_part_keys
+from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay_jobs import Attempt, Job
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import Sender, SenderDependencies
--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -87,6 +87,13 @@
         """
         return self._breaks.record(broken)
 
+    def find_outage(self, report: CrashReport) -> EndpointBreak | None:
+        """Return the outage in which an attempt failed, if it is no crash.
+
+        :param report: report of the attempt.
+        """
+        return self._breaks.find_outage(report.endpoint, report.broke_at)
+
     def record_service_answer(self, service: str, began_at: float) -> None:
         """Record that a service answers, whatever the prompt.
 
--- a/laurelwind/state/endpoint_breaks.py
+++ b/laurelwind/state/endpoint_breaks.py
@@ -75,6 +75,25 @@
                 return f'{number}/{endpoint}'
         return None
 
+    def find_outage(
+        self, endpoint: str, broke_at: float
+    ) -> EndpointBreak | None:
+        """Return the first break of an outage in which a connection broke.
+
+        :param endpoint: the endpoint and the start time of its process.
+        :param broke_at: moment at which the connection broke.
+        :returns: ``None`` if the endpoint went down as it broke.
+        """
+        history = self._histories.get(endpoint)
+        if history is None or self.find_lifetime(endpoint, broke_at):
+            return None
+        outages = [at for at in history.outages if at < broke_at]
+        if not outages:
+            return None
+        return EndpointBreak(
+            endpoint=endpoint, broke_at=outages[-1], alive_at=-math.inf
+        )
+
 
 @define(kw_only=True)
 class _Series:
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -26,6 +26,7 @@
 from laurelwind.state.blocked_parts import Block
 from laurelwind.state.crash_evidence import CrashEvidence
 from laurelwind.state.crash_reports import CrashReport
+from laurelwind.state.endpoint_breaks import EndpointBreak
 from laurelwind.transport.peer_datagrams import PeerDatagrams
 from standins.addresses import find_free_addresses
 from tests.emulated_fleet import run_emulated
@@ -208,6 +209,35 @@
     run_emulated(check, monkeypatch)
 
 
+# A daemon that had just started took the failures at an endpoint that had been
+# down for seconds for its crash, and blocked a sound part for all.
+def test_a_daemon_that_did_not_know_of_an_outage_is_told(clock):
+    knowing, fresh = (
+        PartScreen(log=build_silent_log(), clock=clock, count_members=lambda: 2)
+        for _ in range(2)
+    )
+    knowing.apply([build_report(1, clock.now, 'deadly')])
+    knowing.take_news()
+    clock.now += 3
+    late = evolve(
+        build_report(1, clock.now, 'sound'), attempt='late', prompt='late'
+    )
+    fresh.record_crash(late)
+    knowing.apply(fresh.take_news())
+    told = [
+        notice
+        for notice in knowing.take_news()
+        if isinstance(notice, EndpointBreak)
+    ]
+    assert [notice.broke_at for notice in told] == [clock.now - 3]
+    evidence = CrashEvidence()
+    assert evidence.add(late)
+    assert evidence.find_outage(late) is None
+    for notice in told:
+        evidence.record_break(notice)
+    assert evidence.find_outage(late) == told[0]
+
+
 # Crashes at a service that answered nobody hid the deadly part of another one.
 def test_a_part_is_blocked_beside_a_service_that_answers_nothing(clock):
     screen = PartScreen(
