Ask members for blocks as a daemon starts

Cause: a daemon that stops leaves the members and ends its answers for 7 s, so that at 14 s all that knew of the block were no members any more, or were about to be none. Daemons tell a few random members once a second, and the last one had read the members 0.3 s before the first fresh one joined. The fresh one saw it among the members, but had nothing to tell, so it sent nothing.

Ruled out: a refused block (no answer of its parts), lost datagrams (in 9 s no daemon had listed another one of the two kinds).

A daemon asks three members in each of its first three seconds, and gives them its address, as they may not list it yet. The new test failed before: the fresh daemon did not know of the block after 0.2 s. A fleet that restarts at one moment still forgets.

--- a/laurelwind/coordination/crash_gossip.py
+++ b/laurelwind/coordination/crash_gossip.py
@@ -3,8 +3,8 @@
 A daemon passes news on to a few random peers, and they do the same, so that
 the whole fleet knows within a few rounds and no daemon sends to all others.
 Blocks and recent notices are repeated from time to time, which makes up for
-lost datagrams and informs daemons that have just started.  Nothing is sent
-while there is nothing to tell, and the store is not needed.
+lost datagrams.  A daemon that has just started asks a few peers.  Nothing else
+is sent while there is nothing to tell, and the store is not needed.
 """
 
 import random
@@ -18,7 +18,9 @@
 from laurelwind.protocol.crash_notices import (
     CrashNotice,
     decode_notices,
+    decode_question,
     encode_notices,
+    encode_question,
 )
 from laurelwind.protocol.datagrams import DatagramChannel
 from laurelwind.state.load import read_monotonic_clock
@@ -30,6 +32,10 @@
 # Peers that are told what is known, and seconds between two such rounds.
 REPEAT_FANOUT: Final = 3
 REPEAT_PERIOD_S: Final = 1.0
+# Rounds in which a daemon that has just started asks peers, and the most of
+# those that ask which are answered at once.
+ASK_ROUNDS: Final = 3
+MAX_ASKING: Final = 32
 # Datagrams that a round sends to a peer.
 MAX_DATAGRAMS: Final = 8
 
@@ -39,6 +45,7 @@
 
     :param screen: holds the notices.
     :param channel: sends and receives datagrams.
+    :param local_address: ``host:port`` at which peers reach this daemon.
     :param list_peers: returns the addresses of all other daemons.
     :param clock: monotonic clock, in seconds.
     """
@@ -48,13 +55,17 @@
         *,
         screen: PartScreen,
         channel: DatagramChannel,
+        local_address: str,
         list_peers: Callable[[], Sequence[str]],
         clock: Callable[[], float] = read_monotonic_clock,
     ) -> None:
         self._screen = screen
         self._channel = channel
+        self._local_address = local_address
         self._list_peers = list_peers
         self._clock = clock
+        self._asking: set[str] = set()
+        self._is_asked = anyio.Event()
         channel.add_listener(self._receive)
 
     def start(self, group: TaskGroup) -> None:
@@ -65,26 +76,54 @@
         group.start_soon(self._screen.run)
         group.start_soon(self._spread_news)
         group.start_soon(self._repeat)
+        group.start_soon(self._ask)
+        group.start_soon(self._answer)
 
     def _receive(self, document: Any) -> None:
         self._screen.apply(decode_notices(document, self._clock()))
+        peer = decode_question(document)
+        if peer is not None and len(self._asking) < MAX_ASKING:
+            self._asking.add(peer)
+            self._is_asked.set()
+
+    async def _ask(self) -> None:
+        question = encode_question(self._local_address)
+        for _ in range(ASK_ROUNDS):
+            for peer in self._draw_peers(REPEAT_FANOUT):
+                await self._channel.send(peer, question)
+            await anyio.sleep(REPEAT_PERIOD_S)
+
+    async def _answer(self) -> None:
+        while True:
+            await self._is_asked.wait()
+            peers = tuple(self._asking)
+            self._asking.clear()
+            self._is_asked = anyio.Event()
+            await self._send(self._screen.summarize(), peers)
 
     async def _spread_news(self) -> None:
         while True:
             await self._screen.has_news.wait()
             await anyio.sleep(NEWS_DELAY_S)
-            await self._send(self._screen.take_news(), NEWS_FANOUT)
+            await self._send(
+                self._screen.take_news(), self._draw_peers(NEWS_FANOUT)
+            )
 
     async def _repeat(self) -> None:
         while True:
             await anyio.sleep(REPEAT_PERIOD_S)
-            await self._send(self._screen.summarize(), REPEAT_FANOUT)
+            await self._send(
+                self._screen.summarize(), self._draw_peers(REPEAT_FANOUT)
+            )
 
-    async def _send(self, notices: Iterable[CrashNotice], fanout: int) -> None:
-        datagrams = list(encode_notices(notices, self._clock()))
-        if not datagrams:
-            return
+    def _draw_peers(self, count: int) -> Sequence[str]:
         peers = self._list_peers()
-        for peer in random.sample(peers, min(fanout, len(peers))):
+        return random.sample(peers, min(count, len(peers)))
+
+    async def _send(
+        self, notices: Iterable[CrashNotice], peers: Iterable[str]
+    ) -> None:
+        datagrams = list(encode_notices(notices, self._clock()))
+        for peer in peers:
             for datagram in datagrams[:MAX_DATAGRAMS]:
                 await self._channel.send(peer, datagram)
--- a/laurelwind/protocol/crash_notices.py
+++ b/laurelwind/protocol/crash_notices.py
@@ -1,7 +1,8 @@
 """Encoding of what daemons tell each other about crashes.
 
-A datagram is an object whose ``crashes`` are rows.  Each row begins with its
-kind and holds ages in milliseconds, since daemons share no clock.
+A datagram is an object whose ``crashes`` are rows, or one that asks for them.
+Each row begins with its kind and holds ages in milliseconds, since daemons
+share no clock.
 """
 
 import contextlib
@@ -22,6 +23,7 @@
 MAX_NAME_LENGTH: Final = 64
 MAX_PARTS: Final = 8
 _FIELD: Final = 'crashes'
+_QUESTION: Final = 'crashes_asked_by'
 _PREFIX: Final = b'{"crashes":['
 _SUFFIX: Final = b']}'
 _REPORT: Final = 'report'
@@ -90,6 +92,26 @@
             yield _decode_row(row, now)
 
 
+def encode_question(address: str) -> bytes:
+    """Encode a question for what a daemon knows.
+
+    :param address: ``host:port`` of the daemon that asks.
+    """
+    return orjson.dumps({_QUESTION: address})
+
+
+def decode_question(document: Any) -> str | None:
+    """Return the address of the daemon that asks, or ``None`` if none does.
+
+    :param document: the decoded JSON document.
+    """
+    address = document.get(_QUESTION) if isinstance(document, dict) else None
+    if not isinstance(address, str):
+        return None
+    _, separator, port = address.rpartition(':')
+    return address if separator and port.isdecimal() else None
+
+
 def _join_rows(rows: Iterable[bytes]) -> bytes:
     return _PREFIX + b','.join(rows) + _SUFFIX
 
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -115,6 +115,7 @@
         self.gossip = CrashGossip(
             screen=self.screen,
             channel=self.datagrams,
+            local_address=settings.listen.peers,
             list_peers=self._list_peers,
         )
         self.hints = WorkHints(
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -19,7 +19,9 @@
     MAX_DATAGRAM_BYTES,
     PartAnswer,
     decode_notices,
+    decode_question,
     encode_notices,
+    encode_question,
 )
 from laurelwind.protocol.datagrams import DatagramChannel
 from laurelwind.protocol.exchanges import PromptPart
@@ -101,10 +103,10 @@
 class Fleet:
     def __init__(self, size, loss=0.1):
         self.network = LossyNetwork(loss)
-        self.names = [f'd{number}' for number in range(size)]
+        self.names = [f'd{number}:1' for number in range(size)]
         self.screens = {}
 
-    def start(self, group, name):
+    def start(self, group, name, peers=None):
         clock = asyncio.get_running_loop().time
         screen = PartScreen(
             log=build_silent_log(),
@@ -114,7 +116,10 @@
         gossip = CrashGossip(
             screen=screen,
             channel=EmulatedChannel(self.network, name),
-            list_peers=lambda: [peer for peer in self.names if peer != name],
+            local_address=name,
+            list_peers=lambda: [
+                peer for peer in peers or self.names if peer != name
+            ],
             clock=clock,
         )
         gossip.start(group)
@@ -184,6 +189,32 @@
     run_emulated(check, monkeypatch)
 
 
+# All daemons restarted in turn; those that knew of a block left the members
+# before they had told one that had started.
+def test_a_daemon_that_starts_asks_the_members(monkeypatch):
+    async def check():
+        fleet = Fleet(3)
+        async with anyio.create_task_group() as group:
+            fleet.start_all(group)
+            for number in range(3):
+                await fleet.crash(number, 'deadly', f'x{number}')
+            await anyio.sleep(CONTACT_S)
+            fleet.start(group, 'fresh:1', peers=fleet.names)
+            await anyio.sleep(0.2)
+            assert fleet.screens['fresh:1'].is_blocked('pool', DEADLY)
+            group.cancel_scope.cancel()
+
+    run_emulated(check, monkeypatch)
+
+
+def test_malformed_questions_are_left_out():
+    assert decode_question(orjson.loads(encode_question('d1:8'))) == 'd1:8'
+    for document in (None, 7, {}, {'crashes_asked_by': 7}):
+        assert decode_question(document) is None
+    for address in ('', 'd1', 'd1:', ':x', 'd1:-1'):
+        assert decode_question({'crashes_asked_by': address}) is None
+
+
 # A daemon that had just started blocked the part that all prompts begin with,
 # as the answers that clear it were still under way.
 def test_a_daemon_that_knows_no_answers_waits_for_those_of_others(monkeypatch):
@@ -334,7 +365,7 @@
                 await fleet.crash(number, 'deadly')
             await anyio.sleep(CONTACT_S)
             assert fleet.count_blocking() == 70
-            fleet.screens['d9'].lift(frozenset({('pool', 'deadly')}))
+            fleet.screens['d9:1'].lift(frozenset({('pool', 'deadly')}))
             await anyio.sleep(CONTACT_S)
             assert fleet.count_blocking() == 0
             await anyio.sleep(20)
