Interrupt an ended test run as SIGINT does

Cause: SIGTERM raised KeyboardInterrupt wherever the event loop was, also between the start of a process and its registration, so that nobody ended it. For SIGINT the event loop cancels its main task instead, and each start of a process ends what it has begun. SIGTERM is passed on as SIGINT now.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,7 +11,12 @@
 
 def pytest_configure():
     """Let SIGTERM interrupt the run, so that it ends what it has started."""
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, interrupt)
+
+
+def interrupt(number, frame):
+    # The event loop cancels its task for SIGINT; an exception would break it.
+    signal.raise_signal(signal.SIGINT)
 
 
 @pytest.fixture
