Connect to a daemon that is starting once it listens, in a test of its stop

Read in the code: a daemon has its table before it listens, as the tracker starts first, and the test connected as soon as it had the table. Callers of a deployment are led to a daemon by its readiness, which is served once it listens. The test connects until it is accepted, within the same 10 s; what it checks is as before.

--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -66,6 +66,14 @@
     return await anyio.connect_tcp(host, int(port))
 
 
+async def connect_once_it_listens(harness):
+    """Open a connection as a caller of a daemon that is starting."""
+    while True:
+        with contextlib.suppress(OSError):
+            return await connect(harness)
+        await anyio.sleep(0.01)
+
+
 async def read_to_end(stream):
     """Return what arrives until the connection ends, and how it ended."""
     received = b''
@@ -319,7 +327,7 @@
         )
         with anyio.fail_after(10):
             await wait_until(lambda: harness.daemon.is_ready)
-            async with await connect(harness) as caller:
+            async with await connect_once_it_listens(harness) as caller:
                 await caller.send(build_head('/draft/1'))
                 await read_until(caller, b'id: 1')
                 for number in (signal.SIGHUP, signal.SIGTERM) * 2:
