Answer questions for blocks only to addresses that can be sent to

Found by reading: a datagram names the daemon to answer, and a name or port that cannot be sent to raises an error other than OSError in the UDP transport, which closes the socket, so that the daemon would exchange no datagrams any more. The address is checked as a whole now; the test of it failed before for a port above 65535 and for empty and long labels.

Notices to spread are kept once each, also where several reports tell of the same outage.

--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -54,7 +54,8 @@
         self._evidence = CrashEvidence()
         self._abandoned = AbandonedAttempts()
         self._blocked = BlockedParts()
-        self._news: list[CrashNotice] = []
+        # Notices to spread, in order and each once.
+        self._news: dict[CrashNotice, None] = {}
         self._has_unreviewed = anyio.Event()
         # Services whose next answers may confirm a culprit.
         self._unconfirmed: set[str] = set()
@@ -111,7 +112,7 @@
             return
         self._add_news(report)
         outage = self._evidence.find_outage(report)
-        if outage is not None and outage not in self._news:
+        if outage is not None:
             # The daemon that sent the report may not know of the outage.
             self._add_news(outage)
         for part in report.parts - self._evidence.list_suspects(report):
@@ -181,8 +182,8 @@
 
     def take_news(self) -> Sequence[CrashNotice]:
         """Return the notices to spread, and forget them."""
-        news = self._news
-        self._news = []
+        news = tuple(self._news)
+        self._news.clear()
         self.has_news = anyio.Event()
         return news
 
@@ -276,7 +277,7 @@
         return True
 
     def _add_news(self, notice: CrashNotice) -> None:
-        self._news.append(notice)
+        self._news[notice] = None
         self.has_news.set()
 
 
--- a/laurelwind/protocol/crash_notices.py
+++ b/laurelwind/protocol/crash_notices.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import re
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from types import MappingProxyType
 from typing import Any, Final
@@ -24,6 +25,11 @@
 MAX_PARTS: Final = 8
 _FIELD: Final = 'crashes'
 _QUESTION: Final = 'crashes_asked_by'
+# A host, by its address or its name, and a port.
+_ADDRESS: Final = re.compile(
+    r'(?:[\w-]{1,63}\.)*[\w-]{1,63}:(\d{1,5})', re.ASCII
+)
+_MAX_PORT: Final = 65535
 _PREFIX: Final = b'{"crashes":['
 _SUFFIX: Final = b']}'
 _REPORT: Final = 'report'
@@ -106,10 +112,10 @@
     :param document: the decoded JSON document.
     """
     address = document.get(_QUESTION) if isinstance(document, dict) else None
-    if not isinstance(address, str):
+    match = _ADDRESS.fullmatch(address) if isinstance(address, str) else None
+    if match is None or int(match[1]) > _MAX_PORT:
         return None
-    _, separator, port = address.rpartition(':')
-    return address if separator and port.isdecimal() else None
+    return match[0]
 
 
 def _join_rows(rows: Iterable[bytes]) -> bytes:
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -211,7 +211,8 @@
     assert decode_question(orjson.loads(encode_question('d1:8'))) == 'd1:8'
     for document in (None, 7, {}, {'crashes_asked_by': 7}):
         assert decode_question(document) is None
-    for address in ('', 'd1', 'd1:', ':x', 'd1:-1'):
+    long = f'{"x" * 64}:1'
+    for address in ('', 'd1', 'd1:', ':x', 'd1:-1', 'd1:65536', 'a..b:1', long):
         assert decode_question({'crashes_asked_by': address}) is None
 
 
