--- a/standins/relayed_endpoint.py
+++ b/standins/relayed_endpoint.py
@@ -144,7 +144,9 @@
         headers: Mapping[bytes, bytes],
         arrived_at: float,
     ) -> bool:
-        request_id = headers[b'x-request-id']
+        request_id = headers.get(b'x-request-id', b'')
+        if not request_id:
+            raise ValueError(f'request without X-Request-Id: {head!r}')
         head_template = b'HTTP/1.1 %%b\r\nX-Request-Id: %b\r\n' % request_id
         if headers.get(b'x-expect-instance') != self.name.encode():
             self._run_log.misdirected += 1
