Name the moment at which an attempt was given up

No change of behaviour. Attempts that were given up were kept as reports of a crash whose broke_at meant another moment than it says. They have a class of their own now; a report is built once their endpoint breaks. One line says that each lifetime of an endpoint counts as an endpoint in the analysis.

--- a/laurelwind/coordination/crash_reporting.py
+++ b/laurelwind/coordination/crash_reporting.py
@@ -1,5 +1,7 @@
 """Reports attempts whose endpoint crashed before their answer began."""
 
+from typing import Any
+
 from attrs import asdict
 
 from laurelwind.coordination.part_keys import build_part_keys
@@ -12,6 +14,7 @@
     EndpointSilentError,
 )
 from laurelwind.protocol.crash_notices import limit_name
+from laurelwind.state.abandoned_attempts import AbandonedAttempt
 from laurelwind.state.crash_reports import CrashReport
 from laurelwind.state.endpoint_breaks import EndpointBreak
 from laurelwind.state.load import read_monotonic_clock
@@ -49,38 +52,43 @@
         :param attempt: the attempt.
         """
         if job.shared_parts and not _has_begun(job, attempt):
-            broken = self._build_break(attempt)
-            self._screen.record_abandoned(_build_report(job, attempt, broken))
+            self._screen.record_abandoned(
+                AbandonedAttempt(
+                    endpoint=_build_key(attempt),
+                    abandoned_at=read_monotonic_clock(),
+                    **_describe(job, attempt),
+                )
+            )
 
     def _report_broken(self, job: Job, attempt: Attempt) -> None:
-        broken = self._build_break(attempt)
+        broken = EndpointBreak(
+            endpoint=_build_key(attempt),
+            broke_at=read_monotonic_clock(),
+            alive_at=self._placement.get_last_event_time(attempt.endpoint),
+        )
         self._screen.record_break(broken)
         if _has_begun(job, attempt):
             return
         job.broken_attempts += 1
         if job.shared_parts:
-            self._screen.record_crash(_build_report(job, attempt, broken))
+            self._screen.record_crash(
+                CrashReport(**asdict(broken), **_describe(job, attempt))
+            )
 
-    def _build_break(self, attempt: Attempt) -> EndpointBreak:
-        endpoint = attempt.endpoint
-        return EndpointBreak(
-            endpoint=limit_name(f'{endpoint.started_ms}/{endpoint.name}'),
-            broke_at=read_monotonic_clock(),
-            alive_at=self._placement.get_last_event_time(endpoint),
-        )
+
+def _build_key(attempt: Attempt) -> str:
+    endpoint = attempt.endpoint
+    return limit_name(f'{endpoint.started_ms}/{endpoint.name}')
 
 
-def _build_report(
-    job: Job, attempt: Attempt, broken: EndpointBreak
-) -> CrashReport:
+def _describe(job: Job, attempt: Attempt) -> dict[str, Any]:
     request = job.request
-    return CrashReport(
-        attempt=limit_name(f'{job.attempts}/{request.request_id}'),
-        prompt=limit_name(request.parts[-1].name),
-        parts=build_part_keys(job.service, request.parts),
-        sent_at=attempt.sent_at,
-        **asdict(broken),
-    )
+    return {
+        'attempt': limit_name(f'{job.attempts}/{request.request_id}'),
+        'prompt': limit_name(request.parts[-1].name),
+        'parts': build_part_keys(job.service, request.parts),
+        'sent_at': attempt.sent_at,
+    }
 
 
 def _has_begun(job: Job, attempt: Attempt) -> bool:
--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -13,7 +13,10 @@
     PartAnswer,
 )
 from laurelwind.protocol.exchanges import PromptPart
-from laurelwind.state.abandoned_attempts import AbandonedAttempts
+from laurelwind.state.abandoned_attempts import (
+    AbandonedAttempt,
+    AbandonedAttempts,
+)
 from laurelwind.state.blocked_parts import Block, BlockedParts
 from laurelwind.state.crash_evidence import CrashEvidence
 from laurelwind.state.crash_reports import CrashReport, PartKey, PartKeys
@@ -96,10 +99,10 @@
         for report in self._abandoned.take(broken):
             self.record_crash(report)
 
-    def record_abandoned(self, attempt: CrashReport) -> None:
+    def record_abandoned(self, attempt: AbandonedAttempt) -> None:
         """Record an attempt that was given up without an answer.
 
-        :param attempt: the attempt; it was given up at ``broke_at``.
+        :param attempt: the attempt.
         """
         self._abandoned.add(attempt)
 
--- a/laurelwind/state/abandoned_attempts.py
+++ b/laurelwind/state/abandoned_attempts.py
@@ -4,9 +4,9 @@
 from collections.abc import Sequence
 from typing import Final
 
-from attrs import evolve
+from attrs import frozen
 
-from laurelwind.state.crash_reports import CrashReport
+from laurelwind.state.crash_reports import CrashReport, PartKeys
 from laurelwind.state.endpoint_breaks import EndpointBreak
 
 # Seconds for which an endpoint may work on an attempt that was given up.
@@ -15,6 +15,53 @@
 MAX_ABANDONED: Final = 256
 
 
+@frozen(kw_only=True)
+class AbandonedAttempt:
+    """An attempt that was given up before its answer began.
+
+    Moments are on the monotonic clock.
+
+    :ivar attempt: identifier of the attempt, unique in the fleet.
+    :ivar endpoint: the endpoint and the start time of its process.
+    :ivar prompt: key of the prompt, the same for its repeats.
+    :ivar parts: the shared parts of the prompt.
+    :ivar sent_at: moment of sending.
+    :ivar abandoned_at: moment at which it was given up.
+    """
+
+    attempt: str
+    endpoint: str
+    prompt: str
+    parts: PartKeys
+    sent_at: float
+    abandoned_at: float
+
+    def is_on_board(self, broken: EndpointBreak) -> bool:
+        """Return whether its endpoint may have worked on it as it broke.
+
+        :param broken: a connection that broke.
+        """
+        elapsed_s = broken.broke_at - self.abandoned_at
+        return (
+            self.endpoint == broken.endpoint and 0 <= elapsed_s <= ABANDONED_S
+        )
+
+    def build_report(self, broken: EndpointBreak) -> CrashReport:
+        """Build a report as if it had broken with its endpoint.
+
+        :param broken: a connection to the endpoint that broke.
+        """
+        return CrashReport(
+            attempt=self.attempt,
+            endpoint=self.endpoint,
+            prompt=self.prompt,
+            parts=self.parts,
+            sent_at=self.sent_at,
+            broke_at=broken.broke_at,
+            alive_at=broken.alive_at,
+        )
+
+
 class AbandonedAttempts:
     """Attempts without an answer that an endpoint may still work on.
 
@@ -22,12 +69,12 @@
     """
 
     def __init__(self) -> None:
-        self._attempts: deque[CrashReport] = deque(maxlen=MAX_ABANDONED)
+        self._attempts: deque[AbandonedAttempt] = deque(maxlen=MAX_ABANDONED)
 
-    def add(self, attempt: CrashReport) -> None:
+    def add(self, attempt: AbandonedAttempt) -> None:
         """Add an attempt.
 
-        :param attempt: the attempt; it was given up at ``broke_at``.
+        :param attempt: the attempt.
         """
         self._attempts.append(attempt)
 
@@ -36,15 +83,7 @@
 
         :param broken: a connection to it that broke.
         """
-        taken = [
-            attempt
-            for attempt in self._attempts
-            if attempt.endpoint == broken.endpoint
-            and 0 <= broken.broke_at - attempt.broke_at <= ABANDONED_S
-        ]
-        for abandoned in taken:
-            self._attempts.remove(abandoned)
-        return [
-            evolve(report, broke_at=broken.broke_at, alive_at=broken.alive_at)
-            for report in taken
-        ]
+        taken = [known for known in self._attempts if known.is_on_board(broken)]
+        for attempt in taken:
+            self._attempts.remove(attempt)
+        return [abandoned.build_report(broken) for abandoned in taken]
--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -196,7 +196,10 @@
         ]
 
     def _iterate_crashes(self) -> Iterator[CrashReport]:
-        """Iterate over the reports of crashes, by lifetimes of endpoints."""
+        """Iterate over the reports of crashes.
+
+        Each lifetime of an endpoint counts as an endpoint of its own.
+        """
         for report in self._reports.values():
             lifetime = self._breaks.find_lifetime(
                 report.endpoint, report.broke_at
