Keep parts cleared once an answer has cleared them

Found by reading the change again. Which parts of a report are suspect was computed from the moments of the last answers, of which 4,096 parts are kept, while reports are kept for 300 s. A rare part that an answer had cleared was blamed again once that many other parts had been answered, within minutes on a daemon with 24 requests a second and parts of their own.

Each report keeps the parts that no answer has cleared since. The new test failed before: the cleared part was blamed.

--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -52,6 +52,8 @@
 
     def __init__(self) -> None:
         self._reports: dict[str, CrashReport] = {}
+        # Parts of each report that no answer has cleared.
+        self._suspects: dict[str, PartKeys] = {}
         self._known_attempts: dict[str, None] = {}
         self._breaks = EndpointBreaks()
         self._service_answers: dict[str, deque[float]] = {}
@@ -71,12 +73,14 @@
         if report.attempt in self._known_attempts:
             return False
         self.record_break(report.broken)
-        if not self.list_suspects(report):
+        suspects = self.list_suspects(report)
+        if not suspects:
             return False
         self._known_attempts[report.attempt] = None
         if len(self._known_attempts) > MAX_KNOWN_ATTEMPTS:
             self._known_attempts.pop(next(iter(self._known_attempts)))
         self._reports[report.attempt] = report
+        self._suspects[report.attempt] = suspects
         self._expire(report.broke_at)
         return True
 
@@ -116,13 +120,15 @@
         if len(self._answered) > MAX_ANSWERED_PARTS:
             self._answered.pop(next(iter(self._answered)))
         cleared = [
-            report
+            report.attempt
             for report in self._reports.values()
-            if part in report.parts and previous_at < report.sent_at <= began_at
+            if report.sent_at <= began_at
+            and part in self._suspects[report.attempt]
         ]
-        for report in cleared:
-            if not self.list_suspects(report):
-                self._reports.pop(report.attempt)
+        for attempt in cleared:
+            self._suspects[attempt] -= {part}
+            if not self._suspects[attempt]:
+                self._drop(attempt)
         return bool(cleared)
 
     def get_answered_at(self, part: PartKey) -> float:
@@ -137,6 +143,9 @@
 
         :param report: the report.
         """
+        known = self._suspects.get(report.attempt)
+        if known is not None:
+            return known
         return frozenset(
             part
             for part in report.parts
@@ -265,8 +274,12 @@
         ]
         if len(self._reports) > MAX_REPORTS:
             outdated.extend(self._iterate_weakest(DISCARDED_REPORTS))
-        for attempt in outdated:
-            self._reports.pop(attempt, None)
+        for attempt in set(outdated):
+            self._drop(attempt)
+
+    def _drop(self, attempt: str) -> None:
+        self._reports.pop(attempt)
+        self._suspects.pop(attempt)
 
     def _iterate_weakest(self, count: int) -> Iterator[str]:
         """Iterate over the reports to drop: those whose parts failed least.
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -364,6 +364,18 @@
     assert crashes.blame() == keys('deadly')
 
 
+# Once enough other parts had been answered, a part that an answer had cleared
+# was blamed again.
+def test_a_part_that_was_cleared_stays_cleared():
+    crashes = Crashes()
+    for at in (1, 2, 3):
+        crashes.add(at, 'sound', f'x{at}')
+    crashes.evidence.record_answer(('pool', 'sound'), 4)
+    for number in range(MAX_ANSWERED_PARTS):
+        crashes.evidence.record_answer(('pool', f'y{number}'), 5)
+    assert crashes.blame() is None
+
+
 def test_answered_parts_are_bounded():
     evidence = CrashEvidence()
     for number in range(MAX_ANSWERED_PARTS + 9):
