Tell a daemon of the answers to all parts of its report

Found by reading the change again. A daemon that hears of a failure tells of the answers and the outage that speak against it, but only if a part of it was left to blame. Where all parts had been answered it kept silent, so that the sender, which may have started just before, blamed them until its block was refused.

It tells in either case now, once for each attempt, as reports are repeated. The new test failed before: nothing was told.

--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -114,13 +114,7 @@
         if not self._evidence.add(report):
             return
         self._add_news(report)
-        outage = self._evidence.find_outage(report)
-        if outage is not None:
-            # The daemon that sent the report may not know of the outage.
-            self._add_news(outage)
-        for part in report.parts - self._evidence.list_suspects(report):
-            # The daemon that sent the report may not know of the answer.
-            self._announce_known_answer(part)
+        self._announce_context(report)
         self._has_unreviewed.set()
 
     async def run(self) -> None:
@@ -175,7 +169,7 @@
         """
         for notice in notices:
             if isinstance(notice, CrashReport):
-                self.record_crash(notice)
+                self._apply_report(notice)
             elif isinstance(notice, EndpointBreak):
                 self.record_break(notice)
             elif isinstance(notice, PartAnswer):
@@ -218,6 +212,21 @@
             build_part_keys(service, parts), self._clock()
         )
 
+    def _apply_report(self, report: CrashReport) -> None:
+        if self._evidence.is_known(report):
+            return
+        self.record_crash(report)
+        # The daemon that sent it may know less, also if nothing is left of it.
+        self._announce_context(report)
+
+    def _announce_context(self, report: CrashReport) -> None:
+        """Announce what tells against a report: an outage, or answers."""
+        outage = self._evidence.find_outage(report)
+        if outage is not None:
+            self._add_news(outage)
+        for part in report.parts - self._evidence.list_suspects(report):
+            self._announce_known_answer(part)
+
     def _apply_answer(self, answer: PartAnswer) -> None:
         is_news = self._evidence.record_answer(answer.part, answer.began_at)
         for block, remaining in self._blocked.clear(
--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -70,20 +70,27 @@
 
         :param report: the report.
         """
-        if report.attempt in self._known_attempts:
+        if self.is_known(report):
             return False
+        self._known_attempts[report.attempt] = None
+        if len(self._known_attempts) > MAX_KNOWN_ATTEMPTS:
+            self._known_attempts.pop(next(iter(self._known_attempts)))
         self.record_break(report.broken)
         suspects = self.list_suspects(report)
         if not suspects:
             return False
-        self._known_attempts[report.attempt] = None
-        if len(self._known_attempts) > MAX_KNOWN_ATTEMPTS:
-            self._known_attempts.pop(next(iter(self._known_attempts)))
         self._reports[report.attempt] = report
         self._suspects[report.attempt] = suspects
         self._expire(report.broke_at)
         return True
 
+    def is_known(self, report: CrashReport) -> bool:
+        """Return whether a report was added before.
+
+        :param report: the report.
+        """
+        return report.attempt in self._known_attempts
+
     def record_break(self, broken: EndpointBreak) -> bool:
         """Record a broken connection; return whether it begins an outage.
 
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -270,6 +270,20 @@
     assert evidence.find_outage(late) == told[0]
 
 
+# A daemon that knew answers to all parts of a report kept silent, and the one
+# that had sent it blamed them until its block was refused.
+def test_a_daemon_tells_of_answers_to_all_parts_of_a_report(clock):
+    screen = PartScreen(
+        log=build_silent_log(), clock=clock, count_members=lambda: 2
+    )
+    report = build_report(1, clock.now, 'first')
+    screen.record_answer('pool', build_sound())
+    for _ in range(2):
+        screen.apply([report])
+    [answer] = screen.take_news()
+    assert answer.part == ('pool', 'first')
+
+
 # Crashes at a service that answered nobody hid the deadly part of another one.
 def test_a_part_is_blocked_beside_a_service_that_answers_nothing(clock):
     screen = PartScreen(
