Part news, and the answers of services, from the screen and the evidence

CrashNews holds what is to be told, ServiceAnswers what confirms a culprit. The services whose answers are kept are bounded now, as those that were removed from the table stayed for the life of a daemon; the test of it fails without the bound.

--- a/laurelwind/coordination/crash_gossip.py
+++ b/laurelwind/coordination/crash_gossip.py
@@ -103,10 +103,10 @@
 
     async def _spread_news(self) -> None:
         while True:
-            await self._screen.has_news.wait()
+            await self._screen.news.has_any.wait()
             await anyio.sleep(NEWS_DELAY_S)
             await self._send(
-                self._screen.take_news(), self._draw_peers(NEWS_FANOUT)
+                self._screen.news.take(), self._draw_peers(NEWS_FANOUT)
             )
 
     async def _repeat(self) -> None:
--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -6,12 +6,10 @@
 import anyio
 
 from laurelwind.coordination.attempt_watch import AttemptWatch
+from laurelwind.coordination.crash_news import REPEAT_S, CrashNews
 from laurelwind.coordination.part_keys import build_part_keys
 from laurelwind.decisions import DecisionLog
-from laurelwind.protocol.crash_notices import (
-    CrashNotice,
-    PartAnswer,
-)
+from laurelwind.protocol.crash_notices import CrashNotice, PartAnswer
 from laurelwind.protocol.exchanges import PromptPart
 from laurelwind.state.abandoned_attempts import (
     AbandonedAttempt,
@@ -23,9 +21,8 @@
 from laurelwind.state.culprits import Culprit
 from laurelwind.state.endpoint_breaks import EndpointBreak
 from laurelwind.state.load import read_monotonic_clock
+from laurelwind.state.service_answers import ServiceAnswers
 
-# Seconds for which notices are repeated to peers.
-REPEAT_S: Final = 10.0
 # Seconds between a report and its review.
 REVIEW_DELAY_S: Final = 0.15
 
@@ -38,7 +35,7 @@
     :param log: decision log.
     :param clock: monotonic clock, in seconds.
     :param count_members: returns the number of daemons.
-    :ivar has_news: set when there are notices to spread.
+    :ivar news: notices to spread.
     :ivar watch: attempts to end when their prompt is blocked.
     """
 
@@ -49,21 +46,18 @@
         count_members: Callable[[], int],
         clock: Callable[[], float] = read_monotonic_clock,
     ) -> None:
-        self.has_news = anyio.Event()
+        self.news = CrashNews()
         self.watch = AttemptWatch()
         self._log = log
         self._clock = clock
         self._count_members = count_members
         self._evidence = CrashEvidence()
+        self._service_answers = ServiceAnswers()
         self._abandoned = AbandonedAttempts()
         self._blocked = BlockedParts()
-        # Notices to spread, in order and each once.
-        self._news: dict[CrashNotice, None] = {}
         self._has_unreviewed = anyio.Event()
         # Services whose next answers may confirm a culprit.
         self._unconfirmed: set[str] = set()
-        # Answers that cleared a report, by part.
-        self._answers: dict[PartKey, PartAnswer] = {}
 
     @property
     def blocks(self) -> Sequence[Block]:
@@ -95,7 +89,7 @@
         :param broken: the connection.
         """
         if self._evidence.record_break(broken):
-            self._add_news(broken)
+            self.news.add(broken)
         for report in self._abandoned.take(broken):
             self.record_crash(report)
 
@@ -113,7 +107,7 @@
         """
         if not self._evidence.add(report):
             return
-        self._add_news(report)
+        self.news.add(report)
         self._announce_context(report)
         self._has_unreviewed.set()
 
@@ -128,12 +122,13 @@
 
     def review(self) -> None:
         """Block the parts that the reports prove to crash endpoints."""
+        members = self._count_members()
         is_found = True
         while is_found:
             is_found = False
             self._unconfirmed.clear()
             for culprit in self._evidence.find_culprits(self._blocked.groups):
-                if self._evidence.is_confirmed(culprit, self._count_members()):
+                if self._service_answers.confirm(culprit, members):
                     is_found = self._block_culprit(culprit) or is_found
                 else:
                     self._unconfirmed.add(culprit.service)
@@ -145,7 +140,7 @@
         :param parts: parts of the prompt.
         """
         now = self._clock()
-        self._evidence.record_service_answer(service, now)
+        self._service_answers.record(service, now)
         if service in self._unconfirmed:
             self._has_unreviewed.set()
         for part in build_part_keys(service, parts):
@@ -160,7 +155,7 @@
         for part in parts:
             answer = PartAnswer(part=part, began_at=now)
             self._apply_answer(answer)
-            self._announce_answer(answer)
+            self.news.add_answer(answer)
 
     def apply(self, notices: Iterable[CrashNotice]) -> None:
         """Apply the notices of another daemon, and pass on those that are new.
@@ -177,22 +172,12 @@
             else:
                 self._apply_block(notice)
 
-    def take_news(self) -> Sequence[CrashNotice]:
-        """Return the notices to spread, and forget them."""
-        news = tuple(self._news)
-        self._news.clear()
-        self.has_news = anyio.Event()
-        return news
-
     def summarize(self) -> Sequence[CrashNotice]:
         """Return the blocks and the recent notices, for daemons without them.
 
         The blocks come first, then what is newest.
         """
         since = self._clock() - REPEAT_S
-        for part, answer in tuple(self._answers.items()):
-            if answer.began_at < since:
-                self._answers.pop(part)
         reports = sorted(
             (
                 report
@@ -201,7 +186,7 @@
             ),
             key=lambda report: -report.broke_at,
         )
-        return (*self.blocks, *self._answers.values(), *reports)
+        return (*self.blocks, *self.news.list_answers(since), *reports)
 
     def _find_block(
         self, service: str, parts: Sequence[PromptPart]
@@ -223,7 +208,7 @@
         """Announce what tells against a report: an outage, or answers."""
         outage = self._evidence.find_outage(report)
         if outage is not None:
-            self._add_news(outage)
+            self.news.add(outage)
         for part in report.parts - self._evidence.list_suspects(report):
             self._announce_known_answer(part)
 
@@ -239,13 +224,7 @@
                 remaining=sorted(name for _, name in remaining),
             )
         if is_news:
-            self._announce_answer(answer)
-
-    def _announce_answer(self, answer: PartAnswer) -> None:
-        known = self._answers.get(answer.part)
-        if known is None or known.began_at < answer.began_at:
-            self._answers[answer.part] = answer
-            self._add_news(answer)
+            self.news.add_answer(answer)
 
     def _apply_block(self, block: Block) -> None:
         disproved = [
@@ -259,7 +238,7 @@
             self._block(block)
 
     def _announce_known_answer(self, part: PartKey) -> None:
-        self._announce_answer(
+        self.news.add_answer(
             PartAnswer(part=part, began_at=self._evidence.get_answered_at(part))
         )
 
@@ -273,7 +252,7 @@
     def _block(self, block: Block) -> bool:
         if not self._blocked.add(block):
             return False
-        self._add_news(block)
+        self.news.add(block)
         ended = self.watch.end_attempts(block.parts)
         self._log.log_warning(
             'part_blocked',
@@ -288,10 +267,6 @@
         )
         return True
 
-    def _add_news(self, notice: CrashNotice) -> None:
-        self._news[notice] = None
-        self.has_news.set()
-
 
 def _describe(block: Block) -> dict[str, object]:
     return {
--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -7,7 +7,7 @@
 """
 
 import itertools
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Collection, Iterator, Sequence
 from typing import Final
 
@@ -31,10 +31,6 @@
 MIN_PROMPTS: Final = 2
 # Failures that suffice for some of the parts that were blamed together.
 MIN_FURTHER_FAILURES: Final = 2
-# Probability with which an innocent part may be blamed though other prompts
-# were answered meanwhile, and the most answers of a service that are kept.
-MAX_FALSE_BLAME: Final = 0.01
-MAX_SERVICE_ANSWERS: Final = 256
 # Lifetime of a report, in seconds.
 REPORT_TTL_S: Final = 300.0
 # The most reports that are kept, and how many of them make room for others.
@@ -56,7 +52,6 @@
         self._suspects: dict[str, PartKeys] = {}
         self._known_attempts: dict[str, None] = {}
         self._breaks = EndpointBreaks()
-        self._service_answers: dict[str, deque[float]] = {}
         # Moments of the last answers, the latest at the end.
         self._answered: dict[PartKey, float] = {}
 
@@ -105,17 +100,6 @@
         """
         return self._breaks.find_outage(report.endpoint, report.broke_at)
 
-    def record_service_answer(self, service: str, began_at: float) -> None:
-        """Record that a service answers, whatever the prompt.
-
-        :param service: name of the service.
-        :param began_at: moment at which an answer began.
-        """
-        answers = self._service_answers.setdefault(
-            service, deque(maxlen=MAX_SERVICE_ANSWERS)
-        )
-        answers.append(began_at)
-
     def record_answer(self, part: PartKey, began_at: float) -> bool:
         """Record an answer that began; return whether it clears any report.
 
@@ -175,25 +159,6 @@
         )
         return [culprit for culprit in culprits if culprit is not None]
 
-    def is_confirmed(self, culprit: Culprit, members: int) -> bool:
-        """Return whether the answers of others confirm a culprit.
-
-        If its parts were innocent, prompts with them would be among the answers
-        that began meanwhile, in about the share that they have of the failures.
-
-        The answers of the other daemons are inferred from the own ones.  A few
-        say little of the others, so that they stand for no more than as many.
-
-        :param culprit: parts of which no answer began.
-        :param members: number of daemons.
-        """
-        own_answers = sum(
-            began_at > culprit.since
-            for began_at in self._service_answers.get(culprit.service, ())
-        )
-        answers = own_answers * min(own_answers, members)
-        return (1 - culprit.share) ** answers <= MAX_FALSE_BLAME
-
     def _list_unexplained(
         self, blocked: Collection[PartKeys]
     ) -> list[CrashReport]:
--- /dev/null
+++ b/laurelwind/state/service_answers.py
@@ -0,0 +1,53 @@
+"""Tells by the answers of a service whether an innocent part is blamed."""
+
+from collections import deque
+from typing import Final
+
+from laurelwind.state.culprits import Culprit
+
+# Probability with which an innocent part may be blamed though other prompts
+# were answered meanwhile.
+MAX_FALSE_BLAME: Final = 0.01
+# The most services, and answers of each, that are kept; the newest count.
+MAX_SERVICES: Final = 512
+MAX_SERVICE_ANSWERS: Final = 256
+
+
+class ServiceAnswers:
+    """Moments at which answers of each service began, whatever the prompt."""
+
+    def __init__(self) -> None:
+        self._answers: dict[str, deque[float]] = {}
+
+    def record(self, service: str, began_at: float) -> None:
+        """Record an answer.
+
+        :param service: name of the service.
+        :param began_at: moment at which the answer began.
+        """
+        answers = self._answers.pop(service, None)
+        if answers is None:
+            answers = deque(maxlen=MAX_SERVICE_ANSWERS)
+        answers.append(began_at)
+        self._answers[service] = answers
+        if len(self._answers) > MAX_SERVICES:
+            self._answers.pop(next(iter(self._answers)))
+
+    def confirm(self, culprit: Culprit, members: int) -> bool:
+        """Return whether the answers of others confirm a culprit.
+
+        If its parts were innocent, prompts with them would be among the answers
+        that began meanwhile, in about the share that they have of the failures.
+
+        The answers of the other daemons are inferred from the own ones.  A few
+        say little of the others, so that they stand for no more than as many.
+
+        :param culprit: parts of which no answer began.
+        :param members: number of daemons.
+        """
+        own_answers = sum(
+            began_at > culprit.since
+            for began_at in self._answers.get(culprit.service, ())
+        )
+        answers = own_answers * min(own_answers, members)
+        return (1 - culprit.share) ** answers <= MAX_FALSE_BLAME
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -17,12 +17,14 @@
     CrashEvidence,
 )
 from laurelwind.state.crash_reports import CrashReport
+from laurelwind.state.culprits import Culprit
 from laurelwind.state.endpoint_breaks import (
     CRASH_S,
     MAX_BREAKS,
     EndpointBreak,
     EndpointBreaks,
 )
+from laurelwind.state.service_answers import MAX_SERVICES, ServiceAnswers
 
 
 def keys(*names):
@@ -34,6 +36,7 @@
 
     def __init__(self):
         self.evidence = CrashEvidence()
+        self.service_answers = ServiceAnswers()
         self.numbers = itertools.count()
         self.last_at = 0
 
@@ -54,11 +57,11 @@
 
     def blame(self, *blocked, answers=50):
         for _ in range(answers):
-            self.evidence.record_service_answer('pool', self.last_at)
+            self.service_answers.record('pool', self.last_at)
         confirmed = [
             culprit.parts
             for culprit in self.evidence.find_culprits(blocked)
-            if self.evidence.is_confirmed(culprit, 1)
+            if self.service_answers.confirm(culprit, 1)
         ]
         assert len(confirmed) <= 1
         return confirmed[0] if confirmed else None
@@ -247,13 +250,25 @@
     for at in (1, 2, 3):
         crashes.add(at, 'own', endpoint=f'e{at}')
         crashes.add(at, f'x{at}', endpoint=f'e{at}')
-    crashes.evidence.record_service_answer('pool', crashes.last_at)
+    crashes.service_answers.record('pool', crashes.last_at)
     [culprit] = crashes.evidence.find_culprits([])
-    assert not crashes.evidence.is_confirmed(culprit, 371)
+    assert not crashes.service_answers.confirm(culprit, 371)
     for _ in range(2):
-        crashes.evidence.record_service_answer('pool', crashes.last_at)
-    assert crashes.evidence.is_confirmed(culprit, 371)
-    assert not crashes.evidence.is_confirmed(culprit, 1)
+        crashes.service_answers.record('pool', crashes.last_at)
+    assert crashes.service_answers.confirm(culprit, 371)
+    assert not crashes.service_answers.confirm(culprit, 1)
+
+
+def test_the_services_with_answers_are_bounded():
+    answers = ServiceAnswers()
+    for number in range(MAX_SERVICES + 1):
+        for _ in range(5):
+            answers.record(str(number), 2)
+    for service, is_kept in (('0', False), ('1', True)):
+        culprit = Culprit(
+            parts=frozenset({(service, 'part')}), since=1, share=0.9
+        )
+        assert answers.confirm(culprit, 9) == is_kept
 
 
 def test_of_parts_at_all_crashes_the_one_of_most_prompts_is_blamed():
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -249,16 +249,16 @@
         for _ in range(2)
     )
     knowing.apply([build_report(1, clock.now, 'deadly')])
-    knowing.take_news()
+    knowing.news.take()
     clock.now += 3
     late = evolve(
         build_report(1, clock.now, 'sound'), attempt='late', prompt='late'
     )
     fresh.record_crash(late)
-    knowing.apply(fresh.take_news())
+    knowing.apply(fresh.news.take())
     told = [
         notice
-        for notice in knowing.take_news()
+        for notice in knowing.news.take()
         if isinstance(notice, EndpointBreak)
     ]
     assert [notice.broke_at for notice in told] == [clock.now - 3]
@@ -280,7 +280,7 @@
     screen.record_answer('pool', build_sound())
     for _ in range(2):
         screen.apply([report])
-    [answer] = screen.take_news()
+    [answer] = screen.news.take()
     assert answer.part == ('pool', 'first')
 
 
@@ -361,7 +361,7 @@
         screen.apply([block])
         assert not screen.blocks
         # The daemon that blocked it hears of the answer.
-        [answer] = screen.take_news()
+        [answer] = screen.news.take()
         assert answer.part == ('pool', 'first')
 
     run_emulated(check, monkeypatch)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -144,7 +144,7 @@
     harness.screen.record_break(broken)
     return [
         notice
-        for notice in harness.screen.take_news()
+        for notice in harness.screen.news.take()
         if isinstance(notice, CrashReport)
     ]
 
