--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -1,6 +1,6 @@
 """Rejects prompts whose parts crash the endpoints that answer them."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Final
 
 import anyio
@@ -56,8 +56,8 @@
         self._abandoned = AbandonedAttempts()
         self._blocked = BlockedParts()
         self._has_unreviewed = anyio.Event()
-        # Services whose next answers may confirm a culprit.
-        self._unconfirmed: set[str] = set()
+        # Suspected parts by service, whose next answers may confirm them.
+        self._suspected: dict[str, PartKeys] = {}
 
     @property
     def blocks(self) -> Sequence[Block]:
@@ -126,12 +126,13 @@
         is_found = True
         while is_found:
             is_found = False
-            self._unconfirmed.clear()
+            known = self._suspected
+            self._suspected = {}
             for culprit in self._evidence.find_culprits(self._blocked.groups):
                 if self._service_answers.confirm(culprit, members):
                     is_found = self._block_culprit(culprit) or is_found
                 else:
-                    self._unconfirmed.add(culprit.service)
+                    self._suspect(culprit, known)
 
     def record_answer(self, service: str, parts: Sequence[PromptPart]) -> None:
         """Record an answer that began, which clears the parts of its prompt.
@@ -141,7 +142,7 @@
         """
         now = self._clock()
         self._service_answers.record(service, now)
-        if service in self._unconfirmed:
+        if service in self._suspected:
             self._has_unreviewed.set()
         for part in build_part_keys(service, parts):
             self._apply_answer(PartAnswer(part=part, began_at=now))
@@ -242,6 +243,17 @@
             PartAnswer(part=part, began_at=self._evidence.get_answered_at(part))
         )
 
+    def _suspect(self, culprit: Culprit, known: Mapping[str, PartKeys]) -> None:
+        self._suspected[culprit.service] = culprit.parts
+        if known.get(culprit.service) != culprit.parts:
+            self._log.log_warning(
+                'part_suspected',
+                service=culprit.service,
+                parts=sorted(name for _, name in culprit.parts),
+                share=round(culprit.share, 3),
+                since_s=round(self._clock() - culprit.since, 3),
+            )
+
     def _block_culprit(self, culprit: Culprit) -> bool:
         return self._block(
             Block(
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -301,6 +301,31 @@
     assert [block.parts for block in screen.blocks] == [{('pool', 'deadly')}]
 
 
+class RecordingLog:
+    """Keeps the names of the lines that are logged."""
+
+    def __init__(self):
+        self.events = []
+
+    def log_warning(self, event, **fields):
+        self.events.append(event)
+
+
+# That a part was found, and why it was not blocked, stood in no log.
+def test_a_part_that_is_not_confirmed_is_logged_once(clock):
+    log = RecordingLog()
+    screen = PartScreen(log=log, clock=clock, count_members=lambda: 7)
+    for number in range(3):
+        clock.now += 1
+        screen.apply([build_report(number, clock.now, 'deadly')])
+    for _ in range(2):
+        screen.review()
+    assert log.events == ['part_suspected']
+    screen.record_answer('pool', ())
+    screen.review()
+    assert log.events == ['part_suspected', 'part_blocked']
+
+
 # A part was looked at again only when another endpoint had crashed, or all the
 # time while its service answered nobody.
 @pytest.mark.parametrize(('members', 'is_blocked'), [(7, True), (1, False)])
