--- a/laurelwind/coordination/attempts.py
+++ b/laurelwind/coordination/attempts.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import functools
-from collections.abc import Awaitable, Callable, Iterator, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
 import orjson
@@ -10,7 +10,10 @@
 from attrs import define, evolve, frozen
 
 from laurelwind.coordination.cascade import accepts_work, find_version
-from laurelwind.coordination.chat_requests import FetchState
+from laurelwind.coordination.chat_requests import (
+    FetchState,
+    track_run_state,
+)
 from laurelwind.coordination.engine_silence import EngineSilenceMonitor
 from laurelwind.coordination.follower import ConfigurationFollower
 from laurelwind.coordination.retries import RetryBudget, sleep_before_retry
@@ -171,7 +174,7 @@
                 'after_part': fetch_state.progress.last_part,
             },
         )
-        with span, _track_run_state(fetch_state):
+        with span, track_run_state(fetch_state):
             call = self._build_call(fetch, slot)
             async with self._dependencies.engine.open(call) as stream:
                 fetch_state.run_state = RunState.RAN
@@ -288,17 +291,3 @@
         if fetch.fetch_state.is_suspect or fetch.attempts >= _MAX_ATTEMPTS:
             return False
         return self._dependencies.budget.try_spend()
-
-
-@contextlib.contextmanager
-def _track_run_state(fetch_state: FetchState) -> Iterator[None]:
-    """Update whether the request reached an endpoint, also on failures."""
-    previous_run_state = fetch_state.run_state
-    if previous_run_state is RunState.NOT_RUN:
-        fetch_state.run_state = RunState.UNKNOWN
-    try:
-        yield
-    except EndpointError as error:
-        if error.run is RunState.NOT_RUN:
-            fetch_state.run_state = previous_run_state
-        raise
--- a/laurelwind/coordination/chat_requests.py
+++ b/laurelwind/coordination/chat_requests.py
@@ -1,12 +1,13 @@
 """Chat requests of callers, and their progress."""
 
-from collections.abc import Mapping
+import contextlib
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 from attrs import define, field, frozen
 
 from laurelwind.coordination.retry_limits import MAX_BROKEN_ATTEMPTS
-from laurelwind.errors import RunState
+from laurelwind.errors import EndpointError, RunState
 from laurelwind.protocol.endpoints import AnswerProgress
 from laurelwind.state.sessions import Session
 
@@ -54,3 +55,20 @@
     def is_suspect(self) -> bool:
         """Whether the request itself is the likely cause of its failures."""
         return self.broken_attempts >= MAX_BROKEN_ATTEMPTS
+
+
+@contextlib.contextmanager
+def track_run_state(fetch_state: FetchState) -> Iterator[None]:
+    """Update whether a request reached an endpoint, also on failures.
+
+    :param fetch_state: the request.
+    """
+    previous_run_state = fetch_state.run_state
+    if previous_run_state is RunState.NOT_RUN:
+        fetch_state.run_state = RunState.UNKNOWN
+    try:
+        yield
+    except EndpointError as error:
+        if error.run is RunState.NOT_RUN:
+            fetch_state.run_state = previous_run_state
+        raise
