--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 STAMP := .venv/.installed
 
-.PHONY: logging-cost fault-soak platform-day capacity overhead model-check soak demo test lint format clean
+.PHONY: gossip-cost logging-cost fault-soak platform-day capacity overhead model-check soak demo test lint format clean
 
 $(STAMP): pyproject.toml constraints.txt
 	python3 -m venv .venv
@@ -38,6 +38,10 @@
 logging-cost: $(STAMP)
 	PYTHONPATH=. $(PY) -m benchmarks.logging_cost
 
+# What notices of crashes cost each daemon of a large fleet.
+gossip-cost: $(STAMP)
+	PYTHONPATH=. $(PY) -m benchmarks.crash_gossip
+
 # Soak test of relay daemons in separate processes, with faults injected from
 # outside: SEEDS consecutive seeds from SEED, or new seeds for MINUTES minutes.
 SEEDS ?= 1
