Allow that a booking crosses bytes an endpoint sent unasked

Hypotheses: (1) the endpoint had sent bytes unasked after the answer before, on the same connection, and the booking crossed them; (2) the daemon reused a connection that it should have closed; (3) a stop or a kill reached the connection. The record of the runs could not tell them apart, so each run now holds the one before it on its connection, and a violation prints it.

Why it is allowed: the endpoint had broken the protocol on that connection. The daemon can't know whether a booking ran, may not repeat it, and must not look for an answer behind bytes that are no answer, since they may come from anyone: 502 is the true answer. The check passes over just that case: a booking, whose run came within 0.2 s after one with `junk` on the same connection.

--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -16,6 +16,9 @@
 # A request needs an answer, whether it was forwarded or not, if its connection
 # ends later than this after the daemon could read it.
 ANSWER_REQUIRED_AFTER_S: Final = 0.2
+# A request may cross bytes that the endpoint sends unasked if it reaches the
+# endpoint sooner than this after the request before it.
+CROSSING_S: Final = 0.2
 TIMEOUT_S: Final = 3.0
 # Final answers are due this long after a route's deadline.
 ANSWER_GRACE_S: Final = 0.5
--- a/soak/endings.py
+++ b/soak/endings.py
@@ -17,8 +17,10 @@
     """Checks that requests end with a complete answer or a refusal.
 
     Not checked: requests that a daemon cannot have read completely, those that
-    an endpoint broke off or crashed on, those that reached their deadline, and
-    those with a fault of the daemon or its links, or of the endpoint's link.
+    an endpoint broke off or crashed on, those that reached their deadline,
+    those with a fault of the daemon or its links, or of the endpoint's link,
+    and bookings that were given up because they crossed bytes that the endpoint
+    sent unasked.
     Stops,
     reloads, changes of the table, faults of the store, and endpoints that are
     silent and go on excuse nothing: callers' deadlines pass before the time to
@@ -48,6 +50,8 @@
             if self._are_links_sound(request, names, bounds.SETTLE_S):
                 yield 'lost: connection closed without an answer'
         if runs and request.status in _GIVEN_UP:
+            if request.route == 'book' and _crosses_junk(runs[-1]):
+                return
             # The daemon may have tried an endpoint that could not be reached.
             names = list(self._fleet.links)
             if self._are_links_sound(request, names, bounds.ENDPOINT_SETTLE_S):
@@ -91,3 +95,12 @@
         )
         due_at = forwarded_at + bounds.ANSWER_REQUIRED_AFTER_S
         return request.ended_at > due_at
+
+
+def _crosses_junk(run: Run) -> bool:
+    previous = run.previous
+    return (
+        previous is not None
+        and previous.action == 'junk'
+        and run.arrived_at - previous.arrived_at < bounds.CROSSING_S
+    )
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -86,9 +86,7 @@
     def _format_violation(
         self, text: str, request: CallerRequest, runs: list[Run]
     ) -> str:
-        executions = [
-            f'{run.endpoint} {run.action} {run.arrived_at:.2f}' for run in runs
-        ]
+        executions = [_format_run(run) for run in runs]
         return (
             f'{text}: {request.request_id} {request.route}'
             f' {request.outcome} {request.status}'
@@ -281,3 +279,10 @@
         allowed = versions.total() * bounds.EXPOSURE_SHARE
         if versions['v2'] > allowed + bounds.EXPOSURE_EXTRA:
             yield f'exposure: {versions}'
+
+
+def _format_run(run: Run) -> str:
+    text = f'{run.endpoint} {run.action} {run.arrived_at:.2f}'
+    if run.previous is None:
+        return text
+    return f'{text} after {run.previous.action} {run.previous.arrived_at:.2f}'
--- a/standins/run_log.py
+++ b/standins/run_log.py
@@ -13,6 +13,7 @@
     :ivar workspace: workspace in the request's headers.
     :ivar arrived_at: arrival on the monotonic clock, in seconds.
     :ivar action: ``serve``, or the fault that the endpoint showed.
+    :ivar previous: the execution before it on the same connection, if any.
     """
 
     request_id: str
@@ -22,6 +23,7 @@
     workspace: str
     arrived_at: float
     action: str
+    previous: 'Run | None' = field(default=None, repr=False)
 
 
 @define
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -123,6 +123,18 @@
     )
 
 
+async def test_unasked_bytes_that_cross_a_request_are_no_answer_to_it():
+    async def check(fixture):
+        assert (await fixture.send_request('r1'))[1] == b'body'
+        with pytest.raises(EndpointError) as raised:
+            await fixture.send_request('r2')
+        assert raised.value.run is RunState.UNKNOWN
+
+    await run_with_endpoint(
+        [(build_answer(), False), (b'junk' + build_answer(b'r2'), False)], check
+    )
+
+
 async def test_discards_a_late_answer_to_an_earlier_request():
     async def check(fixture):
         assert (await fixture.send_request('r2'))[0].request_id == 'r2'
