Play restored stores, leaving endpoints and pauses in the fault soak

A scenario `restores` plays them beside stops, kills, links, keys, tables and a roll-out:

- the store comes back from a copy 0.5 to 6 s old, up to 2 s later; its operator and the endpoints write again what it lost (Fleet.write keeps the newest of each record).
All checks go on, those of revoked keys and of tables that go back among them.
- endpoints that say in their answers that they leave, and are withdrawn later.
Checked: no request sent 2 s after a daemon passed on such an answer runs there.
- endpoints that refuse all requests and ask for a pause.
Checked: at most two requests of a daemon reach it from 0.5 s after it asked to the pause's end.

--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -44,3 +44,7 @@
 DEADLY_PART: Final = 'deadly'
 MIN_CRASHES: Final = 5
 MAX_LATE_CRASHES: Final = 3
+# Seconds after which a daemon heeds a pause that an endpoint asks for, and the
+# most requests that may reach the endpoint from it afterwards.
+PAUSE_HEEDED_S: Final = 0.5
+MAX_LATE_IN_PAUSE: Final = 2
--- a/soak/endpoint_faults.py
+++ b/soak/endpoint_faults.py
@@ -9,6 +9,7 @@
 from soak.durations import choose_duration
 from soak.fault_journal import FaultJournal
 from soak.fleet import Fleet
+from standins.notices import Notices
 
 # Minimum size of a pool for a withdrawal, and share of withdrawals from a
 # random pool, which may not be in use.
@@ -76,6 +77,36 @@
 
     async def withdraw(self, rng: random.Random) -> None:
         """Withdraw an endpoint; later another one takes its address."""
+        name = self._choose_removable(rng)
+        if name is not None:
+            await self._replace(name, rng)
+
+    async def announce_leaving(self, rng: random.Random) -> None:
+        """Let an endpoint announce in answers that it leaves, then go."""
+        name = self._choose_removable(rng)
+        if name is None:
+            return
+        self._journal.record('announce', name)
+        self._fleet.endpoints[name].notices.is_leaving = True
+        await anyio.sleep(choose_duration(rng))
+        await self._replace(name, rng)
+
+    async def ask_for_pause(self, rng: random.Random) -> None:
+        """Let an endpoint refuse all requests and ask for a pause."""
+        pool = self._fleet.tables[-1].shares[0].pool
+        endpoint = rng.choice(
+            [
+                candidate
+                for candidate in self._fleet.endpoints.values()
+                if candidate.service == pool
+            ]
+        )
+        duration_s = choose_duration(rng)
+        self._journal.record('ask for pause', endpoint.name, duration_s)
+        endpoint.notices.pause_ends_at = anyio.current_time() + duration_s
+
+    def _choose_removable(self, rng: random.Random) -> str | None:
+        """Choose an endpoint of a pool that has others."""
         fleet = self._fleet
         pool = fleet.tables[-1].shares[0].pool
         if rng.random() < OTHER_POOL_SHARE:
@@ -83,22 +114,28 @@
         names = [
             name
             for name, endpoint in fleet.endpoints.items()
-            if endpoint.service == pool and name not in fleet.withdrawn_at
+            if endpoint.service == pool
+            and name not in fleet.withdrawn_at
+            and not endpoint.notices.is_leaving
         ]
         if len(names) < MIN_ENDPOINTS:
-            return
-        name = rng.choice(names)
+            return None
+        return rng.choice(names)
+
+    async def _replace(self, name: str, rng: random.Random) -> None:
+        fleet = self._fleet
         is_announced = rng.random() < 0.6
         self._journal.record('leave', name)
         # After the withdrawal the address serves under another name.
         fleet.withdraw_endpoint(name, is_announced=is_announced)
         withdrawn = fleet.endpoints[name]
         await anyio.sleep(bounds.DRAIN_S + choose_duration(rng))
-        fleet.store.put('keyed.servers', name, None)
+        fleet.write('keyed.servers', name, None)
         successor = await fleet.add_endpoint(
-            self._group, pool, fault_share=withdrawn.fault_share
+            self._group, withdrawn.service, fault_share=withdrawn.fault_share
         )
         withdrawn.name = f'{successor.name}-in-place-of-{name}'
+        withdrawn.notices = Notices()
 
     async def roll_out(self, rng: random.Random) -> None:
         """Order a roll-out of a version, good or bad, once in a run."""
@@ -117,7 +154,7 @@
             'rollout', 'bad' if self.rollout_is_bad else 'good'
         )
         self.rollout_ordered_at = anyio.current_time()
-        self._fleet.store.put(
+        self._fleet.write(
             'keyed.op',
             f'rollout/{bounds.ROLLOUT_SERVICE}',
             {
--- a/soak/environment_faults.py
+++ b/soak/environment_faults.py
@@ -11,6 +11,11 @@
 from standins.store import StoreMode
 
 _LINK_DELAY_S = 0.3
+# Age of the copy that the store comes back from, and seconds until it is back.
+# Lost records are written again within the bound for revoked keys.
+_MIN_COPY_AGE_S = 0.5
+_MAX_COPY_AGE_S = 6.0
+_MAX_AWAY_S = 2.0
 _STORE_MODES = [mode for mode in StoreMode if mode is not StoreMode.UP]
 
 
@@ -40,6 +45,27 @@
             self._fleet.store.mode = StoreMode.UP
         busy_subjects.discard('store')
 
+    async def restore_store(self, rng: random.Random) -> None:
+        """Let the store come back from an older copy after some seconds.
+
+        What its operator and the endpoints wrote is then written again.
+        """
+        busy_subjects = self._journal.busy_subjects
+        if 'store' in busy_subjects:
+            return
+        busy_subjects.add('store')
+        age_s = rng.uniform(_MIN_COPY_AGE_S, _MAX_COPY_AGE_S)
+        away_s = choose_duration(rng, _MAX_AWAY_S)
+        self._journal.record(f'restore to {age_s:.1f} s ago', 'store', away_s)
+        fleet = self._fleet
+        with fleet.fault_windows.record('store'):
+            fleet.store.mode = StoreMode.DOWN
+            fleet.store.rewind(age_s)
+            await anyio.sleep(away_s)
+            fleet.store.mode = StoreMode.UP
+            fleet.write_lost_records()
+        busy_subjects.discard('store')
+
     async def compact_store(self, _: random.Random) -> None:
         """Let the store forget its history."""
         self._journal.record('forget', 'store')
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -44,6 +44,24 @@
         self.deadly_until = float('-inf')
         self.unusual = UnusualBehaviour()
         self._number = 0
+        # The newest content of each record, by topic and key, oldest first.
+        self._written: dict[tuple[str, str], dict | None] = {}
+
+    def write(self, topic: str, key: str, body: dict | None) -> None:
+        """Write a record to the store as its operator or an endpoint.
+
+        :param body: its content, or ``None`` to delete it.
+        """
+        self._written.pop((topic, key), None)
+        self._written[topic, key] = body
+        self.store.put(topic, key, body)
+
+    def write_lost_records(self) -> None:
+        """Write again what the store has lost of the records written here."""
+        stored = {topic: self.store.read(topic) for topic, _ in self._written}
+        for (topic, key), body in self._written.items():
+            if stored[topic].get(key) != body:
+                self.store.put(topic, key, body)
 
     async def add_endpoint(
         self, group: TaskGroup, service: str, **fields
@@ -72,7 +90,7 @@
     ) -> None:
         """Write the record of an endpoint to the store."""
         self._number += 1
-        self.store.put(
+        self.write(
             'keyed.servers',
             endpoint.name,
             {
@@ -98,7 +116,7 @@
         if is_announced:
             self.register(endpoint, self.links[name].address, 'draining')
         else:
-            self.store.put('keyed.servers', name, None)
+            self.write('keyed.servers', name, None)
         self.withdrawn_at[name] = anyio.current_time()
 
     def publish(
@@ -117,7 +135,7 @@
         document = encode_table(
             len(self.tables) + 1, shares, keys, timeout_s, filler_keys
         )
-        self.store.put('keyed.op', 'config', document)
+        self.write('keyed.op', 'config', document)
         self.tables.append(
             PublishedTable(
                 published_at=anyio.current_time(), shares=shares, keys=keys
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from soak import bounds
+from soak.announcements import check_announcements
 from soak.callers import CallerRequest, Callers
 from soak.crashes import check_crashes
 from soak.endings import EndingChecker
@@ -49,6 +50,7 @@
             *self._check_table_order(),
             *self._check_rollout(),
             *check_crashes(self._fleet, self._requests),
+            *check_announcements(self._fleet, self._requests),
             *(
                 f'registry: {name} returned no addresses'
                 for name in self._empty_answers
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -39,6 +39,13 @@
         8,
         'begun streams given up for silence; answers cut as a stop ended',
     ),
+    RegressionSeed(
+        3,
+        'restores',
+        8,
+        'a store restored from older copies; endpoints that announce that they'
+        ' leave',
+    ),
     RegressionSeed(
         1,
         'answers',
--- a/soak/scenarios.py
+++ b/soak/scenarios.py
@@ -19,6 +19,10 @@
     *('poison', 'poison', 'poison', 'stop', 'kill', 'store', 'link', 'table'),
     *('leave', 'silence', 'rollout'),
 )
+_RESTORES: Final = (
+    *('restore', 'restore', 'announce', 'announce', 'pauses', 'pauses'),
+    *('stop', 'kill', 'store', 'link', 'table', 'keys', 'revoke', 'rollout'),
+)
 _OPERATIONS: Final = (
     *('silence', 'silence', 'silence', 'tables', 'tables', 'reloads'),
     *('stops', 'stops', 'keys', 'leave'),
@@ -47,7 +51,9 @@
 
 
 # Scenarios by name: faults alone; planned work and silent endpoints alone;
-# unusual answers and prompts that crash endpoints; faults with planned work.
+# unusual answers and prompts that crash endpoints; a store that is restored
+# from an older copy, and endpoints that announce that they leave or ask for a
+# pause; faults with planned work.
 SCENARIOS: Final[Mapping[str, Scenario]] = {
     'faults': Scenario(
         fault_names=_FAULTS,
@@ -70,6 +76,11 @@
         ),
         has_prompts=True,
     ),
+    'restores': Scenario(
+        fault_names=_RESTORES,
+        fault_share=FAULT_SHARE,
+        has_large_requests=False,
+    ),
     'all': Scenario(
         fault_names=(*_FAULTS, *_OPERATIONS),
         fault_share=FAULT_SHARE,
--- a/standins/relayed_answers.py
+++ b/standins/relayed_answers.py
@@ -2,6 +2,7 @@
 
 import random
 import re
+from collections.abc import Mapping
 from typing import Final
 
 from anyio.abc import SocketStream
@@ -15,6 +16,18 @@
 _SIZE: Final = re.compile(rb'^[A-Z]+ /[^ ]*?/([0-9]+) ')
 
 
+def read_headers(head: bytes) -> Mapping[bytes, bytes]:
+    """Return the headers of a request, by name in lower case.
+
+    :param head: head of the request.
+    """
+    headers = {}
+    for line in head.split(b'\r\n')[1:]:
+        name, _, raw_value = line.partition(b': ')
+        headers[name.lower()] = raw_value
+    return headers
+
+
 def read_size(head: bytes) -> int:
     """Return the size of the answer that a request asks for.
 
@@ -57,6 +70,31 @@
     return b''.join(encode_each_event(request_id, size))
 
 
+def encode_chunk(body: bytes) -> bytes:
+    """Encode a chunk of an answer without length.
+
+    :param body: content of the chunk.
+    """
+    return b'%x\r\n%b\r\n' % (len(body), body)
+
+
+async def send_refusal(
+    stream: SocketStream,
+    head_template: bytes,
+    status: bytes,
+    lines: bytes = b'',
+) -> None:
+    """Refuse a request that did not run.
+
+    :param stream: connection of the caller.
+    :param head_template: head of an answer, without its status.
+    :param status: status code and reason.
+    :param lines: further header lines.
+    """
+    rest = b'X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+    await stream.send(b'%b%b%b' % (head_template % status, lines, rest))
+
+
 async def send_without_end(
     stream: SocketStream, head_template: bytes, rng: random.Random
 ) -> None:
--- a/standins/relayed_endpoint.py
+++ b/standins/relayed_endpoint.py
@@ -9,10 +9,19 @@
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from standins.actions import (
+    ABRUPT_ACTIONS,
+    INCOMPLETE_ACTIONS,
+    ActionChooser,
+)
+from standins.notices import Notices, PauseAnswer
 from standins.relayed_answers import (
     encode_answer,
+    encode_chunk,
     encode_each_event,
+    read_headers,
     read_size,
+    send_refusal,
     send_without_end,
 )
 from standins.run_log import Run, RunLog
@@ -20,14 +29,6 @@
 
 # Largest number of bytes of a plain answer that are sent at once.
 _PIECE_BYTES: Final = 65536
-# Faults of an endpoint, drawn with equal probability.
-PLAIN_FAULTS: Final = ('shed', 'fail', 'reset', 'cut', 'twice', 'junk')
-STREAM_FAULTS: Final = ('shed', 'reset', 'tear', 'stop', 'twice')
-# Actions whose answers may end with the connection: a stream that is torn ends
-# within an event.
-_UNFRAMED_ACTIONS: Final = frozenset(('serve', 'tear'))
-_INCOMPLETE_ACTIONS: Final = frozenset(('tear', 'stop'))
-_ABRUPT_ACTIONS: Final = frozenset(('reset', 'flood', 'crash'))
 # Seconds until an endpoint that crashed accepts connections again.
 CRASH_S: Final = 2.0
 _END_OF_HEAD: Final = b'\r\n\r\n'
@@ -56,6 +57,7 @@
         stream.
     :param version: its model version.
     :ivar unusual: what it does besides faults.
+    :ivar notices: what it announces in its answers.
     """
 
     def __init__(
@@ -76,8 +78,10 @@
         self.pause_s = pause_s
         self.address = ''
         self.unusual = UnusualBehaviour()
+        self.notices = Notices()
         self._run_log = run_log
         self._rng = rng
+        self._chooser = ActionChooser(rng=rng)
         self._silent_until: float = 0
         self._down_until: float = 0
         # The last execution on each open connection.
@@ -130,7 +134,7 @@
         if anyio.current_time() < self._down_until:
             return False
         head = await reader.receive_until(_END_OF_HEAD, _MAX_HEAD_BYTES)
-        headers = _read_headers(head)
+        headers = read_headers(head)
         length = int(headers.get(b'content-length', b'0'))
         if length:
             await reader.receive_exactly(length)
@@ -148,18 +152,26 @@
         request_id = headers.get(b'x-request-id', b'')
         if not request_id:
             raise ValueError(f'request without X-Request-Id: {head!r}')
-        head_template = b'HTTP/1.1 %%b\r\nX-Request-Id: %b\r\n' % request_id
+        head_template = b'HTTP/1.1 %%b\r\nX-Request-Id: %b\r\n%b' % (
+            request_id,
+            self.notices.encode(),
+        )
         if headers.get(b'x-expect-instance') != self.name.encode():
             self._run_log.misdirected += 1
-            await _refuse(stream, head_template % b'421 Misdirected')
+            await send_refusal(stream, head_template, b'421 Misdirected')
+            return True
+        if arrived_at < self.notices.pause_ends_at:
+            await self._ask_for_pause(stream, head_template, request_id)
             return True
         is_stream = b' /draft/' in head
-        action = self._choose_action(headers, is_stream=is_stream)
+        action = self._chooser.choose(
+            headers, self.fault_share, self.unusual, is_stream=is_stream
+        )
         if action == 'shed':
-            await _refuse(stream, head_template % b'503 Full')
+            await send_refusal(stream, head_template, b'503 Full')
             return True
         self._record_run(stream, headers, action, arrived_at)
-        if action in _ABRUPT_ACTIONS:
+        if action in ABRUPT_ACTIONS:
             await self._end_abruptly(stream, head_template, action)
             return False
         size = read_size(head)
@@ -172,18 +184,17 @@
         body = encode_answer(request_id, size)
         return await self._send_answer(stream, head_template, body, action)
 
-    def _choose_action(
-        self, headers: Mapping[bytes, bytes], *, is_stream: bool
-    ) -> str:
-        part = self.unusual.crash_part.encode()
-        if part and part in headers.get(b'x-prefix-hash', b''):
-            return 'crash'
-        if self._rng.random() >= self.fault_share:
-            return 'serve'
-        faults = STREAM_FAULTS if is_stream else PLAIN_FAULTS
-        if self.unusual.has_floods:
-            faults = (*faults, 'flood')
-        return self._rng.choice(faults)
+    async def _ask_for_pause(
+        self, stream: SocketStream, head_template: bytes, request_id: bytes
+    ) -> None:
+        answer = PauseAnswer(
+            request_id=request_id.decode(),
+            endpoint=self.name,
+            asked_at=anyio.current_time(),
+            ends_at=self.notices.pause_ends_at,
+        )
+        self._run_log.pauses.append(answer)
+        await send_refusal(stream, head_template, b'503 Pause', answer.encode())
 
     async def _end_abruptly(
         self, stream: SocketStream, head_template: bytes, action: str
@@ -193,13 +204,6 @@
         if action == 'crash':
             await self._crash()
 
-    def _is_unframed(self, action: str) -> bool:
-        return (
-            self.unusual.unframed_share > 0
-            and action in _UNFRAMED_ACTIONS
-            and self._rng.random() < self.unusual.unframed_share
-        )
-
     def _record_run(
         self,
         stream: SocketStream,
@@ -215,6 +219,7 @@
             workspace=headers.get(b'x-tenant-id', b'').decode(),
             arrived_at=arrived_at,
             action=action,
+            is_leaving=self.notices.is_leaving,
             previous=self._last_runs[stream],
         )
         self._last_runs[stream] = run
@@ -229,7 +234,7 @@
     ) -> bool:
         await anyio.sleep(self.pause_s)
         status = b'500 No' if action == 'fail' else b'200 OK'
-        is_unframed = self._is_unframed(action)
+        is_unframed = self._chooser.omits_length(action, self.unusual)
         frame = b'' if is_unframed else b'Content-Length: %d\r\n' % len(body)
         answer = head_template % status + b'X-Response-Seal: 1\r\n%b\r\n%b' % (
             frame,
@@ -252,12 +257,12 @@
         last_event_id: int,
         action: str,
     ) -> bool:
-        is_unframed = self._is_unframed(action)
+        is_unframed = self._chooser.omits_length(action, self.unusual)
         frame = b'' if is_unframed else b'Transfer-Encoding: chunked\r\n'
         await stream.send(
             head_template % b'200 OK' + b'X-Response-Seal: 1\r\n%b\r\n' % frame
         )
-        encode = bytes if is_unframed else _encode_chunk
+        encode = bytes if is_unframed else encode_chunk
         if is_unframed:
             self._unframed.add(stream)
         started_at = anyio.current_time()
@@ -267,7 +272,7 @@
                 return False
             await stream.send(encode(raw))
         self._unframed.discard(stream)
-        if is_unframed or action in _INCOMPLETE_ACTIONS:
+        if is_unframed or action in INCOMPLETE_ACTIONS:
             return False
         await stream.send(b'0\r\n\r\n')
         return True
@@ -277,7 +282,7 @@
     ) -> AsyncIterator[bytes]:
         for number, raw in enumerate(events):
             await self._wait_while_silent()
-            if action in _INCOMPLETE_ACTIONS and number == 2:
+            if action in INCOMPLETE_ACTIONS and number == 2:
                 yield raw[:5] if action == 'tear' else raw
                 return
             yield raw
@@ -287,20 +292,3 @@
         for start in range(0, len(answer), _PIECE_BYTES):
             await self._wait_while_silent()
             await stream.send(answer[start : start + _PIECE_BYTES])
-
-
-async def _refuse(stream: SocketStream, head: bytes) -> None:
-    rest = b'X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
-    await stream.send(b'%b%b' % (head, rest))
-
-
-def _encode_chunk(body: bytes) -> bytes:
-    return b'%x\r\n%b\r\n' % (len(body), body)
-
-
-def _read_headers(head: bytes) -> dict[bytes, bytes]:
-    headers = {}
-    for line in head.split(b'\r\n')[1:]:
-        name, _, raw_value = line.partition(b': ')
-        headers[name.lower()] = raw_value
-    return headers
--- a/standins/run_log.py
+++ b/standins/run_log.py
@@ -2,6 +2,8 @@
 
 from attrs import define, field, frozen
 
+from standins.notices import PauseAnswer
+
 
 @frozen(kw_only=True)
 class Run:
@@ -13,6 +15,7 @@
     :ivar workspace: workspace in the request's headers.
     :ivar arrived_at: arrival on the monotonic clock, in seconds.
     :ivar action: ``serve``, or the fault that the endpoint showed.
+    :ivar is_leaving: whether the answer said that the endpoint leaves.
     :ivar previous: the execution before it on the same connection, if any.
     """
 
@@ -23,6 +26,7 @@
     workspace: str
     arrived_at: float
     action: str
+    is_leaving: bool = False
     previous: 'Run | None' = field(default=None, repr=False)
 
 
@@ -32,11 +36,13 @@
 
     :ivar runs: executions by request id.
     :ivar misdirected: number of requests addressed to another endpoint.
+    :ivar pauses: requests that were refused with a request for a pause.
     :ivar crashed_at: moments at which endpoints crashed, by name.
     """
 
     runs: dict[str, list[Run]] = field(factory=dict)
     misdirected: int = 0
+    pauses: list[PauseAnswer] = field(factory=list)
     crashed_at: dict[str, list[float]] = field(factory=dict)
 
     def record(self, run: Run) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,11 +6,11 @@
 
 from soak import bounds
 from soak.callers import CallerRequest
-from soak.daemons import Daemon
 from soak.endings import EndingChecker
 from soak.fleet import Fleet
 from standins.link import Link
-from standins.relayed_endpoint import Run
+from standins.run_log import Run
+from tests.soak_helpers import build_daemon
 
 DEADLINE_S = bounds.TIMEOUT_S
 
@@ -24,13 +24,7 @@
 
 @pytest.fixture
 def daemon(tmp_path):
-    return Daemon(
-        name='d0',
-        zone='a',
-        folder=tmp_path,
-        store='127.0.0.1:1',
-        host='127.0.0.1',
-    )
+    return build_daemon(tmp_path)
 
 
 def _build_request(daemon, *, outcome='cut', status=0, duration_s=1.0):
