Blame no part for answers that break off at endpoints that go on

Hypotheses: (1) a part whose answers broke off three times in a row by chance, at endpoints that went on, was taken for the cause; (2) a daemon that had just restarted knew neither answers nor outages; (3) a deadly part.

The code took each break for a crash, and the part's share of the prompts on board was 1, as it was alone there, so that one answer of any other prompt confirmed it.

Fix: a crash breaks all connections, so an endpoint where an attempt goes on has not crashed. Events of attempts that were sent before a break, 0.25 s after it and again 0.25 s later, since bytes may be read late, are told to all daemons as a survival; such breaks are no crashes, and a block most of whose failures are disproved is lifted. And a part is blamed only if its failures are unlikely by chance: attempts without the part that failed in other crashes, among all of the service, give the probability of a break; of the parts on board one fails k times in a row by chance with about parts x p^(k-1), at most 1 in 100.

The test of the bound on reports looks at the culprit, not at its confirmation: 512 failures of other parts and 50 answers now tell against any part.

--- a/laurelwind/coordination/crash_reporting.py
+++ b/laurelwind/coordination/crash_reporting.py
@@ -4,7 +4,10 @@
 
 from attrs import asdict
 
-from laurelwind.coordination.part_keys import build_part_keys
+from laurelwind.coordination.part_keys import (
+    build_endpoint_key,
+    build_part_keys,
+)
 from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay_jobs import Attempt, Job
 from laurelwind.coordination.scheduling.placement import Placement
@@ -54,7 +57,7 @@
         if job.shared_parts and not _has_begun(job, attempt):
             self._screen.record_abandoned(
                 AbandonedAttempt(
-                    endpoint=_build_key(attempt),
+                    endpoint=build_endpoint_key(attempt.endpoint),
                     abandoned_at=read_monotonic_clock(),
                     **_describe(job, attempt),
                 )
@@ -62,7 +65,7 @@
 
     def _report_broken(self, job: Job, attempt: Attempt) -> None:
         broken = EndpointBreak(
-            endpoint=_build_key(attempt),
+            endpoint=build_endpoint_key(attempt.endpoint),
             broke_at=read_monotonic_clock(),
             alive_at=self._placement.get_last_event_time(attempt.endpoint),
         )
@@ -76,11 +79,6 @@
             )
 
 
-def _build_key(attempt: Attempt) -> str:
-    endpoint = attempt.endpoint
-    return limit_name(f'{endpoint.started_ms}/{endpoint.name}')
-
-
 def _describe(job: Job, attempt: Attempt) -> dict[str, Any]:
     request = job.request
     return {
--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -8,6 +8,7 @@
 from laurelwind.coordination.attempt_timing import AttemptTimings
 from laurelwind.coordination.endpoint_notices import EndpointNotices
 from laurelwind.coordination.model_planning import ModelPlanner
+from laurelwind.coordination.part_keys import build_endpoint_key
 from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay_jobs import Attempt, BufferedAnswer, Job
 from laurelwind.coordination.rollouts.evidence import AnswerOutcome
@@ -192,10 +193,12 @@
         self._log_answered(job, attempt, head.status)
 
     def _record_events(self, job: Job, attempt: Attempt, count: int) -> None:
+        screen = self._dependencies.screen
         if not attempt.events:
-            self._dependencies.screen.record_answer(
-                job.service, job.request.parts
-            )
+            screen.record_answer(job.service, job.request.parts)
+        screen.record_event(
+            build_endpoint_key(attempt.endpoint), attempt.sent_at
+        )
         self._dependencies.placement.record_event_latency(
             attempt.endpoint, attempt.record_events(count)
         )
--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -19,7 +19,7 @@
 from laurelwind.state.crash_evidence import CrashEvidence
 from laurelwind.state.crash_reports import CrashReport, PartKey, PartKeys
 from laurelwind.state.culprits import Culprit
-from laurelwind.state.endpoint_breaks import EndpointBreak
+from laurelwind.state.endpoint_breaks import EndpointBreak, EndpointSurvival
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.state.service_answers import ServiceAnswers
 
@@ -56,6 +56,13 @@
         self._abandoned = AbandonedAttempts()
         self._blocked = BlockedParts()
         self._has_unreviewed = anyio.Event()
+        self._appliers: Mapping[type, Callable[..., None]] = {
+            Block: self._apply_block,
+            CrashReport: self._apply_report,
+            EndpointBreak: self.record_break,
+            EndpointSurvival: self._apply_survival,
+            PartAnswer: self._apply_answer,
+        }
         # Suspected parts by service, whose next answers may confirm them.
         self._suspected: dict[str, PartKeys] = {}
 
@@ -88,7 +95,7 @@
 
         :param broken: the connection.
         """
-        if self._evidence.record_break(broken):
+        if self._evidence.breaks.record(broken):
             self.news.add(broken)
         for report in self._abandoned.take(broken):
             self.record_crash(report)
@@ -130,7 +137,12 @@
             self._suspected = {}
             for culprit in self._evidence.find_culprits(self._blocked.groups):
                 if self._service_answers.confirm(culprit, members):
-                    is_found = self._block_culprit(culprit) or is_found
+                    block = Block(
+                        parts=culprit.parts,
+                        since=culprit.since,
+                        seen_at=self._clock(),
+                    )
+                    is_found = self._block(block) or is_found
                 else:
                     self._suspect(culprit, known)
 
@@ -147,6 +159,18 @@
         for part in build_part_keys(service, parts):
             self._apply_answer(PartAnswer(part=part, began_at=now))
 
+    def record_event(self, endpoint: str, sent_at: float) -> None:
+        """Record an event, which may tell against a crash of its endpoint.
+
+        :param endpoint: the endpoint and the start time of its process.
+        :param sent_at: moment at which the attempt was sent.
+        """
+        survival = self._evidence.breaks.find_survival(
+            endpoint, sent_at, self._clock()
+        )
+        if survival is not None:
+            self.apply([survival])
+
     def lift(self, parts: PartKeys) -> None:
         """Lift a block, in all daemons.
 
@@ -164,14 +188,7 @@
         :param notices: the notices.
         """
         for notice in notices:
-            if isinstance(notice, CrashReport):
-                self._apply_report(notice)
-            elif isinstance(notice, EndpointBreak):
-                self.record_break(notice)
-            elif isinstance(notice, PartAnswer):
-                self._apply_answer(notice)
-            else:
-                self._apply_block(notice)
+            self._appliers[type(notice)](notice)
 
     def summarize(self) -> Sequence[CrashNotice]:
         """Return the blocks and the recent notices, for daemons without them.
@@ -179,15 +196,11 @@
         The blocks come first, then what is newest.
         """
         since = self._clock() - REPEAT_S
-        reports = sorted(
-            (
-                report
-                for report in self._evidence.reports
-                if report.broke_at > since
-            ),
-            key=lambda report: -report.broke_at,
+        return (
+            *self.blocks,
+            *self.news.list_answers(since),
+            *self._evidence.list_recent(since),
         )
-        return (*self.blocks, *self.news.list_answers(since), *reports)
 
     def _find_block(
         self, service: str, parts: Sequence[PromptPart]
@@ -207,7 +220,9 @@
 
     def _announce_context(self, report: CrashReport) -> None:
         """Announce what tells against a report: an outage, or answers."""
-        outage = self._evidence.find_outage(report)
+        outage = self._evidence.breaks.find_outage(
+            report.endpoint, report.broke_at
+        )
         if outage is not None:
             self.news.add(outage)
         for part in report.parts - self._evidence.list_suspects(report):
@@ -221,17 +236,25 @@
             is_news = True
             self._log.log_warning(
                 'block_narrowed' if remaining else 'block_lifted',
-                **_describe(block),
+                **block.describe(),
                 remaining=sorted(name for _, name in remaining),
             )
         if is_news:
             self.news.add_answer(answer)
 
+    def _apply_survival(self, survival: EndpointSurvival) -> None:
+        if not self._evidence.breaks.record_survival(survival):
+            return
+        self.news.add(survival)
+        for block in self.blocks:
+            if self._evidence.is_disproved(block.parts):
+                self.lift(block.parts)
+
     def _apply_block(self, block: Block) -> None:
         disproved = [
             part
             for part in block.parts
-            if self._evidence.get_answered_at(part) >= block.since
+            if self._evidence.answered.get(part) >= block.since
         ]
         for part in disproved:
             self._announce_known_answer(part)
@@ -240,7 +263,7 @@
 
     def _announce_known_answer(self, part: PartKey) -> None:
         self.news.add_answer(
-            PartAnswer(part=part, began_at=self._evidence.get_answered_at(part))
+            PartAnswer(part=part, began_at=self._evidence.answered.get(part))
         )
 
     def _suspect(self, culprit: Culprit, known: Mapping[str, PartKeys]) -> None:
@@ -254,13 +277,6 @@
                 since_s=round(self._clock() - culprit.since, 3),
             )
 
-    def _block_culprit(self, culprit: Culprit) -> bool:
-        return self._block(
-            Block(
-                parts=culprit.parts, since=culprit.since, seen_at=self._clock()
-            )
-        )
-
     def _block(self, block: Block) -> bool:
         if not self._blocked.add(block):
             return False
@@ -268,7 +284,7 @@
         ended = self.watch.end_attempts(block.parts)
         self._log.log_warning(
             'part_blocked',
-            **_describe(block),
+            **block.describe(),
             since_s=round(self._clock() - block.since, 3),
             ended_attempts=ended,
             reports=[
@@ -278,11 +294,3 @@
             ],
         )
         return True
-
-
-def _describe(block: Block) -> dict[str, object]:
-    return {
-        'service': next(service for service, _ in block.parts),
-        'parts': sorted(name for _, name in block.parts),
-        'rejected': block.rejected,
-    }
--- a/laurelwind/protocol/crash_notices.py
+++ b/laurelwind/protocol/crash_notices.py
@@ -16,7 +16,7 @@
 
 from laurelwind.state.blocked_parts import Block
 from laurelwind.state.crash_reports import CrashReport, PartKey, PartKeys
-from laurelwind.state.endpoint_breaks import EndpointBreak
+from laurelwind.state.endpoint_breaks import EndpointBreak, EndpointSurvival
 
 # Size of a datagram in bytes; it stays within the smallest MTU.
 MAX_DATAGRAM_BYTES: Final = 1200
@@ -36,6 +36,7 @@
 _ANSWER: Final = 'answer'
 _BLOCK: Final = 'block'
 _BREAK: Final = 'break'
+_SURVIVAL: Final = 'survival'
 # Age of a moment that never was.
 _NEVER_MS: Final = -1
 _MS_PER_S: Final = 1000
@@ -53,7 +54,9 @@
     began_at: float
 
 
-CrashNotice = CrashReport | EndpointBreak | PartAnswer | Block
+CrashNotice = (
+    CrashReport | EndpointBreak | EndpointSurvival | PartAnswer | Block
+)
 
 
 def limit_name(name: str) -> str:
@@ -132,6 +135,13 @@
             _encode_age(notice.broke_at, now),
             _encode_age(notice.alive_at, now),
         ]
+    if isinstance(notice, EndpointSurvival):
+        return [
+            _SURVIVAL,
+            notice.endpoint,
+            _encode_age(notice.sent_at, now),
+            _encode_age(notice.alive_at, now),
+        ]
     if isinstance(notice, Block):
         return [
             _BLOCK,
@@ -178,6 +188,15 @@
     )
 
 
+def _decode_survival(fields: list[Any], now: float) -> EndpointSurvival:
+    endpoint, sent_ms, alive_ms = fields
+    return EndpointSurvival(
+        endpoint=_decode_name(endpoint),
+        sent_at=_decode_age(sent_ms, now),
+        alive_at=_decode_age(alive_ms, now),
+    )
+
+
 def _decode_answer(fields: list[Any], now: float) -> PartAnswer:
     service, name, age_ms = fields
     return PartAnswer(
@@ -240,5 +259,6 @@
         _ANSWER: _decode_answer,
         _BLOCK: _decode_block,
         _BREAK: _decode_break,
+        _SURVIVAL: _decode_survival,
     }
 )
--- a/laurelwind/state/blocked_parts.py
+++ b/laurelwind/state/blocked_parts.py
@@ -1,6 +1,6 @@
 """Groups of prompt parts whose requests are rejected."""
 
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Mapping
 from typing import Final
 
 from attrs import evolve, frozen
@@ -31,6 +31,14 @@
     seen_at: float
     rejected: int = 0
 
+    def describe(self) -> Mapping[str, object]:
+        """Return the fields of its log lines."""
+        return {
+            'service': next(service for service, _ in self.parts),
+            'parts': sorted(name for _, name in self.parts),
+            'rejected': self.rejected,
+        }
+
 
 class BlockedParts:
     """The blocks in force."""
--- a/laurelwind/state/crash_evidence.py
+++ b/laurelwind/state/crash_evidence.py
@@ -7,23 +7,25 @@
 """
 
 import itertools
-from collections import Counter
-from collections.abc import Collection, Iterator, Sequence
+from collections import Counter, deque
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import Final
 
 from attrs import evolve
 
+from laurelwind.state.answered_parts import AnsweredParts
 from laurelwind.state.crash_reports import CrashReport, PartKey, PartKeys
 from laurelwind.state.culprits import (
     Culprit,
     SuspectReport,
     add_companions,
     build_culprit,
+    compare_failures,
     count_values,
     find_known_elsewhere,
     list_remainders,
 )
-from laurelwind.state.endpoint_breaks import EndpointBreak, EndpointBreaks
+from laurelwind.state.endpoint_breaks import EndpointBreaks, EndpointSurvival
 
 # Failures, and different prompts among them, that blame a part.  The repeats of
 # one prompt are one piece of evidence against each of its parts.
@@ -39,21 +41,24 @@
 # The most attempts that are remembered, so that a report which was discarded is
 # not taken for a new one when another daemon repeats it.
 MAX_KNOWN_ATTEMPTS: Final = 4096
-# The most parts of which answers are kept.
-MAX_ANSWERED_PARTS: Final = 4096
 
 
 class CrashEvidence:
-    """Reports of crashes, and the parts whose answers began."""
+    """Reports of crashes, and the parts whose answers began.
+
+    :ivar breaks: broken connections to each endpoint.
+    :ivar answered: moments of the last answers.
+    """
 
     def __init__(self) -> None:
+        self.breaks = EndpointBreaks()
+        self.answered = AnsweredParts()
         self._reports: dict[str, CrashReport] = {}
+        # The newest reports, also those whose parts were all cleared.
+        self._failures: deque[CrashReport] = deque(maxlen=MAX_REPORTS)
         # Parts of each report that no answer has cleared.
         self._suspects: dict[str, PartKeys] = {}
         self._known_attempts: dict[str, None] = {}
-        self._breaks = EndpointBreaks()
-        # Moments of the last answers, the latest at the end.
-        self._answered: dict[PartKey, float] = {}
 
     @property
     def reports(self) -> Collection[CrashReport]:
@@ -70,7 +75,8 @@
         self._known_attempts[report.attempt] = None
         if len(self._known_attempts) > MAX_KNOWN_ATTEMPTS:
             self._known_attempts.pop(next(iter(self._known_attempts)))
-        self.record_break(report.broken)
+        self._failures.append(report)
+        self.breaks.record(report.broken)
         suspects = self.list_suspects(report)
         if not suspects:
             return False
@@ -86,19 +92,40 @@
         """
         return report.attempt in self._known_attempts
 
-    def record_break(self, broken: EndpointBreak) -> bool:
-        """Record a broken connection; return whether it begins an outage.
+    def is_disproved(self, parts: PartKeys) -> bool:
+        """Return whether most failures of some parts were no crashes.
 
-        :param broken: the connection.
+        :param parts: parts that were found to be the cause.
         """
-        return self._breaks.record(broken)
+        failures = [
+            report for report in self._reports.values() if parts <= report.parts
+        ]
+        crashes = {
+            report.endpoint for report in self._iterate_crashes(failures)
+        }
+        disproved = {
+            (report.endpoint, report.broke_at)
+            for report in failures
+            if self.breaks.has_survived(report.endpoint, report.broke_at)
+        }
+        return len(disproved) > len(crashes)
 
-    def find_outage(self, report: CrashReport) -> EndpointBreak | None:
-        """Return the outage in which an attempt failed, if it is no crash.
+    def list_recent(
+        self, since: float
+    ) -> Sequence[EndpointSurvival | CrashReport]:
+        """List what tells against crashes, then the newest reports.
 
-        :param report: report of the attempt.
+        :param since: earliest moment.
         """
-        return self._breaks.find_outage(report.endpoint, report.broke_at)
+        reports = sorted(
+            (
+                report
+                for report in self._reports.values()
+                if report.broke_at > since
+            ),
+            key=lambda report: -report.broke_at,
+        )
+        return (*self.breaks.list_survivals(since), *reports)
 
     def record_answer(self, part: PartKey, began_at: float) -> bool:
         """Record an answer that began; return whether it clears any report.
@@ -106,10 +133,7 @@
         :param part: a shared part of its prompt.
         :param began_at: moment of its first event.
         """
-        previous_at = self._answered.pop(part, float('-inf'))
-        self._answered[part] = max(previous_at, began_at)
-        if len(self._answered) > MAX_ANSWERED_PARTS:
-            self._answered.pop(next(iter(self._answered)))
+        self.answered.record(part, began_at)
         cleared = [
             report.attempt
             for report in self._reports.values()
@@ -122,13 +146,6 @@
                 self._drop(attempt)
         return bool(cleared)
 
-    def get_answered_at(self, part: PartKey) -> float:
-        """Return the moment of the last answer that began, or minus infinity.
-
-        :param part: the part.
-        """
-        return self._answered.get(part, float('-inf'))
-
     def list_suspects(self, report: CrashReport) -> PartKeys:
         """Return the parts of a report that no answer has cleared since.
 
@@ -140,7 +157,7 @@
         return frozenset(
             part
             for part in report.parts
-            if self.get_answered_at(part) < report.sent_at
+            if self.answered.get(part) < report.sent_at
         )
 
     def find_culprits(self, blocked: Collection[PartKeys]) -> Sequence[Culprit]:
@@ -150,7 +167,7 @@
         :returns: at most one culprit of each service.
         """
         by_service: dict[str, list[SuspectReport]] = {}
-        for report in self._list_unexplained(blocked):
+        for report in self._list_unexplained(blocked, self._reports.values()):
             suspects = self.list_suspects(report)
             by_service.setdefault(report.service, []).append((report, suspects))
         culprits = (
@@ -160,13 +177,13 @@
         return [culprit for culprit in culprits if culprit is not None]
 
     def _list_unexplained(
-        self, blocked: Collection[PartKeys]
+        self, blocked: Collection[PartKeys], reports: Iterable[CrashReport]
     ) -> list[CrashReport]:
         """List the reports of crashes that no blocked prompt was on board of.
 
         A crash has one cause, so that the other attempts had no part in it.
         """
-        crashes = list(self._iterate_crashes())
+        crashes = list(self._iterate_crashes(reports))
         explained = {
             report.endpoint
             for report in crashes
@@ -176,13 +193,15 @@
             report for report in crashes if report.endpoint not in explained
         ]
 
-    def _iterate_crashes(self) -> Iterator[CrashReport]:
+    def _iterate_crashes(
+        self, reports: Iterable[CrashReport]
+    ) -> Iterator[CrashReport]:
         """Iterate over the reports of crashes.
 
         Each lifetime of an endpoint counts as an endpoint of its own.
         """
-        for report in self._reports.values():
-            lifetime = self._breaks.find_lifetime(
+        for report in reports:
+            lifetime = self.breaks.find_lifetime(
                 report.endpoint, report.broke_at
             )
             if lifetime is not None:
@@ -205,9 +224,19 @@
                 min_prompts=1,
             )
             if culprit is not None:
-                return culprit
+                # Its parts were named before, and are no chance find.
+                return evolve(self._weigh(culprit, blocked), candidates=1)
         cause = self._find_common_cause(reports)
-        return None if cause is None else add_companions(cause, reports)
+        if cause is None:
+            return None
+        return self._weigh(add_companions(cause, reports), blocked)
+
+    def _weigh(
+        self, culprit: Culprit, blocked: Collection[PartKeys]
+    ) -> Culprit:
+        """Add what tells whether a culprit is one by chance."""
+        failures = self._list_unexplained(blocked, self._failures)
+        return compare_failures(culprit, failures)
 
     def _find_common_cause(
         self, reports: Collection[SuspectReport]
@@ -220,7 +249,7 @@
         frequencies = count_values(reports, 'endpoint')
         prompts = count_values(reports, 'prompt')
         ranked = sorted(frequencies, key=prompts.__getitem__, reverse=True)
-        ranked.sort(key=self.get_answered_at)
+        ranked.sort(key=self.answered.get)
         ranked.sort(key=frequencies.__getitem__, reverse=True)
         cause: Culprit | None = None
         for part in ranked:
@@ -259,7 +288,7 @@
         Failures while an endpoint was down say nothing of its crash.
         """
         suspects = dict.fromkeys(self._reports, PartKeys())
-        for report in self._iterate_crashes():
+        for report in self._iterate_crashes(self._reports.values()):
             suspects[report.attempt] = self.list_suspects(report)
         frequencies = Counter(itertools.chain.from_iterable(suspects.values()))
         strengths = {
--- a/laurelwind/state/culprits.py
+++ b/laurelwind/state/culprits.py
@@ -26,11 +26,17 @@
     :ivar parts: the parts.
     :ivar since: moment since which all attempts with the parts have failed.
     :ivar share: share of the prompts on board of the crashes that hold them.
+    :ivar failures: crashes with the parts on board.
+    :ivar unrelated: attempts that failed since then in other crashes.
+    :ivar candidates: number of parts that were on board of any of these.
     """
 
     parts: PartKeys
     since: float
     share: float
+    failures: int = 0
+    unrelated: int = 0
+    candidates: int = 0
 
     @property
     def service(self) -> str:
@@ -144,3 +150,29 @@
         since=series[0].sent_at,
         share=len({report.prompt for report in failures}) / len(prompts),
     )
+
+
+def compare_failures(
+    culprit: Culprit, failures: Collection[CrashReport]
+) -> Culprit:
+    """Count the failures with the parts of a culprit, and those without.
+
+    :param culprit: parts that the failures have in common.
+    :param failures: all failures that no blocked group explains, also those
+        whose parts were cleared.
+    """
+    recent = [
+        report
+        for report in failures
+        if report.service == culprit.service
+        and report.broke_at >= culprit.since
+    ]
+    crashes = {
+        report.endpoint for report in recent if report.parts >= culprit.parts
+    }
+    return evolve(
+        culprit,
+        failures=len(crashes),
+        unrelated=sum(report.endpoint not in crashes for report in recent),
+        candidates=len({part for report in recent for part in report.parts}),
+    )
--- a/laurelwind/state/endpoint_breaks.py
+++ b/laurelwind/state/endpoint_breaks.py
@@ -2,7 +2,8 @@
 
 import itertools
 import math
-from collections.abc import Sequence
+from collections import deque
+from collections.abc import Iterator, Sequence
 from operator import attrgetter
 from typing import Final
 
@@ -34,11 +35,29 @@
     alive_at: float
 
 
+@frozen(kw_only=True)
+class EndpointSurvival:
+    """An attempt that went on while other connections to its endpoint broke.
+
+    Moments are on the monotonic clock of the daemon that holds it.
+
+    :ivar endpoint: the endpoint and the start time of its process.
+    :ivar sent_at: moment of sending.
+    :ivar alive_at: moment of an event.
+    """
+
+    endpoint: str
+    sent_at: float
+    alive_at: float
+
+
 class EndpointBreaks:
     """What is known of the broken connections to each endpoint.
 
     An endpoint that is down, behind a proxy, breaks whatever it is sent.  Only
     what breaks together with the first connection may have caused the outage.
+    A crash breaks all connections, so that an endpoint with an attempt that
+    went on has not crashed.
     """
 
     def __init__(self) -> None:
@@ -60,6 +79,60 @@
             for before, after in zip(known, history.outages, strict=True)
         )
 
+    def find_survival(
+        self, endpoint: str, sent_at: float, now: float
+    ) -> EndpointSurvival | None:
+        """Return what an event proves, if it tells against a known crash.
+
+        Bytes that were read late may have been sent before the crash.  So there
+        must have been another such event ``CRASH_S`` before.
+
+        :param endpoint: the endpoint and the start time of its process.
+        :param sent_at: moment at which the attempt was sent.
+        :param now: moment of the event.
+        """
+        history = self._histories.get(endpoint)
+        if history is None or not history.has_crash_within(sent_at, now):
+            return None
+        if not history.has_crash_within(sent_at, history.heard_at):
+            history.heard_at = now
+        if now - history.heard_at < CRASH_S:
+            return None
+        return EndpointSurvival(
+            endpoint=endpoint, sent_at=sent_at, alive_at=now
+        )
+
+    def record_survival(self, survival: EndpointSurvival) -> bool:
+        """Record that an endpoint went on; return whether it is new.
+
+        :param survival: the attempt that went on.
+        """
+        history = self._histories.setdefault(survival.endpoint, _History())
+        return history.add_survival(survival)
+
+    def has_survived(self, endpoint: str, broke_at: float) -> bool:
+        """Return whether an endpoint went on as a connection broke.
+
+        :param endpoint: the endpoint and the start time of its process.
+        :param broke_at: moment at which the connection broke.
+        """
+        history = self._histories.get(endpoint)
+        return history is not None and any(
+            survival.sent_at < broke_at
+            and broke_at + CRASH_S < survival.alive_at
+            for survival in history.survivals
+        )
+
+    def list_survivals(self, since: float) -> Iterator[EndpointSurvival]:
+        """Iterate over the attempts that went on.
+
+        :param since: earliest moment of an event.
+        """
+        for history in self._histories.values():
+            for survival in history.survivals:
+                if survival.alive_at >= since:
+                    yield survival
+
     def find_lifetime(self, endpoint: str, broke_at: float) -> str | None:
         """Return the lifetime of an endpoint that ended as a connection broke.
 
@@ -107,15 +180,29 @@
     ended_at: float
     alive_at: float = -math.inf
 
+    def is_within(self, sent_at: float, alive_at: float) -> bool:
+        """Return whether an attempt was under way before and after them.
+
+        :param sent_at: moment of sending.
+        :param alive_at: moment of an event.
+        """
+        return sent_at < self.started_at and self.ended_at + CRASH_S < alive_at
+
 
 @define
 class _History:
     """Broken connections to one endpoint, whatever the order of the notices.
 
     :ivar outages: moments at which the endpoint went down.
+    :ivar survivals: attempts that went on, the newest at the end.
+    :ivar heard_at: moment of an event that may tell against a crash.
     """
 
     outages: Sequence[float] = ()
+    survivals: deque[EndpointSurvival] = field(
+        factory=lambda: deque(maxlen=MAX_BREAKS)
+    )
+    heard_at: float = -math.inf
     _breaks: list[_Series] = field(factory=list)
 
     def add(self, broken: EndpointBreak) -> None:
@@ -136,11 +223,50 @@
             series.alive_at = max(
                 (at for at in alive_at if at <= until), default=-math.inf
             )
+        self._find_outages()
+
+    def add_survival(self, survival: EndpointSurvival) -> bool:
+        """Add an attempt that went on; return whether it is new.
+
+        :param survival: the attempt.
+        """
+        if any(
+            survival.sent_at >= known.sent_at - CRASH_S
+            and survival.alive_at <= known.alive_at + CRASH_S
+            for known in self.survivals
+        ):
+            return False
+        self.survivals.append(survival)
+        self._find_outages()
+        return True
+
+    def has_crash_within(self, sent_at: float, alive_at: float) -> bool:
+        """Return whether an attempt that went on tells against an outage.
+
+        :param sent_at: moment of sending.
+        :param alive_at: moment of an event.
+        """
+        return any(
+            series.started_at in self.outages
+            and series.is_within(sent_at, alive_at)
+            for series in self._breaks
+        )
+
+    def _find_outages(self) -> None:
+        """Find the series of breaks that may be crashes."""
+        crashes = [
+            series
+            for series in self._breaks
+            if not any(
+                series.is_within(survival.sent_at, survival.alive_at)
+                for survival in self.survivals
+            )
+        ]
         self.outages = [
-            self._breaks[0].started_at,
+            *(series.started_at for series in crashes[:1]),
             *(
                 later.started_at
-                for earlier, later in itertools.pairwise(self._breaks)
+                for earlier, later in itertools.pairwise(crashes)
                 if later.alive_at > earlier.ended_at + CRASH_S
             ),
         ]
--- a/laurelwind/state/service_answers.py
+++ b/laurelwind/state/service_answers.py
@@ -39,6 +39,11 @@
         If its parts were innocent, prompts with them would be among the answers
         that began meanwhile, in about the share that they have of the failures.
 
+        Where answers break off now and then, some part is bound to be in
+        several in a row.  Each attempt breaks off with the probability that the
+        attempts without the parts show; the first failure is given, and any of
+        the parts on board may have been the one.
+
         The answers of the other daemons are inferred from the own ones.  A few
         say little of the others, so that they stand for no more than as many.
 
@@ -50,4 +55,10 @@
             for began_at in self._answers.get(culprit.service, ())
         )
         answers = own_answers * min(own_answers, members)
-        return (1 - culprit.share) ** answers <= MAX_FALSE_BLAME
+        if (1 - culprit.share) ** answers > MAX_FALSE_BLAME:
+            return False
+        if not culprit.unrelated:
+            return True
+        break_share = culprit.unrelated / (culprit.unrelated + answers)
+        repeats = culprit.failures - 1
+        return culprit.candidates * break_share**repeats <= MAX_FALSE_BLAME
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from laurelwind.state.answered_parts import MAX_ANSWERED_PARTS
 from laurelwind.state.blocked_parts import (
     BLOCK_TTL_S,
     MAX_BLOCKS,
@@ -11,7 +12,6 @@
     BlockedParts,
 )
 from laurelwind.state.crash_evidence import (
-    MAX_ANSWERED_PARTS,
     MAX_REPORTS,
     REPORT_TTL_S,
     CrashEvidence,
@@ -102,7 +102,7 @@
 def test_endpoints_that_are_down_blame_no_part():
     crashes = Crashes()
     for number in range(3):
-        crashes.evidence.record_break(
+        crashes.evidence.breaks.record(
             EndpointBreak(endpoint=f'e{number}', broke_at=1, alive_at=0.9)
         )
     for at in range(2, 8):
@@ -113,7 +113,7 @@
 def test_an_endpoint_that_was_alive_again_may_crash_again():
     crashes = Crashes()
     for number in range(3):
-        crashes.evidence.record_break(
+        crashes.evidence.breaks.record(
             EndpointBreak(endpoint=f'e{number}', broke_at=1, alive_at=0.9)
         )
     for at in range(2, 5):
@@ -363,7 +363,8 @@
         crashes.add(10 + number / 100, f'rare{number}')
     assert len(crashes.evidence.reports) <= MAX_REPORTS
     crashes.add(30, 'deadly')
-    assert crashes.blame() == keys('deadly')
+    [culprit] = crashes.evidence.find_culprits([])
+    assert culprit.parts == keys('deadly')
     crashes.add(31 + REPORT_TTL_S, 'other')
     assert len(crashes.evidence.reports) == 1
 
@@ -395,8 +396,8 @@
     evidence = CrashEvidence()
     for number in range(MAX_ANSWERED_PARTS + 9):
         evidence.record_answer(('pool', str(number)), number)
-    assert evidence.get_answered_at(('pool', '8')) == float('-inf')
-    assert evidence.get_answered_at(('pool', '9')) == 9
+    assert evidence.answered.get(('pool', '8')) == float('-inf')
+    assert evidence.answered.get(('pool', '9')) == 9
 
 
 def build_block(*names, since=1.0, seen_at=1.0):
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -158,10 +158,10 @@
     assert [notice.broke_at for notice in told] == [clock.now - 3]
     evidence = CrashEvidence()
     assert evidence.add(late)
-    assert evidence.find_outage(late) is None
+    assert evidence.breaks.find_outage(late.endpoint, late.broke_at) is None
     for notice in told:
-        evidence.record_break(notice)
-    assert evidence.find_outage(late) == told[0]
+        evidence.breaks.record(notice)
+    assert evidence.breaks.find_outage(late.endpoint, late.broke_at) == told[0]
 
 
 # A daemon that knew answers to all parts of a report kept silent, and the one
