Take only events that were waited for as a sign of life

Fix: an event tells of life only if the read had to wait for it, so that nothing was left over. A daemon that stood still is met as before: two such events, CRASH_S apart. test_events_that_were_not_waited_for_prove_nothing fails without.

The endpoints of which survivals are kept are bounded as those of breaks are (test_the_endpoints_of_survivals_are_bounded), since peers name them.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -28,6 +28,7 @@
 from laurelwind.protocol.event_stream import EventSplitter
 from laurelwind.protocol.exchanges import AnswerHead, CallerAnswer
 from laurelwind.relay_metrics import RelayMetrics
+from laurelwind.state.load import read_monotonic_clock
 
 # Answers up to this size are buffered completely before delivery begins, so
 # that a request whose answer breaks off can be retried.
@@ -196,9 +197,9 @@
         screen = self._dependencies.screen
         if not attempt.events:
             screen.record_answer(job.service, job.request.parts)
-        screen.record_event(
-            build_endpoint_key(attempt.endpoint), attempt.sent_at
-        )
+        if attempt.is_up_to_date:
+            key = build_endpoint_key(attempt.endpoint)
+            screen.record_event(key, attempt.sent_at)
         self._dependencies.placement.record_event_latency(
             attempt.endpoint, attempt.record_events(count)
         )
@@ -237,9 +238,12 @@
         limit = SilenceLimit(
             timeout_s=timeout_s, awaited='event', run=RunState.RAN
         )
-        return await self._dependencies.monitor.read(
+        started_at = read_monotonic_clock()
+        chunk = await self._dependencies.monitor.read(
             job, attempt, limit, attempt.exchange.read_chunk
         )
+        attempt.waited_s = read_monotonic_clock() - started_at
+        return chunk
 
     def _log_answered(self, job: Job, attempt: Attempt, status: int) -> None:
         metrics = self._dependencies.metrics
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -22,6 +22,8 @@
 # answers of its batch.
 LONG_PREFILL_S: Final = 0.5
 _LOWEST_PRIORITY: Final = 9
+# Shortest wait, in seconds, for bytes that were not there already.
+_MIN_WAIT_S: Final = 0.001
 _MS_PER_S: Final = 1000
 
 
@@ -226,6 +228,7 @@
     :ivar first_byte_at: moment of the first byte, or zero before it.
     :ivar last_event_at: moment of the last event, or zero before it.
     :ivar events: number of events received.
+    :ivar waited_s: seconds that the last read waited.
     :ivar is_timed: whether its latency counts for or against its version.
     """
 
@@ -238,6 +241,7 @@
     first_byte_at: float = 0
     last_event_at: float = 0
     events: int = 0
+    waited_s: float = 0
     is_timed: bool = False
 
     @property
@@ -252,6 +256,15 @@
             self.sent_at, self.first_byte_at, self.last_event_at
         )
 
+    @property
+    def is_up_to_date(self) -> bool:
+        """Whether the last read had to wait, so that no bytes were left over.
+
+        Where a caller reads slowly, the connection holds what the endpoint sent
+        long before.
+        """
+        return self.waited_s >= _MIN_WAIT_S
+
     def record_events(self, count: int) -> float | None:
         """Record received events, and return the seconds per event.
 
--- a/laurelwind/state/endpoint_breaks.py
+++ b/laurelwind/state/endpoint_breaks.py
@@ -68,10 +68,7 @@
 
         :param broken: the connection.
         """
-        history = self._histories.pop(broken.endpoint, None) or _History()
-        self._histories[broken.endpoint] = history
-        if len(self._histories) > MAX_ENDPOINTS:
-            self._histories.pop(next(iter(self._histories)))
+        history = self._get_history(broken.endpoint)
         known = history.outages
         history.add(broken)
         return len(history.outages) != len(known) or any(
@@ -107,8 +104,7 @@
 
         :param survival: the attempt that went on.
         """
-        history = self._histories.setdefault(survival.endpoint, _History())
-        return history.add_survival(survival)
+        return self._get_history(survival.endpoint).add_survival(survival)
 
     def has_survived(self, endpoint: str, broke_at: float) -> bool:
         """Return whether an endpoint went on as a connection broke.
@@ -167,6 +163,13 @@
             endpoint=endpoint, broke_at=outages[-1], alive_at=-math.inf
         )
 
+    def _get_history(self, endpoint: str) -> '_History':
+        history = self._histories.pop(endpoint, None) or _History()
+        self._histories[endpoint] = history
+        if len(self._histories) > MAX_ENDPOINTS:
+            self._histories.pop(next(iter(self._histories)))
+        return history
+
 
 @define(kw_only=True)
 class _Series:
--- a/tests/test_endpoint_survivals.py
+++ b/tests/test_endpoint_survivals.py
@@ -7,6 +7,7 @@
 from laurelwind.protocol.crash_notices import decode_notices, encode_notices
 from laurelwind.state.endpoint_breaks import (
     CRASH_S,
+    MAX_ENDPOINTS,
     EndpointBreak,
     EndpointBreaks,
     EndpointSurvival,
@@ -15,6 +16,7 @@
 from tests.emulated_gossip import build_report
 from tests.relay_helpers import (
     EndpointScript,
+    FakeAnswer,
     Pause,
     RelayHarness,
     build_request,
@@ -142,25 +144,58 @@
     assert crashes.blame(answers=200) == keys('rare')
 
 
-@pytest.mark.anyio
-async def test_events_of_a_stream_tell_that_its_endpoint_goes_on():
-    pause = Pause(CRASH_S + 0.1)
-    last_pause = Pause(CRASH_S + 0.1)
-    script = EndpointScript(chunks=[EVENT, pause, EVENT, last_pause, EVENT])
+class SlowAnswer(FakeAnswer):
+    """Answer to a caller that reads slowly."""
+
+    async def send(self, chunk):
+        await anyio.sleep(CRASH_S + 0.1)
+        await super().send(chunk)
+
+
+async def _list_survivals(script, answer):
+    """Serve a stream, beside which a connection to its endpoint breaks."""
     harness = RelayHarness(script)
-    screen = harness.screen
     async with anyio.create_task_group() as group:
-        group.start_soon(harness.serve, build_request('talk'))
+        group.start_soon(
+            harness.relay.serve,
+            build_request('talk'),
+            answer,
+            read_monotonic_clock(),
+        )
         await anyio.sleep(0.05)
         [sent] = harness.gateway.sent
-        screen.record_break(
+        harness.screen.record_break(
             EndpointBreak(
                 endpoint=f'1/{sent.endpoint}',
                 broke_at=read_monotonic_clock(),
                 alive_at=0,
             )
         )
-        screen.news.take()
-    [survival] = screen.news.take()
-    assert isinstance(survival, EndpointSurvival)
-    assert survival.endpoint == f'1/{sent.endpoint}'
+    assert answer.is_whole
+    return [
+        notice
+        for notice in harness.screen.news.take()
+        if isinstance(notice, EndpointSurvival)
+    ]
+
+
+@pytest.mark.anyio
+async def test_events_of_a_stream_tell_that_its_endpoint_goes_on():
+    pauses = [Pause(CRASH_S + 0.1) for _ in range(2)]
+    script = EndpointScript(chunks=[EVENT, pauses[0], EVENT, pauses[1], EVENT])
+    assert len(await _list_survivals(script, FakeAnswer())) == 1
+
+
+# What an endpoint had sent before it crashed lay in the connection of a slow
+# caller, and seemed to be sent after the crash.
+@pytest.mark.anyio
+async def test_events_that_were_not_waited_for_prove_nothing():
+    script = EndpointScript(chunks=[EVENT] * 4)
+    assert not await _list_survivals(script, SlowAnswer())
+
+
+def test_the_endpoints_of_survivals_are_bounded():
+    breaks = EndpointBreaks()
+    for number in range(MAX_ENDPOINTS + 1):
+        breaks.record_survival(_build_survival(number, 10))
+    assert len(list(breaks.list_survivals(0))) == MAX_ENDPOINTS
