--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -274,6 +274,9 @@
                 service=culprit.service,
                 parts=sorted(name for _, name in culprit.parts),
                 share=round(culprit.share, 3),
+                failures=culprit.failures,
+                unrelated=culprit.unrelated,
+                candidates=culprit.candidates,
                 since_s=round(self._clock() - culprit.since, 3),
             )
 
