Bound the notes of endpoints that leave

The newest 4,096 are kept; a note that is dropped matters only while an older list still names its endpoint as ready. test_notes_of_leaving_endpoints_are_bounded fails before (no such bound).

--- a/laurelwind/state/directory.py
+++ b/laurelwind/state/directory.py
@@ -9,6 +9,9 @@
 # documentation states about two.
 LAPSE_GRACE_S: Final = 2.2
 _NO_PROGRESS: Final = (-1, -1)
+# The most endpoints of which is kept that they leave; the newest notes count.
+# Peers tell of them as well, also of endpoints that no record names.
+MAX_LEAVING: Final = 4096
 
 
 @frozen(kw_only=True)
@@ -139,7 +142,10 @@
         """
         if started_ms <= self._leaving.get(name, -1):
             return False
+        self._leaving.pop(name, None)
         self._leaving[name] = started_ms
+        if len(self._leaving) > MAX_LEAVING:
+            self._leaving.pop(next(iter(self._leaving)))
         self._rebuild()
         return True
 
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -12,7 +12,7 @@
 from laurelwind.platform.headers import PLATFORM_HEADERS
 from laurelwind.protocol.exchanges import AnswerHead, Dispatch
 from laurelwind.protocol.headers import NamedHeaderCodec
-from laurelwind.state.directory import EndpointDirectory
+from laurelwind.state.directory import MAX_LEAVING, EndpointDirectory
 from laurelwind.transport.gateway import HttpGateway
 from tests.relay_helpers import (
     EndpointScript,
@@ -122,6 +122,15 @@
     assert directory.list_ready('pool') == [restarted]
 
 
+# Names that only datagrams of peers gave were kept for ever.
+def test_notes_of_leaving_endpoints_are_bounded():
+    directory = EndpointDirectory()
+    for number in range(MAX_LEAVING + 1):
+        assert directory.record_leaving(f'e{number}', 1)
+    assert not directory.record_leaving(f'e{MAX_LEAVING}', 1)
+    assert directory.record_leaving('e0', 1)
+
+
 async def test_an_endpoint_that_asks_for_a_pause_gets_no_further_request():
     harness = RelayHarness(PAUSED)
     for _ in range(12):
