Test that a store that comes back older meets no herd of 200 daemons

The emulated store has eras now; 200 daemons in five zones read it as it comes back from a copy that lacks the newest table, after one second away. The bound is each source and topic once.

--- a/tests/emulated_fleet.py
+++ b/tests/emulated_fleet.py
@@ -23,6 +23,7 @@
 from laurelwind.protocol.headers import NamedHeaderCodec
 from laurelwind.protocol.keyed_store import (
     Batch,
+    HistoryLostError,
     KeyedRecord,
     KeyedStore,
     MemberGroup,
@@ -30,6 +31,11 @@
     Topic,
 )
 from laurelwind.protocol.platform import ListedInstance
+from laurelwind.protocol.positions import (
+    Position,
+    decode_position,
+    encode_position,
+)
 from laurelwind.relay_tracking import (
     PlatformAdapters,
     TrackedState,
@@ -102,6 +108,7 @@
 
     def __init__(self):
         self.calls = Counter()
+        self.era = 0
         self.is_down = False
         self.refused_daemons = set()
         self.generation = 0
@@ -120,8 +127,7 @@
         self.append(topic, key, body)
 
     def append(self, topic, key, body):
-        records = self._records[topic]
-        records.append(KeyedRecord(key=key, body=body, offset=len(records)))
+        self._records[topic].append((key, body))
         self._appended[topic].set()
         self._appended[topic] = asyncio.Event()
 
@@ -132,8 +138,29 @@
         if self.is_down or daemon in self.refused_daemons:
             raise PlatformError(ErrorKind.LOG_UNAVAILABLE, 'down')
 
-    def list_records(self, topic):
-        return self._records[topic]
+    def get_end(self, topic):
+        return self.encode_offset(len(self._records[topic]))
+
+    def list_records(self, topic, first=0):
+        return [
+            KeyedRecord(key=key, body=body, offset=self.encode_offset(number))
+            for number, (key, body) in enumerate(self._records[topic])
+            if number >= first
+        ]
+
+    def encode_offset(self, offset):
+        return encode_position(Position(era=self.era, offset=offset))
+
+    def copy(self):
+        """Return what a later restore brings back."""
+        return {topic: len(rows) for topic, rows in self._records.items()}
+
+    def restore(self, copy):
+        self.era += 1
+        for topic, count in copy.items():
+            del self._records[topic][count:]
+        self._member_expiry.clear()
+        self.generation = 0
 
     async def wait_for_record(self, topic):
         await self._appended[topic].wait()
@@ -171,6 +198,7 @@
     def __init__(self, store, member):
         self._store = store
         self._member = member
+        self._era = 0
 
     async def read_newest(self, topic):
         await self._answer('newest')
@@ -179,21 +207,27 @@
         }
         return Batch(
             records=[record for record in newest.values() if record.body],
-            next_offset=len(self._store.list_records(topic)),
+            next_offset=self._store.get_end(topic),
         )
 
     async def read_after(self, topic, offset, *, wait_s=0, is_strict=False):
+        position = decode_position(offset)
+        if position.era != self._era:
+            raise HistoryLostError
         await self._answer('read')
-        if len(self._store.list_records(topic)) <= offset:
+        if self._store.get_end(topic) <= offset:
             with anyio.move_on_after(wait_s):
                 await self._store.wait_for_record(topic)
-        records = self._store.list_records(topic)
-        return Batch(records=records[offset:], next_offset=len(records))
+        if self._store.era != position.era:
+            raise HistoryLostError
+        return Batch(
+            records=self._store.list_records(topic, position.offset),
+            next_offset=self._store.get_end(topic),
+        )
 
     async def write(self, topic, key, body, *, expected_end_offset=None):
         await self._answer('write')
-        end_offset = len(self._store.list_records(topic))
-        if expected_end_offset not in {None, end_offset}:
+        if expected_end_offset not in {None, self._store.get_end(topic)}:
             return False
         self._store.append(topic, key, body)
         return True
@@ -212,6 +246,7 @@
 
     async def _answer(self, kind):
         await self._store.answer(kind, self._member.name)
+        self._era = self._store.era
 
 
 class _Peers(PeerTopics):
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -11,10 +11,12 @@
 import pytest
 
 from laurelwind.coordination.topics.sources import list_sources
+from laurelwind.protocol.keyed_store import Topic
 from tests.emulated_fleet import EmulatedFleet, run_emulated
 
 LARGE = 195
 SMALL = 30
+HERD = 200
 
 
 def count_sources(fleet):
@@ -101,6 +103,45 @@
     assert price < LARGE * 8, calls
 
 
+def publish_table(fleet, version):
+    fleet.store.put(
+        Topic.OPERATORS,
+        'config',
+        {'version': version, 'routes': [], 'services': []},
+    )
+
+
+async def restore_store(fleet):
+    copy = fleet.store.copy()
+    publish_table(fleet, 2)
+    await anyio.sleep(2)
+    fleet.store.is_down = True
+    await anyio.sleep(1)
+    fleet.store.restore(copy)
+    fleet.store.is_down = False
+    for _ in range(16):
+        assert fleet.count_ready() == HERD
+        await anyio.sleep(0.5)
+    trackers = [daemon.tracker for daemon in fleet.daemons.values()]
+    assert {tracker.era for tracker in trackers} == {1}
+    assert {tracker.table.version for tracker in trackers} == {2}
+    publish_table(fleet, 3)
+    await anyio.sleep(2)
+    assert {tracker.table.version for tracker in trackers} == {3}
+    members = [
+        len(daemon.membership.members) for daemon in fleet.daemons.values()
+    ]
+    assert set(members) == {HERD}
+    return count_sources(fleet)
+
+
+@pytest.mark.parametrize('seed', range(2))
+def test_a_store_that_comes_back_older_meets_no_herd(monkeypatch, seed):
+    """Only sources read all topics anew, each once."""
+    calls, _, sources = measure(monkeypatch, HERD, restore_store, seed)
+    assert calls['newest'] <= sources * len(Topic), calls
+
+
 async def refuse_a_third(fleet):
     refused = list(fleet.daemons.values())[::3]
     fleet.store.refused_daemons = {daemon.member.name for daemon in refused}
