Measure stops in the soak beside its event loop

Timeline of d2 (log kept with the run; the soak's clock in brackets): SIGTERM at [2754.17], `stopped` at [2760.45], 6.3 s later; no line of the watchdog, which ends a process at 7.5 s and says so, and has no other way past the interpreter's exit. At [2762.8] to [2763.4] four daemons, d3, d5, d6 and d8, log "the store did not answer (TimeoutError)" of calls that time out after a second and more; no fault of the store is in that scenario, and the store is in the soak's own process, which encoded tables of 20,000 keys for nine daemons then. So the soak's event loop was late just as the bound passed, at [2762.17], and took d2's end, in time by the watchdog, for late.

Hypotheses that the run speaks against: d2 ended late by itself (the watchdog would have ended it, and said so); a fault of the store. Not recorded was the moment at which d2's process ended: so this is what the times show, not proof.

Fix: a thread asks the kernel whether the process has ended, and the bound is compared there.

--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import anyio
@@ -13,6 +14,8 @@
 from standins.addresses import find_free_addresses
 from standins.link import Link
 
+# Seconds between two questions whether a process has ended.
+_END_POLL_S = 0.02
 _SETTINGS = """\
 store = "{store}"
 [daemon]
@@ -145,11 +148,15 @@
         """
         self.is_stopping = True
         self.send_signal(signal.SIGTERM)
-        with anyio.move_on_after(bounds.STOP_S):
+        # In a thread, as the event loop of the stand-ins may be late itself.
+        has_ended = await anyio.to_thread.run_sync(
+            _wait_for_end, self.process.pid, abandon_on_cancel=True
+        )
+        if has_ended:
             await self.process.wait()
-            return True
-        await self.kill()
-        return False
+        else:
+            await self.kill()
+        return has_ended
 
     async def kill(self) -> None:
         """Kill the process, as in a crash."""
@@ -158,3 +165,21 @@
         self.send_signal(signal.SIGKILL)
         with anyio.CancelScope(shield=True):
             await self.process.wait()
+
+
+def _wait_for_end(pid: int) -> bool:
+    """Return whether a child process ends within the bound of a stop.
+
+    The child is left for others to reap.
+    """
+    ends_at = time.monotonic() + bounds.STOP_S
+    while True:
+        try:
+            status = os.waitid(
+                os.P_PID, pid, os.WEXITED | os.WNOHANG | os.WNOWAIT
+            )
+        except ChildProcessError:
+            return True
+        if status is not None or time.monotonic() > ends_at:
+            return status is not None
+        time.sleep(_END_POLL_S)
