--- a/laurelwind/state/endpoint_breaks.py
+++ b/laurelwind/state/endpoint_breaks.py
@@ -81,17 +81,17 @@
     ) -> EndpointSurvival | None:
         """Return what an event proves, if it tells against a known crash.
 
-        Bytes that were read late may have been sent before the crash.  So there
-        must have been another such event ``CRASH_S`` before.
+        A daemon that stood still may read late what was sent before the crash.
+        So there must have been another such event ``CRASH_S`` before.
 
         :param endpoint: the endpoint and the start time of its process.
         :param sent_at: moment at which the attempt was sent.
         :param now: moment of the event.
         """
         history = self._histories.get(endpoint)
-        if history is None or not history.has_crash_within(sent_at, now):
+        if history is None or not history.has_outage_between(sent_at, now):
             return None
-        if not history.has_crash_within(sent_at, history.heard_at):
+        if not history.has_outage_between(sent_at, history.heard_at):
             history.heard_at = now
         if now - history.heard_at < CRASH_S:
             return None
@@ -243,8 +243,8 @@
         self._find_outages()
         return True
 
-    def has_crash_within(self, sent_at: float, alive_at: float) -> bool:
-        """Return whether an attempt that went on tells against an outage.
+    def has_outage_between(self, sent_at: float, alive_at: float) -> bool:
+        """Return whether an attempt was under way before and after an outage.
 
         :param sent_at: moment of sending.
         :param alive_at: moment of an event.
