Log the rate limits that endpoints state

No line and no metric named the limit of an endpoint, so that the logs of an incident could not tell a limit that nobody reads from one that each daemon keeps by itself, or from one that repeats pass by. The line endpoint_limit tells that a limit was stated, changed or lifted, 'sent' has the limit of its endpoint beside the number of the attempt, and two gauges have the number of limited endpoints and the sum of their limits. Nothing acts on a limit yet.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -104,7 +104,7 @@
         self, job: Job, attempt: Attempt, answer: CallerAnswer
     ) -> bool:
         head = await self._heads.read(job, attempt)
-        self._dependencies.notices.apply(attempt.endpoint, head)
+        self._dependencies.notices.apply(attempt, head)
         check_head(head)
         # The endpoint has taken the request, so that no way back is needed.
         self._dependencies.selector.limits.release_retries(job)
--- a/laurelwind/coordination/endpoint_notices.py
+++ b/laurelwind/coordination/endpoint_notices.py
@@ -1,11 +1,14 @@
-"""What endpoints tell of themselves in the heads of their answers."""
+"""What endpoints state about themselves in the heads of their answers."""
 
 import math
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Final
 
 from attrs import frozen
 
+from laurelwind.coordination.limits.endpoint_limits import EndpointLimits
+from laurelwind.coordination.relay_jobs import Attempt
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.decisions import DecisionLog
 from laurelwind.protocol.exchanges import AnswerHead
@@ -18,9 +21,10 @@
 
 @frozen(kw_only=True)
 class EndpointNotices:
-    """Applies the load, the pauses and the departures that endpoints report.
+    """Applies the load, pauses, departures and limits that endpoints state.
 
     :param placement: tracks the load and the pauses.
+    :param limits: tracks the rate limits.
     :param directory: tracks which endpoints are leaving.
     :param notify_leaving: notifies other daemons of the name of an endpoint
         that is about to stop, and the start time of its process.
@@ -28,16 +32,21 @@
     """
 
     placement: Placement
+    limits: EndpointLimits
     directory: EndpointDirectory
     notify_leaving: Callable[[str, int], None]
     log: DecisionLog
 
-    def apply(self, endpoint: EndpointRecord, head: AnswerHead) -> None:
-        """Apply what the head of an answer tells of its endpoint.
+    def apply(self, attempt: Attempt, head: AnswerHead) -> None:
+        """Apply what the head of an answer states about its endpoint.
 
-        :param endpoint: the endpoint that answers.
+        :param attempt: the attempt that is answered.
         :param head: head of any answer, also of a refusal.
         """
+        endpoint = attempt.endpoint
+        if head.status != HTTPStatus.MISDIRECTED_REQUEST:
+            # Another endpoint may have answered at this address.
+            self.limits.record_answer(attempt, head.rate_limits)
         if head.load is not None:
             self.placement.record_report(endpoint, head.load)
         if head.is_leaving:
--- /dev/null
+++ b/laurelwind/coordination/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of endpoints, kept by all daemons together."""
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -6,6 +6,10 @@
 import anyio
 from attrs import frozen
 
+from laurelwind.coordination.limits.endpoint_limits import (
+    EndpointLimits,
+    get_process,
+)
 from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay_jobs import Attempt, Job
 from laurelwind.coordination.retry_limits import RetryLimits
@@ -50,6 +54,7 @@
     :ivar directory: registered endpoints.
     :ivar rollouts: selects the version for each request.
     :ivar placement: selects endpoints.
+    :ivar limits: rate limits that endpoints state.
     :ivar screen: rejects prompts that crash endpoints.
     :ivar retry_budget: retry budget.
     :ivar gateway: sends requests to endpoints.
@@ -67,6 +72,7 @@
     directory: EndpointDirectory
     rollouts: RolloutRegistry
     placement: Placement
+    limits: EndpointLimits
     screen: PartScreen
     retry_budget: FleetRetryBudget
     gateway: EndpointGateway
@@ -230,6 +236,7 @@
         self, job: Job, endpoint: EndpointRecord, dispatch: Dispatch
     ) -> None:
         table = self._dependencies.tracker.table
+        limit = self._dependencies.limits.table.find(get_process(endpoint))
         self._dependencies.log.log_info(
             'sent',
             request=job.request.request_id,
@@ -238,6 +245,7 @@
             version=endpoint.version,
             model=dispatch.model,
             attempt=job.attempts,
+            limit_per_s=None if limit is None else limit.rate,
             work_ms=round(job.prefill_s * _MS_PER_S),
             table=None if table is None else table.version,
             table_age_ms=round(self._dependencies.lease.age_s * _MS_PER_S),
--- a/laurelwind/platform/headers.py
+++ b/laurelwind/platform/headers.py
@@ -22,6 +22,7 @@
     did_not_run=b'x-not-executed',
     confidence=b'x-confidence',
     leaving=b'server-leaving',
+    rate_limit=b'server-limit',
     reserved=frozenset(
         (
             b'x-expect-version',
--- a/laurelwind/protocol/exchanges.py
+++ b/laurelwind/protocol/exchanges.py
@@ -132,6 +132,8 @@
     :ivar is_framed: whether the end of the body is marked, other than by the
         end of the connection.
     :ivar is_leaving: whether the endpoint reports that it is about to stop.
+    :ivar rate_limits: rate limits of the endpoint in requests per second, as
+        sent, one for each header.
     :ivar retry_after: seconds, as sent, for which an endpoint that refused the
         request asks for no further one, or an empty string.
     """
@@ -147,6 +149,7 @@
     has_body: bool = True
     is_framed: bool = True
     is_leaving: bool = False
+    rate_limits: Sequence[str] = ()
     retry_after: str = ''
 
     @property
--- a/laurelwind/protocol/headers.py
+++ b/laurelwind/protocol/headers.py
@@ -1,7 +1,7 @@
 """Codec of the HTTP headers, with configurable header names."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from http import HTTPStatus
 from typing import Final
 
@@ -60,6 +60,8 @@
     :ivar did_not_run: present if the request did not run.
     :ivar confidence: confidence of the model in its answer.
     :ivar leaving: present in answers of an endpoint that is about to stop.
+    :ivar rate_limit: requests per second that an endpoint accepts from all
+        daemons together.
     :ivar reserved: further headers that callers may not set.
     """
 
@@ -77,6 +79,7 @@
     did_not_run: bytes = b'x-not-run'
     confidence: bytes = b'x-confidence'
     leaving: bytes = b'x-leaving'
+    rate_limit: bytes = b'x-rate-limit'
     reserved: frozenset[bytes] = frozenset()
 
 
@@ -183,6 +186,7 @@
             has_body=status not in _BODILESS_STATUSES,
             is_framed=not _BODY_END_HEADERS.isdisjoint(headers_by_name),
             is_leaving=_get_text(headers_by_name, names.leaving) == _IS_LEAVING,
+            rate_limits=_list_texts(headers, names.rate_limit),
             retry_after=(
                 _get_text(headers_by_name, b'retry-after')
                 if status == HTTPStatus.SERVICE_UNAVAILABLE
@@ -212,6 +216,14 @@
     return headers_by_name.get(name, b'').decode('latin-1').strip()
 
 
+def _list_texts(headers: HeaderPairs, name: bytes) -> Sequence[str]:
+    return tuple(
+        text.decode('latin-1').strip()
+        for header_name, text in headers
+        if header_name.lower() == name
+    )
+
+
 def _get_bearer_key(headers_by_name: Mapping[bytes, bytes]) -> str:
     text = _get_text(headers_by_name, b'authorization')
     if not text.lower().startswith(_BEARER_PREFIX):
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -9,6 +9,7 @@
 
 from laurelwind.coordination.crash_gossip import CrashGossip
 from laurelwind.coordination.entry_lists import choose_entries
+from laurelwind.coordination.limits.endpoint_limits import EndpointLimits
 from laurelwind.coordination.loop_lag import LoopLag
 from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay import Relay, build_relay
@@ -104,6 +105,7 @@
         self.tracker = tracking.tracker
         self._apply_absence_age(bounds.apply_s)
         self.placement = Placement(zone=settings.daemon.zone)
+        self.limits = EndpointLimits(log=self.log)
         self.tracker.add_listener(self._discard_removed_endpoints)
         self.gateway = HttpGateway(codec=adapters.headers)
         self.datagrams = PeerDatagrams(
@@ -272,6 +274,7 @@
                 directory=self.directory,
                 rollouts=self.rollouts,
                 placement=self.placement,
+                limits=self.limits,
                 screen=self.screen,
                 retry_budget=FleetRetryBudget(
                     retry_ratio=bounds.retry_share,
@@ -292,4 +295,6 @@
         self.log.log_info('connection_timed_out', kind=kind)
 
     def _discard_removed_endpoints(self) -> None:
-        self.placement.retain_endpoints(self.directory.list_names())
+        names = self.directory.list_names()
+        self.placement.retain_endpoints(names)
+        self.limits.table.retain(names)
--- a/laurelwind/relay_gauges.py
+++ b/laurelwind/relay_gauges.py
@@ -42,6 +42,16 @@
         'Endpoints that take new work.',
         lambda: sum(daemon.directory.count_ready().values()),
     )
+    add_gauge(
+        'laurelwind_limited_endpoints',
+        'Endpoints that state a rate limit.',
+        lambda: len(tuple(daemon.limits.table.iterate_rates())),
+    )
+    add_gauge(
+        'laurelwind_endpoint_limits_per_second',
+        'Sum of the rate limits that endpoints state, in requests per second.',
+        lambda: sum(daemon.limits.table.iterate_rates()),
+    )
     add_gauge(
         'laurelwind_blocked_parts',
         'Groups of prompt parts whose requests are rejected.',
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -6,6 +6,7 @@
 import anyio
 from attrs import define, field
 
+from laurelwind.coordination.limits.endpoint_limits import EndpointLimits
 from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay import build_relay
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
@@ -257,6 +258,7 @@
             local_daemon='d1', exposure_share=0.15, log=self.log
         )
         self.placement = Placement(zone='a')
+        self.limits = EndpointLimits(log=self.log)
         self.screen = PartScreen(log=self.log, count_members=lambda: 1)
         self.tracker = FakeTracker(build_routing_table())
         self.gateway = FakeGateway(scripts)
@@ -274,6 +276,7 @@
                 directory=self.directory,
                 rollouts=self.rollouts,
                 placement=self.placement,
+                limits=self.limits,
                 screen=self.screen,
                 retry_budget=self.retry_budget,
                 gateway=self.gateway,
