Let stand-ins state rate limits, and show in tests that nobody keeps them

An endpoint that states a limit gets as many requests as before. The soak's fault 'limits' lets endpoints of a pool state one for some seconds, and its check counts what reaches each of them in 4 s from daemon processes that had got an answer with it half a second before, whether it ran or was refused.

--- a/soak/announcements.py
+++ b/soak/announcements.py
@@ -6,6 +6,7 @@
 from soak import bounds
 from soak.callers import CallerRequest
 from soak.fleet import Fleet
+from soak.rate_limits import check_rate_limits
 from standins.notices import PauseAnswer
 
 _OK = 200
@@ -21,6 +22,7 @@
     """
     yield from _check_leaving(fleet, requests)
     yield from _check_pauses(fleet, requests)
+    yield from check_rate_limits(fleet, requests)
 
 
 def _check_leaving(
--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -48,3 +48,11 @@
 # most requests that may reach the endpoint from it afterwards.
 PAUSE_HEEDED_S: Final = 0.5
 MAX_LATE_IN_PAUSE: Final = 2
+# Rate limits of endpoints: seconds after its first statement from which a limit
+# is checked, and after which a daemon that got one keeps it; and the window in
+# which it may be exceeded, by a factor and a number of requests.
+LIMIT_CHECKED_AFTER_S: Final = 3.0
+LIMIT_HEEDED_S: Final = 0.5
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_FACTOR: Final = 1.5
+LIMIT_EXTRA: Final = 5
--- a/soak/endpoint_faults.py
+++ b/soak/endpoint_faults.py
@@ -22,6 +22,11 @@
 # Seconds for which a sound endpoint may be silent.
 MIN_SILENCE_S = 0.5
 MAX_SILENCE_S = 2.0
+# Rate limits that endpoints state, in requests per second, and for how long.
+MIN_RATE_LIMIT = 0.5
+MAX_RATE_LIMIT = 4.0
+MIN_LIMIT_S = 5.0
+MAX_LIMIT_S = 10.0
 # Seconds for which prompts with the deadly part come.
 MIN_POISON_S = 6.0
 MAX_POISON_S = 15.0
@@ -105,6 +110,28 @@
         self._journal.record('ask for pause', endpoint.name, duration_s)
         endpoint.notices.pause_ends_at = anyio.current_time() + duration_s
 
+    async def limit_rate(self, rng: random.Random) -> None:
+        """Let some or all endpoints of a pool state a rate limit."""
+        pool = self._fleet.tables[-1].shares[0].pool
+        endpoints = [
+            endpoint
+            for endpoint in self._fleet.endpoints.values()
+            if endpoint.service == pool and endpoint.notices.rate_limit is None
+        ]
+        least = min(1, len(endpoints))
+        chosen = rng.sample(endpoints, rng.randint(least, len(endpoints)))
+        duration_s = rng.uniform(MIN_LIMIT_S, MAX_LIMIT_S)
+        limited = []
+        for endpoint in chosen:
+            rate = round(rng.uniform(MIN_RATE_LIMIT, MAX_RATE_LIMIT), 1)
+            self._journal.record(f'limit {rate}', endpoint.name, duration_s)
+            endpoint.notices.rate_limit = rate
+            # The endpoint may have left before the limit ends.
+            limited.append(endpoint.notices)
+        await anyio.sleep(duration_s)
+        for notices in limited:
+            notices.rate_limit = None
+
     def _choose_removable(self, rng: random.Random) -> str | None:
         """Choose an endpoint of a pool that has others."""
         fleet = self._fleet
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -96,6 +96,7 @@
             'leave': self.endpoints.withdraw,
             'announce': self.endpoints.announce_leaving,
             'pauses': self.endpoints.ask_for_pause,
+            'limits': self.endpoints.limit_rate,
             'rollout': self.endpoints.roll_out,
             'silence': self.endpoints.silence,
             'poison': self.endpoints.poison,
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -46,6 +46,12 @@
         'a store restored from older copies; endpoints that announce that they'
         ' leave',
     ),
+    RegressionSeed(
+        1,
+        'limits',
+        12,
+        'endpoints that state rate limits, while daemons come and go',
+    ),
     RegressionSeed(
         1,
         'answers',
--- a/soak/scenarios.py
+++ b/soak/scenarios.py
@@ -23,6 +23,10 @@
     *('restore', 'restore', 'announce', 'announce', 'pauses', 'pauses'),
     *('stop', 'kill', 'store', 'link', 'table', 'keys', 'revoke', 'rollout'),
 )
+_LIMITS: Final = (
+    *('limits', 'limits', 'limits', 'limits', 'stop', 'kill', 'pause', 'link'),
+    *('store', 'table', 'leave', 'rollout', 'silence'),
+)
 _OPERATIONS: Final = (
     *('silence', 'silence', 'silence', 'tables', 'tables', 'reloads'),
     *('stops', 'stops', 'keys', 'leave'),
@@ -53,7 +57,7 @@
 # Scenarios by name: faults alone; planned work and silent endpoints alone;
 # unusual answers and prompts that crash endpoints; a store that is restored
 # from an older copy, and endpoints that announce that they leave or ask for a
-# pause; faults with planned work.
+# pause; endpoints that state rate limits; faults with planned work.
 SCENARIOS: Final[Mapping[str, Scenario]] = {
     'faults': Scenario(
         fault_names=_FAULTS,
@@ -81,8 +85,13 @@
         fault_share=FAULT_SHARE,
         has_large_requests=False,
     ),
+    'limits': Scenario(
+        fault_names=_LIMITS,
+        fault_share=0,
+        has_large_requests=False,
+    ),
     'all': Scenario(
-        fault_names=(*_FAULTS, *_OPERATIONS),
+        fault_names=(*_FAULTS, *_OPERATIONS, 'limits', 'limits'),
         fault_share=FAULT_SHARE,
         has_large_requests=True,
     ),
--- a/standins/relayed_endpoint.py
+++ b/standins/relayed_endpoint.py
@@ -14,7 +14,7 @@
     INCOMPLETE_ACTIONS,
     ActionChooser,
 )
-from standins.notices import Notices, PauseAnswer
+from standins.notices import Arrival, Notices, PauseAnswer
 from standins.relayed_answers import (
     encode_answer,
     encode_chunk,
@@ -156,6 +156,15 @@
             request_id,
             self.notices.encode(),
         )
+        self._run_log.arrivals.append(
+            Arrival(
+                request_id=request_id.decode(),
+                endpoint=self.name,
+                at=arrived_at,
+                answered_at=anyio.current_time(),
+                rate_limit=self.notices.rate_limit,
+            )
+        )
         if headers.get(b'x-expect-instance') != self.name.encode():
             self._run_log.misdirected += 1
             await send_refusal(stream, head_template, b'421 Misdirected')
--- a/standins/run_log.py
+++ b/standins/run_log.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field, frozen
 
-from standins.notices import PauseAnswer
+from standins.notices import Arrival, PauseAnswer
 
 
 @frozen(kw_only=True)
@@ -37,12 +37,14 @@
     :ivar runs: executions by request id.
     :ivar misdirected: number of requests addressed to another endpoint.
     :ivar pauses: requests that were refused with a request for a pause.
+    :ivar arrivals: requests that reached endpoints, in order.
     :ivar crashed_at: moments at which endpoints crashed, by name.
     """
 
     runs: dict[str, list[Run]] = field(factory=dict)
     misdirected: int = 0
     pauses: list[PauseAnswer] = field(factory=list)
+    arrivals: list[Arrival] = field(factory=list)
     crashed_at: dict[str, list[float]] = field(factory=dict)
 
     def record(self, run: Run) -> None:
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -1,5 +1,8 @@
 """What endpoints tell in answers: that they leave, or need a pause."""
 
+import contextlib
+from collections import Counter
+
 import anyio
 import pytest
 
@@ -242,3 +245,17 @@
     half = estimate_cost()
     now[0] = 108.1
     assert early > half > estimate_cost() == 0
+
+
+# Each daemon sent as many requests as before a limit was stated.
+async def test_a_daemon_keeps_the_rate_limit_that_an_endpoint_states():
+    limited = EndpointScript(
+        head=AnswerHead(status=200, rate_limits=('2',)), chunks=[b'whole']
+    )
+    harness = RelayHarness(*[limited] * 60, names=('e1', 'e2'))
+    for _ in range(60):
+        with contextlib.suppress(CapacityError):
+            await harness.serve(build_request('look', parts=()))
+    names = Counter(dispatch.endpoint for dispatch in harness.gateway.sent)
+    assert set(names) == {'e1', 'e2'}
+    assert max(names.values()) <= 2 * 4 * 1.5 + 5
