Share the rate limits of endpoints among all daemons by permits

Callers saw: an engine that stated a limit of 2 requests a second got 28 in 4 s from daemons that had passed on an answer with it (LIMIT; 17 allowed), and so an endpoint in need got the same load as before.

The class of the fault is a bound on the whole that each daemon keeps by itself: what endpoints state about themselves was applied by the daemon that saw it, so that reading the header alone would have allowed each of seven daemons the whole limit.

Ruled out: faults of the store, of daemons and of endpoints, as there were none before 14 s.

Now one daemon holds the permits of an endpoint with a limit, spaces them evenly and grants them by datagram; each send of the relay takes one with the choice of the endpoint, and it is checked again when the connection is open. A new holder waits for a second, so that two holders together stay below the bound. A refused daemon takes turns with the others and uses other endpoints meanwhile; where all have limits a request waits for a permit within its latency goal or is rejected at once. New and lifted limits are forwarded to all daemons.

--- a/laurelwind/cli/explain.py
+++ b/laurelwind/cli/explain.py
@@ -16,6 +16,7 @@
 _STATE_EVENTS: Final = (
     'table_in_force',
     'endpoints_changed',
+    'endpoint_limit',
     'store_lost',
     'store_regained',
     'version_rejected',
--- a/laurelwind/coordination/limits/endpoint_limits.py
+++ b/laurelwind/coordination/limits/endpoint_limits.py
@@ -1,19 +1,35 @@
 """The rate limits that endpoints state, and the log of their changes."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+
+from attrs import frozen
 
 from laurelwind.coordination.relay_jobs import Attempt
 from laurelwind.decisions import DecisionLog
-from laurelwind.state.directory import EndpointRecord
 from laurelwind.state.rate_limits import (
     EndpointProcess,
     LimitChange,
     LimitStatement,
     RateLimits,
+    get_process,
     parse_rate_limit,
 )
 
 
+@frozen(kw_only=True)
+class LimitEvent:
+    """A limit that is stated anew, or lifted.
+
+    :ivar process: the endpoint.
+    :ivar statement: the statement that made the change.
+    :ivar lasted_s: seconds for which the limit was in force, zero if it is new.
+    """
+
+    process: EndpointProcess
+    statement: LimitStatement
+    lasted_s: float = 0
+
+
 class EndpointLimits:
     """Applies what answers state about rate limits.
 
@@ -24,6 +40,14 @@
     def __init__(self, *, log: DecisionLog) -> None:
         self.table = RateLimits()
         self._log = log
+        self._listeners: list[Callable[[LimitEvent], None]] = []
+
+    def add_listener(self, listener: Callable[[LimitEvent], None]) -> None:
+        """Register a callback for limits that are stated anew or lifted.
+
+        :param listener: called with each change.
+        """
+        self._listeners.append(listener)
 
     def record_answer(self, attempt: Attempt, texts: Sequence[str]) -> None:
         """Record what an answer states.
@@ -48,26 +72,27 @@
 
     def apply(
         self, process: EndpointProcess, statement: LimitStatement
-    ) -> LimitChange | None:
-        """Apply a statement; return what it changes.
+    ) -> None:
+        """Apply a statement.
 
         :param process: the endpoint.
         :param statement: what its answer says.
         """
+        known = self.table.find(process)
         change = self.table.apply(process, statement)
-        if change is not None:
-            self._log.log_warning(
-                'endpoint_limit',
-                endpoint=process[0],
-                change=change,
-                limit_per_s=statement.rate,
-            )
-        return change
-
-
-def get_process(endpoint: EndpointRecord) -> EndpointProcess:
-    """Return the key of an endpoint's process.
-
-    :param endpoint: the endpoint.
-    """
-    return endpoint.name, endpoint.started_ms
+        if change is None:
+            return
+        self._log.log_warning(
+            'endpoint_limit',
+            endpoint=process[0],
+            change=change,
+            limit_per_s=statement.rate,
+        )
+        if change is LimitChange.CHANGED:
+            return
+        lasted_s = statement.stated_at - known.limited_at if known else 0
+        event = LimitEvent(
+            process=process, statement=statement, lasted_s=lasted_s
+        )
+        for listener in self._listeners:
+            listener(event)
--- /dev/null
+++ b/laurelwind/coordination/limits/permit_refusals.py
@@ -0,0 +1,164 @@
+"""Permits that were refused, and when a daemon may ask again."""
+
+import contextlib
+from collections.abc import Callable, Iterable, Iterator, Set
+from typing import Final
+
+from attrs import define
+
+from laurelwind.protocol.permits import PermitAnswer, PermitAsk
+from laurelwind.state.directory import EndpointRecord
+from laurelwind.state.rate_limits import (
+    EndpointProcess,
+    LimitStatement,
+    RateLimits,
+    get_process,
+)
+
+# Seconds after which a daemon asks again where the holder did not answer.
+NO_ANSWER_RETRY_S: Final = 1.0
+
+
+@define(kw_only=True)
+class _Refusal:
+    """What is known of the permits of an endpoint since one was refused.
+
+    All moments are on the monotonic clock.
+
+    :ivar until: moment from which the daemon may ask for a permit at once.
+    :ivar queue_until: moment from which it may ask for one to wait for.
+    :ivar due_at: estimated moment at which a permit is due.
+    :ivar asking: asks for a permit at once that are under way.
+    """
+
+    until: float = 0
+    queue_until: float = 0
+    due_at: float = 0
+    asking: int = 0
+
+
+class PermitRefusals:
+    """Tells which endpoints with a limit are worth an ask.
+
+    :param table: the limits of the endpoints.
+    :param clock: monotonic clock, in seconds.
+    """
+
+    def __init__(
+        self, *, table: RateLimits, clock: Callable[[], float]
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._refusals: dict[EndpointProcess, _Refusal] = {}
+
+    def find_limit(self, endpoint: EndpointRecord) -> LimitStatement | None:
+        """Return the limit of an endpoint, or ``None`` if it has none.
+
+        :param endpoint: the endpoint.
+        """
+        return self._table.find(get_process(endpoint))
+
+    def list_limited(self, endpoints: Iterable[EndpointRecord]) -> Set[str]:
+        """Return the names of the endpoints that have a limit.
+
+        :param endpoints: the endpoints.
+        """
+        return {endpoint.name for endpoint in self._select_limited(endpoints)}
+
+    def list_refusing(self, endpoints: Iterable[EndpointRecord]) -> Set[str]:
+        """Return the names of the endpoints that have no permit at once.
+
+        :param endpoints: the endpoints.
+        """
+        return {
+            endpoint.name
+            for endpoint in self._select_limited(endpoints)
+            if not self._may_ask(endpoint)
+        }
+
+    def list_without_queue(
+        self, endpoints: Iterable[EndpointRecord]
+    ) -> Set[str]:
+        """Return the names of the endpoints without a permit to wait for.
+
+        :param endpoints: the endpoints.
+        """
+        return {
+            endpoint.name
+            for endpoint in endpoints
+            if not self._may_queue(endpoint)
+        }
+
+    def estimate_wait(self, endpoint: EndpointRecord) -> float:
+        """Estimate the seconds until a permit is available.
+
+        :param endpoint: the endpoint.
+        """
+        refusal = self._find(endpoint)
+        if refusal is None:
+            return 0
+        return max(refusal.due_at - self._clock(), 0)
+
+    @contextlib.contextmanager
+    def track_ask(self, ask: PermitAsk) -> Iterator[None]:
+        """Let other requests use other endpoints until an ask is answered.
+
+        :param ask: the ask.
+        """
+        refusal = self._refusals.setdefault(ask.process, _Refusal())
+        is_immediate = not ask.max_wait_s
+        refusal.asking += is_immediate
+        try:
+            yield
+        finally:
+            refusal.asking -= is_immediate
+
+    def record(self, ask: PermitAsk, answer: PermitAnswer | None) -> None:
+        """Record that an ask was refused or not answered.
+
+        :param ask: the ask.
+        :param answer: its answer, or ``None``.
+        """
+        now = self._clock()
+        refusal = self._refusals.setdefault(ask.process, _Refusal())
+        retry_s = NO_ANSWER_RETRY_S if answer is None else answer.retry_s
+        wait_s = NO_ANSWER_RETRY_S if answer is None else answer.wait_s
+        refusal.until = now + retry_s
+        refusal.due_at = now + wait_s
+        if ask.max_wait_s or answer is None:
+            refusal.queue_until = now + retry_s
+
+    def retain(self, names: set[str]) -> None:
+        """Discard the refusals of endpoints that were removed.
+
+        :param names: names of the endpoints that remain.
+        """
+        for process in tuple(self._refusals):
+            if process[0] not in names:
+                self._refusals.pop(process)
+
+    def _select_limited(
+        self, endpoints: Iterable[EndpointRecord]
+    ) -> Iterator[EndpointRecord]:
+        # Most endpoints are passed over by their name alone.
+        names = self._table.limited_names
+        for endpoint in endpoints if names else ():
+            if endpoint.name in names and self.find_limit(endpoint) is not None:
+                yield endpoint
+
+    def _find(self, endpoint: EndpointRecord) -> _Refusal | None:
+        if self.find_limit(endpoint) is None:
+            return None
+        return self._refusals.get(get_process(endpoint))
+
+    def _may_ask(self, endpoint: EndpointRecord) -> bool:
+        refusal = self._find(endpoint)
+        if refusal is None:
+            return True
+        return not refusal.asking and refusal.until <= self._clock()
+
+    def _may_queue(self, endpoint: EndpointRecord) -> bool:
+        if self.find_limit(endpoint) is None:
+            return False
+        refusal = self._find(endpoint)
+        return refusal is None or refusal.queue_until <= self._clock()
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -79,7 +79,7 @@
             placement=dependencies.placement,
             notices=EndpointNotices(
                 placement=dependencies.placement,
-                limits=dependencies.limits,
+                limits=dependencies.permits.limits,
                 directory=dependencies.directory,
                 notify_leaving=dependencies.notify_leaving,
                 log=dependencies.log,
--- a/laurelwind/coordination/scheduling/observations.py
+++ b/laurelwind/coordination/scheduling/observations.py
@@ -1,4 +1,4 @@
-"""What this daemon observes of endpoints, and hears of them from others."""
+"""What this daemon and its peers observe of endpoints."""
 
 from typing import Final
 
@@ -15,6 +15,9 @@
 INITIAL_BACKOFF_S: Final = 0.4
 MAX_BACKOFF_S: Final = 5.0
 _MAX_DOUBLINGS: Final = 4
+# Longest time, in seconds, over which requests return to an endpoint whose rate
+# limit has ended.
+MAX_RETURN_S: Final = 5.0
 # Seconds that a failed request loses at least: its next attempt queues and
 # reads the prompt again.
 MIN_LOSS_S: Final = 2.0
@@ -133,6 +136,18 @@
             state.paused_until = paused_until
             state.pause_s = pause_s
 
+    def record_limit_end(self, name: str, lasted_s: float) -> None:
+        """Let requests return gradually, as a rate limit has ended.
+
+        :param name: name of the endpoint.
+        :param lasted_s: seconds for which the limit was in force.
+        """
+        state = self._get_named_state(name)
+        now = read_monotonic_clock()
+        if state.paused_until <= now:
+            state.paused_until = now
+            state.pause_s = min(lasted_s, MAX_RETURN_S)
+
     def get_remaining_pause(self, endpoint: EndpointRecord) -> float:
         """Return the seconds until an endpoint accepts requests again.
 
--- a/laurelwind/coordination/selection.py
+++ b/laurelwind/coordination/selection.py
@@ -1,9 +1,11 @@
 """Selects the endpoint of each attempt, and tells what rules one out."""
 
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 
 from attrs import frozen
 
+from laurelwind.coordination.job_requirements import build_requirements
+from laurelwind.coordination.limits.permit_refusals import PermitRefusals
 from laurelwind.coordination.relay_jobs import Job
 from laurelwind.coordination.retries import draw_retry_after
 from laurelwind.coordination.retry_limits import (
@@ -14,17 +16,20 @@
 )
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling.placement import Placement
-from laurelwind.coordination.scheduling.requirements import (
-    PlacementRequirements,
+from laurelwind.coordination.selection_errors import (
+    build_blocked_error,
+    build_exhausted_error,
+    build_queue_error,
+    build_stale_error,
 )
 from laurelwind.errors import (
-    CallerError,
     CapacityError,
     EndpointError,
     ErrorKind,
     LaurelwindError,
 )
 from laurelwind.state.directory import EndpointDirectory, EndpointRecord
+from laurelwind.state.rate_limits import get_process
 
 
 @frozen(kw_only=True)
@@ -35,12 +40,14 @@
     :ivar directory: registered endpoints.
     :ivar rollouts: selects the version for each request.
     :ivar placement: selects endpoints.
+    :ivar refusals: tells which endpoints with a rate limit have permits.
     """
 
     limits: RetryLimits
     directory: EndpointDirectory
     rollouts: RolloutRegistry
     placement: Placement
+    refusals: PermitRefusals
 
 
 class EndpointSelector:
@@ -54,32 +61,73 @@
         self._dependencies = dependencies
         self.limits = dependencies.limits
 
-    def choose(self, job: Job) -> EndpointRecord:
-        """Select the endpoint of the next attempt.
+    def choose(
+        self, job: Job, *, avoids_backoff: bool = False
+    ) -> EndpointRecord | None:
+        """Select the endpoint of the next attempt, or return ``None``.
+
+        An endpoint with a rate limit is selected only while a permit may be
+        available at once.
 
         :param job: the request.
-        :raises LaurelwindError: if no endpoint is left, every queue is longer
-            than the time to the deadline, the table is too old, or the prompt
-            crashes endpoints.
+        :param avoids_backoff: whether endpoints in backoff are ruled out,
+            rather than used when there is no other.
+        :raises LaurelwindError: if every queue is longer than the time to the
+            deadline, the table is too old, or the prompt crashes endpoints.
         """
-        self._ensure_not_blocked(job)
-        if not self.limits.is_table_fresh:
-            raise _build_stale_error(job)
-        endpoint = None
-        if not job.events or self.limits.find_limit(job) is None:
-            endpoint = self._choose_untried(job) or self._choose_fallback(job)
+        self._ensure_may_send(job)
+        if job.events and self.limits.find_limit(job) is not None:
+            return None
+        endpoint = self._choose_untried(job, avoids_backoff=avoids_backoff)
+        if endpoint is None and not avoids_backoff:
+            endpoint = self._choose_fallback(job)
         if endpoint is not None:
             self._ensure_start_before_deadline(job, endpoint)
-            return endpoint
-        if job.may_have_run:
-            raise EndpointError(
-                ErrorKind.ENDPOINT_FAILED,
-                'no endpoint left: every endpoint tried failed',
-            )
-        raise CapacityError(
-            ErrorKind.NO_ENDPOINT,
-            'no ready endpoint is left for the request',
-            retry_after_s=self._estimate_return(job) + draw_retry_after(),
+        return endpoint
+
+    def choose_queued(self, job: Job) -> EndpointRecord | None:
+        """Select an endpoint with a limit whose permit the request may await.
+
+        :param job: the request.
+        :raises LaurelwindError: as :meth:`choose`.
+        """
+        self._ensure_may_send(job)
+        if job.attempts >= job.route.max_attempts:
+            return None
+        if job.events and self.limits.find_limit(job) is not None:
+            return None
+        ready = self._list_ready(job)
+        excluded = self._dependencies.refusals.list_without_queue(ready)
+        return self._dependencies.placement.choose(
+            ready, build_requirements(job, excluded=excluded)
+        )
+
+    def has_limited(self, job: Job) -> bool:
+        """Return whether an endpoint for a request has a rate limit.
+
+        :param job: the request.
+        """
+        ready = self._list_ready(job)
+        return bool(self._dependencies.refusals.list_limited(ready))
+
+    def is_ready(self, job: Job, endpoint: EndpointRecord) -> bool:
+        """Return whether an endpoint still accepts a request.
+
+        :param job: the request.
+        :param endpoint: the endpoint.
+        """
+        return any(
+            get_process(other) == get_process(endpoint)
+            for other in self._list_ready(job)
+        )
+
+    def build_error(self, job: Job) -> LaurelwindError:
+        """Build the error of a request for which no endpoint is left.
+
+        :param job: the request.
+        """
+        return build_exhausted_error(
+            job, self._estimate_return(job), is_limited=self.has_limited(job)
         )
 
     def estimate_wait(self, job: Job) -> float:
@@ -87,8 +135,10 @@
 
         :param job: the request.
         """
+        ready = self._list_ready(job)
         return self._dependencies.placement.estimate_wait(
-            self._list_ready(job), _build_requirements(job)
+            ready,
+            build_requirements(job, excluded=self._list_refusing(ready)),
         )
 
     def can_retry(self, job: Job) -> bool:
@@ -173,19 +223,15 @@
             retry_after_s=draw_retry_after(),
         ) from error
 
+    def _ensure_may_send(self, job: Job) -> None:
+        self._ensure_not_blocked(job)
+        if not self.limits.is_table_fresh:
+            raise build_stale_error(job)
+
     def _ensure_not_blocked(self, job: Job) -> None:
         screen = self.limits.screen
-        if job.events or not screen.reject(job.service, job.request.parts):
-            return
-        if job.may_have_run:
-            raise EndpointError(
-                ErrorKind.ENDPOINT_FAILED,
-                'no further attempt: a part of the prompt crashes endpoints',
-            )
-        raise CallerError(
-            ErrorKind.PROMPT_BLOCKED,
-            'a part of the prompt crashes endpoints; the request was not run',
-        )
+        if not job.events and screen.reject(job.service, job.request.parts):
+            raise build_blocked_error(job)
 
     def _list_ready(self, job: Job) -> Sequence[EndpointRecord]:
         return self._dependencies.rollouts.filter_endpoints(
@@ -194,36 +240,56 @@
             self._dependencies.directory.list_ready(job.service),
         )
 
+    def _list_refusing(self, endpoints: Sequence[EndpointRecord]) -> Set[str]:
+        return self._dependencies.refusals.list_refusing(endpoints)
+
     def _estimate_return(self, job: Job) -> float:
-        """Return the seconds until the first endpoint ends its pause."""
-        get_remaining_pause = self._dependencies.placement.get_remaining_pause
-        return min(map(get_remaining_pause, self._list_ready(job)), default=0)
+        """Return the seconds until the first endpoint accepts requests."""
+        return min(
+            map(self._estimate_acceptance, self._list_ready(job)), default=0
+        )
+
+    def _estimate_acceptance(self, endpoint: EndpointRecord) -> float:
+        return max(
+            self._dependencies.placement.get_remaining_pause(endpoint),
+            self._dependencies.refusals.estimate_wait(endpoint),
+        )
 
     def _choose_untried(
-        self, job: Job, current: EndpointRecord | None = None
+        self,
+        job: Job,
+        current: EndpointRecord | None = None,
+        *,
+        avoids_backoff: bool = False,
     ) -> EndpointRecord | None:
         if job.attempts >= job.route.max_attempts:
             return None
-        excluded = set(job.fallback_endpoints)
+        ready = self._list_ready(job)
+        excluded = job.fallback_endpoints | self._list_refusing(ready)
         if current is not None:
-            excluded.add(current.name)
+            # It may find no permit at an endpoint with a limit.
+            excluded |= self._dependencies.refusals.list_limited(ready)
+            excluded |= {current.name}
         return self._dependencies.placement.choose(
-            self._list_ready(job),
-            _build_requirements(
-                job, excluded=excluded, avoids_backoff=current is not None
+            ready,
+            build_requirements(
+                job,
+                excluded=excluded,
+                avoids_backoff=avoids_backoff or current is not None,
             ),
         )
 
     def _choose_fallback(self, job: Job) -> EndpointRecord | None:
         if job.attempts - job.refusals >= job.route.max_attempts:
             return None
+        ready = [
+            endpoint
+            for endpoint in self._list_ready(job)
+            if endpoint.name in job.fallback_endpoints
+        ]
         return self._dependencies.placement.choose(
-            [
-                endpoint
-                for endpoint in self._list_ready(job)
-                if endpoint.name in job.fallback_endpoints
-            ],
-            _build_requirements(job),
+            ready,
+            build_requirements(job, excluded=self._list_refusing(ready)),
         )
 
     def _reserve_return(self, job: Job) -> bool:
@@ -243,40 +309,6 @@
         """Reject a request that would wait in a queue past its deadline."""
         if job.may_have_run or not self._is_queue_too_long(job, endpoint):
             return
-        delay_s = self._dependencies.placement.estimate_queue_delay(endpoint)
-        raise CapacityError(
-            ErrorKind.OVERLOADED,
-            f'the shortest queue takes {delay_s:.1f} s, past the deadline',
-            retry_after_s=delay_s + draw_retry_after(),
-        )
-
-
-def _build_stale_error(job: Job) -> LaurelwindError:
-    if job.may_have_run:
-        return EndpointError(
-            ErrorKind.ENDPOINT_FAILED,
-            'the attempt failed and the routing table is too old for a retry',
+        raise build_queue_error(
+            self._dependencies.placement.estimate_queue_delay(endpoint)
         )
-    return CapacityError(
-        ErrorKind.NOT_READY,
-        'the freshness lease of the routing table has expired',
-        retry_after_s=draw_retry_after(),
-    )
-
-
-def _build_requirements(
-    job: Job, *, excluded: set[str] | None = None, avoids_backoff: bool = False
-) -> PlacementRequirements:
-    # The last part of a prompt is specific to the request or session, so only
-    # the parts before it are likely to be cached.
-    shared = job.request.parts[:-1] or job.request.parts
-    tokens = sum(part.tokens for part in shared)
-    return PlacementRequirements(
-        affinity_key=shared[-1].name if shared else '',
-        reuse_saving_s=job.estimate_prefill(tokens),
-        excluded_endpoints=frozenset(
-            job.excluded_endpoints.union(excluded or ())
-        ),
-        avoids_backoff=avoids_backoff,
-        scheduling_class=job.scheduling_class,
-    )
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -3,13 +3,10 @@
 from collections.abc import Callable
 from typing import Final
 
-import anyio
 from attrs import frozen
 
-from laurelwind.coordination.limits.endpoint_limits import (
-    EndpointLimits,
-    get_process,
-)
+from laurelwind.coordination.choosing import Choice, EndpointChooser
+from laurelwind.coordination.limits.endpoint_permits import EndpointPermits
 from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay_jobs import Attempt, Job
 from laurelwind.coordination.retry_limits import RetryLimits
@@ -30,18 +27,10 @@
     RunState,
 )
 from laurelwind.protocol.exchanges import Dispatch, EndpointGateway
-from laurelwind.state.directory import (
-    LAPSE_GRACE_S,
-    EndpointDirectory,
-    EndpointRecord,
-)
+from laurelwind.state.directory import EndpointDirectory, EndpointRecord
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.state.load import read_monotonic_clock
 
-# Longest wait of a begun answer until it can be resumed, in seconds, and the
-# interval of its checks: endpoints that lapsed are back within this time.
-MAX_RESUME_WAIT_S: Final = LAPSE_GRACE_S
-RESUME_INTERVAL_S: Final = 0.1
 _MS_PER_S: Final = 1000
 
 
@@ -54,7 +43,7 @@
     :ivar directory: registered endpoints.
     :ivar rollouts: selects the version for each request.
     :ivar placement: selects endpoints.
-    :ivar limits: rate limits that endpoints state.
+    :ivar permits: permits for endpoints with a rate limit.
     :ivar screen: rejects prompts that crash endpoints.
     :ivar retry_budget: retry budget.
     :ivar gateway: sends requests to endpoints.
@@ -72,7 +61,7 @@
     directory: EndpointDirectory
     rollouts: RolloutRegistry
     placement: Placement
-    limits: EndpointLimits
+    permits: EndpointPermits
     screen: PartScreen
     retry_budget: FleetRetryBudget
     gateway: EndpointGateway
@@ -101,8 +90,14 @@
                 directory=dependencies.directory,
                 rollouts=dependencies.rollouts,
                 placement=dependencies.placement,
+                refusals=dependencies.permits.refusals,
             )
         )
+        self._chooser = EndpointChooser(
+            selector=self.selector,
+            permits=dependencies.permits,
+            log=dependencies.log,
+        )
 
     async def send(self, job: Job) -> Attempt:
         """Send a request to the first endpoint that accepts it.
@@ -112,43 +107,19 @@
             not be retried.
         """
         while True:
-            endpoint = await self._choose_endpoint(job)
+            choice = await self._chooser.choose(job)
             try:
-                return await self._send_to_endpoint(job, endpoint)
+                return await self._send_to_endpoint(job, choice)
             except EndpointError as error:
-                self._handle_unsent(job, endpoint, error)
-
-    async def _choose_endpoint(self, job: Job) -> EndpointRecord:
-        try:
-            return self.selector.choose(job)
-        except EndpointError as error:
-            # An answer that has begun can't be rejected, so it waits.
-            if not self.selector.can_wait(job):
-                raise
-            self._log_wait(job, error)
-        return await self._await_endpoint(job)
-
-    async def _await_endpoint(self, job: Job) -> EndpointRecord:
-        wait_until = read_monotonic_clock() + MAX_RESUME_WAIT_S
-        while True:
-            await anyio.sleep(RESUME_INTERVAL_S)
-            try:
-                return self.selector.choose(job)
-            except EndpointError:
-                is_over = read_monotonic_clock() > wait_until
-                if is_over or not self.selector.can_wait(job):
-                    raise
+                self._handle_unsent(job, choice, error)
 
-    async def _send_to_endpoint(
-        self, job: Job, endpoint: EndpointRecord
-    ) -> Attempt:
+    async def _send_to_endpoint(self, job: Job, choice: Choice) -> Attempt:
         dependencies = self._dependencies
+        endpoint = choice.endpoint
         self.selector.limits.record_attempt(job)
         job.attempts += 1
         dispatch = _build_dispatch(
-            job,
-            endpoint,
-            lambda: not dependencies.placement.get_remaining_pause(endpoint),
+            job, endpoint, lambda: self._may_send(choice)
         )
         self._log_sent(job, endpoint, dispatch)
         dependencies.placement.record_sent(endpoint, job.prefill_s)
@@ -169,6 +140,12 @@
             expected_delay_s=expected_delay_s,
         )
 
+    def _may_send(self, choice: Choice) -> bool:
+        dependencies = self._dependencies
+        if dependencies.placement.get_remaining_pause(choice.endpoint):
+            return False
+        return dependencies.permits.is_valid(choice.permit)
+
     def record_failure(self, endpoint: EndpointRecord, lost_s: float) -> float:
         """Record a failed attempt here and at peers; return the backoff.
 
@@ -195,8 +172,11 @@
         self._dependencies.placement.end_silence(endpoint)
 
     def _handle_unsent(
-        self, job: Job, endpoint: EndpointRecord, error: EndpointError
+        self, job: Job, choice: Choice, error: EndpointError
     ) -> None:
+        endpoint = choice.endpoint
+        if error.run is RunState.NOT_RUN:
+            self._dependencies.permits.give_back(choice.permit)
         # A pause that an endpoint asks for is no fault of it.
         is_paused = isinstance(error, EndpointPausedError)
         backoff_s = 0 if is_paused else self.record_failure(endpoint, 0)
@@ -223,20 +203,11 @@
             raise error
         self.selector.ensure_retry_allowed(job, error)
 
-    def _log_wait(self, job: Job, error: EndpointError) -> None:
-        self._dependencies.log.log_info(
-            'resume_awaited',
-            request=job.request.request_id,
-            reason=error.message,
-            events=job.events,
-            left_s=round(job.remaining_s, 3),
-        )
-
     def _log_sent(
         self, job: Job, endpoint: EndpointRecord, dispatch: Dispatch
     ) -> None:
         table = self._dependencies.tracker.table
-        limit = self._dependencies.limits.table.find(get_process(endpoint))
+        limit = self._dependencies.permits.refusals.find_limit(endpoint)
         self._dependencies.log.log_info(
             'sent',
             request=job.request.request_id,
--- a/laurelwind/errors.py
+++ b/laurelwind/errors.py
@@ -274,7 +274,7 @@
 
 
 class EndpointPausedError(EndpointError):
-    """An endpoint asked for a pause before the request was sent to it."""
+    """An endpoint stopped accepting requests before this one was sent."""
 
 
 class BlockedPromptError(LaurelwindError):
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -9,7 +9,6 @@
 
 from laurelwind.coordination.crash_gossip import CrashGossip
 from laurelwind.coordination.entry_lists import choose_entries
-from laurelwind.coordination.limits.endpoint_limits import EndpointLimits
 from laurelwind.coordination.loop_lag import LoopLag
 from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay import Relay, build_relay
@@ -24,6 +23,7 @@
 from laurelwind.relay_gauges import register_gauges
 from laurelwind.relay_limits import TableLimits
 from laurelwind.relay_metrics import RelayMetrics
+from laurelwind.relay_permits import build_permits
 from laurelwind.relay_settings import RelaySettings
 from laurelwind.relay_tracking import (
     PlatformAdapters,
@@ -105,7 +105,6 @@
         self.tracker = tracking.tracker
         self._apply_absence_age(bounds.apply_s)
         self.placement = Placement(zone=settings.daemon.zone)
-        self.limits = EndpointLimits(log=self.log)
         self.tracker.add_listener(self._discard_removed_endpoints)
         self.gateway = HttpGateway(codec=adapters.headers)
         self.datagrams = PeerDatagrams(
@@ -118,7 +117,7 @@
             screen=self.screen,
             channel=self.datagrams,
             local_address=settings.listen.peers,
-            list_peers=self._list_peers,
+            list_peers=self.list_peers,
         )
         self.hints = WorkHints(
             channel=self.datagrams,
@@ -129,6 +128,7 @@
                 record_leaving=self.directory.record_leaving,
             ),
         )
+        self.permits = build_permits(self)
         self._limits = TableLimits(tracker=self.tracker)
         self.relay = self._build_relay()
         self.application = RelayApplication(
@@ -160,7 +160,8 @@
         ]
         return choose_entries(accepting, zone, limit)
 
-    def _list_peers(self) -> list[str]:
+    def list_peers(self) -> list[str]:
+        """List the addresses of all other daemons."""
         return [
             member.peer_address
             for member in self.membership.members
@@ -191,6 +192,7 @@
         await self.datagrams.start(group)
         self.hints.start(group)
         self.gossip.start(group)
+        self.permits.start(group)
         applications: dict[str, ASGIApp] = {
             self.settings.listen.callers: self.application,
             self.settings.listen.peers: TopicApplication(copies=self.copies),
@@ -274,7 +276,7 @@
                 directory=self.directory,
                 rollouts=self.rollouts,
                 placement=self.placement,
-                limits=self.limits,
+                permits=self.permits,
                 screen=self.screen,
                 retry_budget=FleetRetryBudget(
                     retry_ratio=bounds.retry_share,
@@ -297,4 +299,4 @@
     def _discard_removed_endpoints(self) -> None:
         names = self.directory.list_names()
         self.placement.retain_endpoints(names)
-        self.limits.table.retain(names)
+        self.permits.retain(names)
--- a/laurelwind/relay_gauges.py
+++ b/laurelwind/relay_gauges.py
@@ -45,12 +45,12 @@
     add_gauge(
         'laurelwind_limited_endpoints',
         'Endpoints that state a rate limit.',
-        lambda: len(tuple(daemon.limits.table.iterate_rates())),
+        lambda: len(tuple(daemon.permits.limits.table.iterate_rates())),
     )
     add_gauge(
         'laurelwind_endpoint_limits_per_second',
         'Sum of the rate limits that endpoints state, in requests per second.',
-        lambda: sum(daemon.limits.table.iterate_rates()),
+        lambda: sum(daemon.permits.limits.table.iterate_rates()),
     )
     add_gauge(
         'laurelwind_blocked_parts',
--- a/laurelwind/relay_metrics.py
+++ b/laurelwind/relay_metrics.py
@@ -25,6 +25,12 @@
             ('kind',),
             registry=self.registry,
         )
+        self.permits = Counter(
+            'laurelwind_permits',
+            'Permits for endpoints with a rate limit, by outcome of the ask.',
+            ('outcome',),
+            registry=self.registry,
+        )
         self.cut_answers = Counter(
             'laurelwind_cut_answers',
             'Answers that this daemon ended before they were complete.',
--- /dev/null
+++ b/laurelwind/relay_permits.py
@@ -0,0 +1,66 @@
+"""Wires the permits of a relay daemon for endpoints with a rate limit."""
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from laurelwind.coordination.limits.endpoint_limits import (
+    EndpointLimits,
+    LimitEvent,
+)
+from laurelwind.coordination.limits.endpoint_permits import EndpointPermits
+from laurelwind.coordination.limits.holders import HolderChoice
+from laurelwind.coordination.limits.limit_gossip import LimitGossip
+from laurelwind.coordination.limits.permit_asks import PermitAsks
+from laurelwind.protocol.platform import ListedInstance
+
+if TYPE_CHECKING:
+    from laurelwind.relay_daemon import RelayDaemon
+
+
+def build_permits(daemon: 'RelayDaemon') -> EndpointPermits:
+    """Build the permits of a daemon.
+
+    :param daemon: the daemon; its members, peers and placement are built.
+    """
+    limits = EndpointLimits(log=daemon.log)
+
+    def handle_change(event: LimitEvent) -> None:
+        if event.statement.rate is None:
+            daemon.placement.record_limit_end(event.process[0], event.lasted_s)
+
+    limits.add_listener(handle_change)
+    return EndpointPermits(
+        limits=limits,
+        gossip=LimitGossip(
+            limits=limits,
+            channel=daemon.datagrams,
+            list_peers=daemon.list_peers,
+        ),
+        asks=PermitAsks(
+            limits=limits,
+            holders=HolderChoice(list_members=lambda: _list_holders(daemon)),
+            channel=daemon.datagrams,
+            local_address=daemon.settings.listen.peers,
+        ),
+        count=lambda outcome: daemon.metrics.permits.labels(outcome).inc(),
+        log=daemon.log,
+    )
+
+
+def _list_holders(daemon: 'RelayDaemon') -> Sequence[ListedInstance]:
+    """List the daemons that may hold permits, none until they are known.
+
+    One that is stopping leaves the permits to the others.
+    """
+    membership = daemon.membership
+    if not membership.first_read.is_set():
+        return ()
+    if not daemon.application.is_draining:
+        return membership.members
+    local_address = daemon.settings.listen.callers
+    others = tuple(
+        member
+        for member in membership.members
+        if member.caller_address != local_address
+    )
+    return others or membership.members
--- a/laurelwind/state/rate_limits.py
+++ b/laurelwind/state/rate_limits.py
@@ -7,6 +7,8 @@
 
 from attrs import evolve, frozen
 
+from laurelwind.state.directory import EndpointRecord
+
 # Endpoints whose statements are kept; the newest statements count. Peers
 # report limits as well, also of endpoints that no record names.
 MAX_STATEMENTS: Final = 4096
@@ -46,9 +48,13 @@
 
 
 class RateLimits:
-    """The newest statement of each endpoint, merged in any order."""
+    """The newest statement of each endpoint, merged in any order.
+
+    :ivar limited_names: names of the endpoints with a limit in force.
+    """
 
     def __init__(self) -> None:
+        self.limited_names: frozenset[str] = frozenset()
         self._statements: dict[EndpointProcess, LimitStatement] = {}
 
     def apply(
@@ -101,6 +107,7 @@
         for process in tuple(self._statements):
             if process[0] not in names:
                 self._statements.pop(process)
+        self._list_names()
 
     def _store(
         self,
@@ -119,6 +126,14 @@
         self._statements[process] = evolve(statement, limited_at=limited_at)
         if len(self._statements) > MAX_STATEMENTS:
             self._statements.pop(next(iter(self._statements)))
+        self._list_names()
+
+    def _list_names(self) -> None:
+        self.limited_names = frozenset(
+            name
+            for (name, _), statement in self._statements.items()
+            if statement.rate is not None
+        )
 
 
 def _is_newer(statement: LimitStatement, known: LimitStatement) -> bool:
@@ -144,6 +159,14 @@
     return LimitChange.CHANGED
 
 
+def get_process(endpoint: EndpointRecord) -> EndpointProcess:
+    """Return the key of an endpoint's process.
+
+    :param endpoint: the endpoint.
+    """
+    return endpoint.name, endpoint.started_ms
+
+
 def parse_rate_limit(texts: Sequence[str]) -> float | None:
     """Return the lowest limit of some headers, or ``None`` if all are invalid.
 
--- a/laurelwind/transport/gateway.py
+++ b/laurelwind/transport/gateway.py
@@ -80,7 +80,8 @@
             await self._release_connection(dispatch.address, connection)
             raise EndpointPausedError(
                 ErrorKind.ENDPOINT_FAILED,
-                'the endpoint asked for a pause before the request was sent',
+                'the endpoint stopped accepting requests before this one was '
+                'sent',
                 run=RunState.NOT_RUN,
             )
         try:
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -7,6 +7,10 @@
 from attrs import define, field
 
 from laurelwind.coordination.limits.endpoint_limits import EndpointLimits
+from laurelwind.coordination.limits.endpoint_permits import EndpointPermits
+from laurelwind.coordination.limits.holders import HolderChoice
+from laurelwind.coordination.limits.limit_gossip import LimitGossip
+from laurelwind.coordination.limits.permit_asks import PermitAsks
 from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay import build_relay
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
@@ -23,6 +27,7 @@
     ErrorKind,
     RunState,
 )
+from laurelwind.protocol.datagrams import DatagramChannel
 from laurelwind.protocol.exchanges import (
     AnswerHead,
     CallerAnswer,
@@ -31,6 +36,7 @@
     PromptPart,
     RelayRequest,
 )
+from laurelwind.protocol.platform import ListedInstance
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.state.directory import EndpointDirectory, EndpointRecord
 from laurelwind.state.leases import FreshnessLease
@@ -47,6 +53,9 @@
 
 KEY = 'key-of-forms'
 SMALL = RouteModel(name='small', cost=0.02)
+LOCAL_MEMBER = ListedInstance(
+    name='d1:1', zone='a', caller_address='d1:1', peer_address='d1:2'
+)
 LARGE = RouteModel(name='large', cost=0.4)
 
 
@@ -242,6 +251,34 @@
     """Discard the notification."""
 
 
+class SilentChannel(DatagramChannel):
+    """Network of a daemon without peers."""
+
+    def add_listener(self, receive):
+        """Receive nothing."""
+
+    async def send(self, peer, datagram):
+        """Lose the datagram."""
+
+
+def build_permits(log):
+    """Build the permits of a daemon without peers."""
+    limits = EndpointLimits(log=log)
+    channel = SilentChannel()
+    return EndpointPermits(
+        limits=limits,
+        gossip=LimitGossip(limits=limits, channel=channel, list_peers=list),
+        asks=PermitAsks(
+            limits=limits,
+            holders=HolderChoice(list_members=lambda: [LOCAL_MEMBER]),
+            channel=channel,
+            local_address=LOCAL_MEMBER.peer_address,
+        ),
+        count=lambda outcome: None,
+        log=log,
+    )
+
+
 class RelayHarness:
     """A relay with fake collaborators."""
 
@@ -258,7 +295,7 @@
             local_daemon='d1', exposure_share=0.15, log=self.log
         )
         self.placement = Placement(zone='a')
-        self.limits = EndpointLimits(log=self.log)
+        self.permits = build_permits(self.log)
         self.screen = PartScreen(log=self.log, count_members=lambda: 1)
         self.tracker = FakeTracker(build_routing_table())
         self.gateway = FakeGateway(scripts)
@@ -276,7 +313,7 @@
                 directory=self.directory,
                 rollouts=self.rollouts,
                 placement=self.placement,
-                limits=self.limits,
+                permits=self.permits,
                 screen=self.screen,
                 retry_budget=self.retry_budget,
                 gateway=self.gateway,
--- a/tests/test_silence_limits.py
+++ b/tests/test_silence_limits.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from laurelwind.coordination.sending import MAX_RESUME_WAIT_S
+from laurelwind.coordination.choosing import MAX_RESUME_WAIT_S
 from laurelwind.errors import EndpointError
 from tests.relay_helpers import (
     EndpointScript,
