Use the field's terms for notices of crashes: updates, received, contradict

Renames only: crash_news.py is crash_updates.py, CrashNews is CrashUpdates, the moment heard_at is received_at.

--- a/laurelwind/coordination/crash_gossip.py
+++ b/laurelwind/coordination/crash_gossip.py
@@ -1,10 +1,10 @@
 """Spreads notices of crashes among all daemons.
 
-A daemon passes news on to a few random peers, and they do the same, so that
-the whole fleet knows within a few rounds and no daemon sends to all others.
+A daemon forwards new notices to a few random peers, and they do the same, so
+that all daemons have them within a few rounds and none sends to all others.
 Blocks and recent notices are repeated from time to time, which makes up for
 lost datagrams.  A daemon that has just started asks a few peers.  Nothing else
-is sent while there is nothing to tell, and the store is not needed.
+is sent while there is no notice, and the store is not needed.
 """
 
 import random
@@ -25,11 +25,11 @@
 from laurelwind.protocol.datagrams import DatagramChannel
 from laurelwind.state.load import read_monotonic_clock
 
-# Peers that are told news, and seconds for which news is collected. With eight
-# peers in each round, news misses one daemon of some thousands.
-NEWS_FANOUT: Final = 8
-NEWS_DELAY_S: Final = 0.03
-# Peers that are told what is known, and seconds between two such rounds.
+# Peers to which new notices are sent, and seconds for which they are collected.
+# With eight peers in each round, a notice misses one daemon of some thousands.
+UPDATE_FANOUT: Final = 8
+UPDATE_DELAY_S: Final = 0.03
+# Peers to which known notices are repeated, and seconds between two rounds.
 REPEAT_FANOUT: Final = 3
 REPEAT_PERIOD_S: Final = 1.0
 # Rounds in which a daemon that has just started asks peers, and the most of
@@ -74,7 +74,7 @@
         :param group: task group of the daemon.
         """
         group.start_soon(self._screen.run)
-        group.start_soon(self._spread_news)
+        group.start_soon(self._spread_updates)
         group.start_soon(self._repeat)
         group.start_soon(self._ask)
         group.start_soon(self._answer)
@@ -101,12 +101,12 @@
             self._is_asked = anyio.Event()
             await self._send(self._screen.summarize(), peers)
 
-    async def _spread_news(self) -> None:
+    async def _spread_updates(self) -> None:
         while True:
-            await self._screen.news.has_any.wait()
-            await anyio.sleep(NEWS_DELAY_S)
+            await self._screen.updates.has_any.wait()
+            await anyio.sleep(UPDATE_DELAY_S)
             await self._send(
-                self._screen.news.take(), self._draw_peers(NEWS_FANOUT)
+                self._screen.updates.take(), self._draw_peers(UPDATE_FANOUT)
             )
 
     async def _repeat(self) -> None:
--- a/laurelwind/coordination/crash_news.py
+++ b/laurelwind/coordination/crash_updates.py
@@ -1,4 +1,4 @@
-"""Notices of crashes that are to be told to other daemons."""
+"""Notices of crashes that are to be sent to other daemons."""
 
 from collections.abc import Sequence
 from typing import Final
@@ -12,7 +12,7 @@
 REPEAT_S: Final = 10.0
 
 
-class CrashNews:
+class CrashUpdates:
     """Notices to spread, and the answers to repeat.
 
     :ivar has_any: set when there are notices to spread.
@@ -22,7 +22,7 @@
         self.has_any = anyio.Event()
         # In order, and each once.
         self._notices: dict[CrashNotice, None] = {}
-        # Answers that tell against a report, by part.
+        # Answers that contradict a report, by part.
         self._answers: dict[PartKey, PartAnswer] = {}
 
     def add(self, notice: CrashNotice) -> None:
--- a/laurelwind/coordination/part_screen.py
+++ b/laurelwind/coordination/part_screen.py
@@ -6,7 +6,7 @@
 import anyio
 
 from laurelwind.coordination.attempt_watch import AttemptWatch
-from laurelwind.coordination.crash_news import REPEAT_S, CrashNews
+from laurelwind.coordination.crash_updates import REPEAT_S, CrashUpdates
 from laurelwind.coordination.part_keys import build_part_keys
 from laurelwind.decisions import DecisionLog
 from laurelwind.protocol.crash_notices import CrashNotice, PartAnswer
@@ -35,7 +35,7 @@
     :param log: decision log.
     :param clock: monotonic clock, in seconds.
     :param count_members: returns the number of daemons.
-    :ivar news: notices to spread.
+    :ivar updates: notices to spread.
     :ivar watch: attempts to end when their prompt is blocked.
     """
 
@@ -46,7 +46,7 @@
         count_members: Callable[[], int],
         clock: Callable[[], float] = read_monotonic_clock,
     ) -> None:
-        self.news = CrashNews()
+        self.updates = CrashUpdates()
         self.watch = AttemptWatch()
         self._log = log
         self._clock = clock
@@ -96,7 +96,7 @@
         :param broken: the connection.
         """
         if self._evidence.breaks.record(broken):
-            self.news.add(broken)
+            self.updates.add(broken)
         for report in self._abandoned.take(broken):
             self.record_crash(report)
 
@@ -114,7 +114,7 @@
         """
         if not self._evidence.add(report):
             return
-        self.news.add(report)
+        self.updates.add(report)
         self._announce_context(report)
         self._has_unreviewed.set()
 
@@ -160,7 +160,7 @@
             self._apply_answer(PartAnswer(part=part, began_at=now))
 
     def record_event(self, endpoint: str, sent_at: float) -> None:
-        """Record an event, which may tell against a crash of its endpoint.
+        """Record an event, which may contradict a crash of its endpoint.
 
         :param endpoint: the endpoint and the start time of its process.
         :param sent_at: moment at which the attempt was sent.
@@ -180,7 +180,7 @@
         for part in parts:
             answer = PartAnswer(part=part, began_at=now)
             self._apply_answer(answer)
-            self.news.add_answer(answer)
+            self.updates.add_answer(answer)
 
     def apply(self, notices: Iterable[CrashNotice]) -> None:
         """Apply the notices of another daemon, and pass on those that are new.
@@ -198,7 +198,7 @@
         since = self._clock() - REPEAT_S
         return (
             *self.blocks,
-            *self.news.list_answers(since),
+            *self.updates.list_answers(since),
             *self._evidence.list_recent(since),
         )
 
@@ -224,7 +224,7 @@
             report.endpoint, report.broke_at
         )
         if outage is not None:
-            self.news.add(outage)
+            self.updates.add(outage)
         for part in report.parts - self._evidence.list_suspects(report):
             self._announce_known_answer(part)
 
@@ -240,12 +240,12 @@
                 remaining=sorted(name for _, name in remaining),
             )
         if is_news:
-            self.news.add_answer(answer)
+            self.updates.add_answer(answer)
 
     def _apply_survival(self, survival: EndpointSurvival) -> None:
         if not self._evidence.breaks.record_survival(survival):
             return
-        self.news.add(survival)
+        self.updates.add(survival)
         for block in self.blocks:
             if self._evidence.is_disproved(block.parts):
                 self.lift(block.parts)
@@ -262,7 +262,7 @@
             self._block(block)
 
     def _announce_known_answer(self, part: PartKey) -> None:
-        self.news.add_answer(
+        self.updates.add_answer(
             PartAnswer(part=part, began_at=self._evidence.answered.get(part))
         )
 
@@ -283,7 +283,7 @@
     def _block(self, block: Block) -> bool:
         if not self._blocked.add(block):
             return False
-        self.news.add(block)
+        self.updates.add(block)
         ended = self.watch.end_attempts(block.parts)
         self._log.log_warning(
             'part_blocked',
--- a/laurelwind/coordination/scheduling/__init__.py
+++ b/laurelwind/coordination/scheduling/__init__.py
@@ -10,5 +10,5 @@
 3. ``silence`` derives from recent waits the time after which a request may
    leave an endpoint that has sent nothing.
 4. ``fleet_retry_budget`` holds the retries of a further attempt, or refuses it.
-5. ``observations`` update the ``endpoint_states``; peers are told of losses.
+5. ``observations`` update the ``endpoint_states``; losses are sent to peers.
 """
--- a/laurelwind/state/endpoint_breaks.py
+++ b/laurelwind/state/endpoint_breaks.py
@@ -10,7 +10,7 @@
 from attrs import define, field, frozen
 
 # Seconds within which the connections to an endpoint break as it crashes, and
-# the daemons that lose one hear of each other.
+# the daemons that lose one receive the notices of each other.
 CRASH_S: Final = 0.25
 # The most endpoints, and series of breaks of each, that are kept; the newest
 # count.
@@ -91,9 +91,9 @@
         history = self._histories.get(endpoint)
         if history is None or not history.has_outage_between(sent_at, now):
             return None
-        if not history.has_outage_between(sent_at, history.heard_at):
-            history.heard_at = now
-        if now - history.heard_at < CRASH_S:
+        if not history.has_outage_between(sent_at, history.received_at):
+            history.received_at = now
+        if now - history.received_at < CRASH_S:
             return None
         return EndpointSurvival(
             endpoint=endpoint, sent_at=sent_at, alive_at=now
@@ -198,14 +198,14 @@
 
     :ivar outages: moments at which the endpoint went down.
     :ivar survivals: attempts that went on, the newest at the end.
-    :ivar heard_at: moment of an event that may tell against a crash.
+    :ivar received_at: moment of an event that may contradict a crash.
     """
 
     outages: Sequence[float] = ()
     survivals: deque[EndpointSurvival] = field(
         factory=lambda: deque(maxlen=MAX_BREAKS)
     )
-    heard_at: float = -math.inf
+    received_at: float = -math.inf
     _breaks: list[_Series] = field(factory=list)
 
     def add(self, broken: EndpointBreak) -> None:
--- a/tests/test_crash_gossip.py
+++ b/tests/test_crash_gossip.py
@@ -9,9 +9,9 @@
 from attrs import evolve
 
 from laurelwind.coordination.crash_gossip import (
-    NEWS_DELAY_S,
-    NEWS_FANOUT,
     REPEAT_FANOUT,
+    UPDATE_DELAY_S,
+    UPDATE_FANOUT,
 )
 from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.protocol.crash_notices import (
@@ -53,7 +53,7 @@
             await anyio.sleep(CONTACT_S / 2)
             assert fleet.count_blocking() == size
             # Each daemon passes each notice on once, then repeats.
-            news = 5 * NEWS_FANOUT
+            news = 5 * UPDATE_FANOUT
             repeats = REPEAT_FANOUT * (CONTACT_S + 1)
             assert fleet.network.sent <= size * (news + repeats)
             group.cancel_scope.cancel()
@@ -124,7 +124,7 @@
                 await anyio.sleep(0.2)
                 screen.record_answer('pool', ())
                 screen.apply([build_report(number, loop.time(), 'first')])
-            await anyio.sleep(NEWS_DELAY_S + 0.02)
+            await anyio.sleep(UPDATE_DELAY_S + 0.02)
             assert not screen.blocks
             part = ('pool', 'first')
             screen.apply([PartAnswer(part=part, began_at=loop.time() - 0.05)])
@@ -143,16 +143,16 @@
         for _ in range(2)
     )
     knowing.apply([build_report(1, clock.now, 'deadly')])
-    knowing.news.take()
+    knowing.updates.take()
     clock.now += 3
     late = evolve(
         build_report(1, clock.now, 'sound'), attempt='late', prompt='late'
     )
     fresh.record_crash(late)
-    knowing.apply(fresh.news.take())
+    knowing.apply(fresh.updates.take())
     told = [
         notice
-        for notice in knowing.news.take()
+        for notice in knowing.updates.take()
         if isinstance(notice, EndpointBreak)
     ]
     assert [notice.broke_at for notice in told] == [clock.now - 3]
@@ -174,7 +174,7 @@
     screen.record_answer('pool', build_sound())
     for _ in range(2):
         screen.apply([report])
-    [answer] = screen.news.take()
+    [answer] = screen.updates.take()
     assert answer.part == ('pool', 'first')
 
 
@@ -280,7 +280,7 @@
         screen.apply([block])
         assert not screen.blocks
         # The daemon that blocked it hears of the answer.
-        [answer] = screen.news.take()
+        [answer] = screen.updates.take()
         assert answer.part == ('pool', 'first')
 
     run_emulated(check, monkeypatch)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -144,7 +144,7 @@
     harness.screen.record_break(broken)
     return [
         notice
-        for notice in harness.screen.news.take()
+        for notice in harness.screen.updates.take()
         if isinstance(notice, CrashReport)
     ]
 
--- a/tests/test_endpoint_survivals.py
+++ b/tests/test_endpoint_survivals.py
@@ -126,7 +126,7 @@
 ):
     survival = _build_survival(1, clock.now - 2)
     screen.apply([survival])
-    assert screen.news.take() == (survival,)
+    assert screen.updates.take() == (survival,)
     assert survival in screen.summarize()
     [datagram] = encode_notices([survival], clock.now)
     assert datagram == b'{"crashes":[["survival","e1",3000,1000]]}'
@@ -174,7 +174,7 @@
     assert answer.is_whole
     return [
         notice
-        for notice in harness.screen.news.take()
+        for notice in harness.screen.updates.take()
         if isinstance(notice, EndpointSurvival)
     ]
 
