Send what a limited new version has no permit for to the old version

Callers would have seen: in a roll-out, a request that its hash assigns to the new version is rejected with 429 while all endpoints of that version are at their rate limits, beside idle endpoints of the old one. Seen in a test only.

Cause: the version was chosen before the permit. A request without a session whose answer has not begun now uses the old version where the new one has no permit at once; sessions keep their version, and a limited old version sends nothing more to the new one, whose exposure is bounded.

--- a/laurelwind/coordination/choosing.py
+++ b/laurelwind/coordination/choosing.py
@@ -90,6 +90,7 @@
         choice = None
         if self._selector.has_limited(job):
             choice = await self._choose_at_once(job, avoids_backoff=True)
+            choice = choice or await self._choose_old_version(job)
             choice = choice or await self._choose_queued(job)
         choice = choice or await self._choose_at_once(job)
         if choice is None:
@@ -110,6 +111,18 @@
                 return Choice(endpoint=endpoint, permit=permit)
         return None
 
+    async def _choose_old_version(self, job: Job) -> Choice | None:
+        """Choose an endpoint that is not of the version being rolled out.
+
+        A session keeps its version, and a begun answer too.
+        """
+        if job.request.session or job.events:
+            return None
+        job.avoids_target_version = True
+        choice = await self._choose_at_once(job, avoids_backoff=True)
+        job.avoids_target_version = choice is not None
+        return choice
+
     async def _choose_queued(self, job: Job) -> Choice | None:
         for _ in range(MAX_ASKS):
             endpoint = self._selector.choose_queued(job)
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -61,6 +61,8 @@
     :ivar refusals: number of attempts that did not run.
     :ivar broken_attempts: number of attempts whose connection broke before the
         answer began.
+    :ivar avoids_target_version: whether it uses no version that is being rolled
+        out, as that one had no permit for it.
     :ivar reserved_retries: retries of the budget that are held for the request.
     :ivar saved_failure: complete failure answer of an endpoint, delivered if
         every later attempt fails as well.
@@ -85,6 +87,7 @@
     fallback_endpoints: set[str] = field(factory=set)
     refusals: int = 0
     broken_attempts: int = 0
+    avoids_target_version: bool = False
     reserved_retries: int = 0
     saved_failure: BufferedAnswer | None = None
     last_event_id: str = ''
--- a/laurelwind/coordination/rollouts/registry.py
+++ b/laurelwind/coordination/rollouts/registry.py
@@ -170,13 +170,20 @@
         self._evaluate(service, rollout)
 
     def filter_endpoints(
-        self, service: str, session: str, endpoints: Sequence[EndpointRecord]
+        self,
+        service: str,
+        session: str,
+        endpoints: Sequence[EndpointRecord],
+        *,
+        allows_target: bool = True,
     ) -> Sequence[EndpointRecord]:
         """Return the endpoints of the version assigned to a request.
 
         :param service: name of the service.
         :param session: key of the request or of its session.
         :param endpoints: the service's endpoints that accept new work.
+        :param allows_target: whether the request may use a target version that
+            is not accepted yet.
         """
         rejected = self._rejected_versions.get(service, ())
         rollout = self._rollouts.get(service)
@@ -188,7 +195,7 @@
             return exclude_versions(old_endpoints, rejected)
         if rollout.state is RolloutState.SUCCEEDED:
             return target_endpoints or old_endpoints
-        if rollout.is_rejected:
+        if rollout.is_rejected or not allows_target:
             return exclude_versions(old_endpoints, rejected)
         share = rollout.compute_target_share(
             self._canary_share, self._clock() - self._statuses_read_at
--- a/laurelwind/coordination/selection.py
+++ b/laurelwind/coordination/selection.py
@@ -238,6 +238,7 @@
             job.service,
             job.sticky_key,
             self._dependencies.directory.list_ready(job.service),
+            allows_target=not job.avoids_target_version,
         )
 
     def _list_refusing(self, endpoints: Sequence[EndpointRecord]) -> Set[str]:
