--- a/tests/test_specification.py
+++ b/tests/test_specification.py
@@ -1,6 +1,12 @@
-"""The model check passes, and disabling either rule yields a counterexample."""
+"""The model checks pass, and disabling a rule yields a counterexample."""
 
+import pytest
+
+from laurelwind.coordination.limits.endpoint_permits import PERMIT_TTL_S
+from laurelwind.coordination.limits.permit_holder import TAKEOVER_S
+from laurelwind.state.permit_schedule import BURST_S
 from specification.claims import Bounds, Rules, check
+from specification.permits import TICK_S, Timing, check_permits
 
 
 def find_counterexamples(rules):
@@ -27,3 +33,25 @@
 def test_a_request_runs_without_the_claim_if_old_epochs_are_not_void():
     counterexamples = find_counterexamples(Rules(void_old_epochs=False))
     assert 'who_runs_holds_the_claim' in counterexamples
+
+
+def test_the_limit_holds_while_the_holder_changes_twice():
+    result = check_permits(Timing(), changes=2)
+    assert result['exhaustive']
+    assert result['properties']['the_limit_holds']['holds']
+
+
+@pytest.mark.parametrize(
+    'timing', [Timing(takeover=0), Timing(burst=12), Timing(lag=16)]
+)
+def test_the_limit_breaks_without_a_rule_of_the_permits(timing):
+    properties = check_permits(timing)['properties']
+    assert properties['the_limit_holds']['holds'] is False
+
+
+def test_the_specified_times_are_those_of_the_code():
+    timing = Timing()
+    assert timing.takeover * TICK_S == TAKEOVER_S
+    assert timing.burst * TICK_S == BURST_S
+    window_s = 4 + PERMIT_TTL_S
+    assert timing.window * TICK_S == window_s
