Ask for a permit where an endpoint states its limit before the send

Callers would have seen: a request to a service with one endpoint rejected with 429, as the endpoint stated a limit between the choice and the send. Seen in a test only.

Cause: an endpoint that stopped accepting requests before the send was ruled out for the request, as if it had refused it. A pause rules it out for as long as it lasts, and a limit asks for a permit, so nothing else has to.

The test failed before with that 429.

--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -177,10 +177,11 @@
         endpoint = choice.endpoint
         if error.run is RunState.NOT_RUN:
             self._dependencies.permits.give_back(choice.permit)
-        # A pause that an endpoint asks for is no fault of it.
-        is_paused = isinstance(error, EndpointPausedError)
-        backoff_s = 0 if is_paused else self.record_failure(endpoint, 0)
-        job.excluded_endpoints.add(endpoint.name)
+        backoff_s: float = 0
+        # An endpoint with a pause or a limit may take the request later.
+        if not isinstance(error, EndpointPausedError):
+            backoff_s = self.record_failure(endpoint, 0)
+            job.excluded_endpoints.add(endpoint.name)
         self._dependencies.log.log_warning(
             'not_sent',
             request=job.request.request_id,
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -16,6 +16,8 @@
 from laurelwind.protocol.exchanges import AnswerHead, Dispatch
 from laurelwind.protocol.headers import NamedHeaderCodec
 from laurelwind.state.directory import MAX_LEAVING, EndpointDirectory
+from laurelwind.state.load import read_monotonic_clock
+from laurelwind.state.rate_limits import LimitStatement
 from laurelwind.transport.gateway import HttpGateway
 from tests.relay_helpers import (
     EndpointScript,
@@ -259,3 +261,27 @@
     names = Counter(dispatch.endpoint for dispatch in harness.gateway.sent)
     assert set(names) == {'e1', 'e2'}
     assert max(names.values()) <= 2 * 4 * 1.5 + 5
+
+
+# A request was rejected, as the only endpoint stated a limit meanwhile.
+async def test_a_limit_stated_before_sending_costs_a_permit_and_no_rejection():
+    harness = RelayHarness(COMPLETE, names=('e1',))
+    real_send = harness.gateway.send
+    checks = []
+
+    async def state_limit_first(request, dispatch):
+        if not checks:
+            now = read_monotonic_clock()
+            harness.permits.limits.apply(
+                ('e1', 1), LimitStatement(rate=2, sent_at=now, stated_at=now)
+            )
+        checks.append(dispatch.accepts_requests())
+        if not checks[-1]:
+            raise EndpointPausedError(
+                'endpoint_failed', 'limited', run=RunState.NOT_RUN
+            )
+        return await real_send(request, dispatch)
+
+    harness.gateway.send = state_limit_first
+    assert (await harness.serve(build_request('book'))).is_whole
+    assert checks == [False, True]
