Refuse settings whose numbers are texts or truth values

Operators saw: stop_timeout_s = "8" or true passed as a number, and took effect as 8 or 1.

Cause: the exact hooks for plain types were registered as predicates, which cattrs asks only after its own hooks for these types. Registered directly, the one for whole numbers also gets enumerations of numbers, and now builds these; that it did not was why a direct registration broke tests of claims before.

tests/test_settings.py failed before with a text, with true and with a text of a fraction.

--- a/laurelwind/state/conversion.py
+++ b/laurelwind/state/conversion.py
@@ -1,8 +1,6 @@
 """Conversion between attrs classes and plain JSON types."""
 
 import enum
-import functools
-import operator
 from collections.abc import Sequence
 from typing import Any, Final, TypeVar
 
@@ -24,18 +22,17 @@
         ignore them, so that messages of newer releases can be read.
     """
     converter: Converter = make_converter(forbid_extra_keys=strict)
-    for plain_type, hook in _EXACT_HOOKS:
-        converter.register_structure_hook_func(
-            functools.partial(operator.is_, plain_type),
-            hook,
-        )
+    converter.register_structure_hook(int, _structure_int)
+    converter.register_structure_hook(float, _structure_float)
+    converter.register_structure_hook(bool, _structure_bool)
     converter.register_structure_hook(str, _structure_str)
     return converter
 
 
-def _structure_int(raw: Any, _: Any) -> int:
+def _structure_int(raw: Any, int_type: type[int]) -> int:
     if isinstance(raw, int) and not isinstance(raw, bool):
-        return raw
+        # Enumerations of numbers come here as well.
+        return int_type(raw)
     raise ValueError('expected a whole number')
 
 
@@ -63,11 +60,6 @@
     raise ValueError('expected true or false')
 
 
-_EXACT_HOOKS: Final = (
-    (int, _structure_int),
-    (float, _structure_float),
-    (bool, _structure_bool),
-)
 STRICT: Final = build_converter(strict=True)
 LENIENT: Final = build_converter(strict=False)
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -75,3 +75,12 @@
         assert key.secret not in representation
     for secret in settings.keys.sessions:
         assert secret not in representation
+
+
+# Texts and truth values passed as numbers.
+@pytest.mark.parametrize('number', ['"8"', 'true', '"0.5"'])
+def test_a_number_is_not_read_from_another_type(number):
+    text = write_valid_settings().replace(
+        '[limits]', f'[limits]\nstop_timeout_s = {number}'
+    )
+    assert list_fault_paths(text) == {'limits.stop_timeout_s'}
