Place requests among endpoints in a module of its own

A limit of retries and a rate limit no longer share the name find_limit, the three ways to discard removed endpoints share one function, and a request is told of a rate limit only where an endpoint that is left has one. No other change of behaviour.

--- a/laurelwind/coordination/choosing.py
+++ b/laurelwind/coordination/choosing.py
@@ -88,7 +88,7 @@
     async def _choose_permitted(self, job: Job) -> Choice:
         """Prefer sound endpoints with a permit, then a wait for a permit."""
         choice = None
-        if self._selector.has_limited(job):
+        if self._selector.placement.list_limited(job):
             choice = await self._choose_at_once(job, avoids_backoff=True)
             choice = choice or await self._choose_old_version(job)
             choice = choice or await self._choose_queued(job)
@@ -134,7 +134,7 @@
             if permit is None:
                 continue
             await self._wait_until_due(permit)
-            if self._selector.is_ready(job, endpoint):
+            if self._selector.placement.is_ready(job, endpoint):
                 return Choice(endpoint=endpoint, permit=permit)
             self._permits.give_back(permit)
         return None
--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -214,7 +214,7 @@
         if not dependencies.selector.can_retry(job):
             return
         job.model_index += 1
-        wait_s = dependencies.selector.estimate_wait(job)
+        wait_s = dependencies.selector.placement.estimate_wait(job)
         job.model_index -= 1
         if dependencies.planner.is_acceptable(job, head.confidence, wait_s):
             return
--- a/laurelwind/coordination/limits/permit_asks.py
+++ b/laurelwind/coordination/limits/permit_asks.py
@@ -98,7 +98,7 @@
 
         :param ask: the ask.
         """
-        holder = self._find_holder(ask)
+        holder = self._resolve_holder(ask)
         if holder is None:
             return None
         if holder == self.local_address:
@@ -121,17 +121,17 @@
         returned = PermitReturn(
             number=ask.number, asker=ask.asker, process=ask.process
         )
-        holder = self._find_holder(ask)
+        holder = self._resolve_holder(ask)
         if holder == self.local_address:
             self.held.take_back(returned)
         elif holder is not None:
             self._send_later(holder, returned)
 
-    def _find_holder(self, ask: PermitAsk) -> str | None:
+    def _resolve_holder(self, ask: PermitAsk) -> str | None:
         """Return the address of the holder, or ``None`` if it is unknown.
 
-        A daemon that is not the holder must not continue the schedule from an
-        earlier time in which it was.
+        A daemon that is not the holder drops its schedule, which it must not
+        continue once it is the holder again.
         """
         holder = self._holders.find_holder(ask.process, ask.zone)
         if holder != self.local_address:
@@ -164,7 +164,7 @@
 
     def _answer(self, ask: PermitAsk) -> PermitAnswer:
         self._limits.apply(ask.process, ask.statement)
-        if self._find_holder(ask) == self.local_address:
+        if self._resolve_holder(ask) == self.local_address:
             return self.held.grant(ask)
         return PermitAnswer(
             number=ask.number,
--- a/laurelwind/coordination/limits/permit_holder.py
+++ b/laurelwind/coordination/limits/permit_holder.py
@@ -12,6 +12,7 @@
     EndpointProcess,
     LimitStatement,
     RateLimits,
+    discard_removed,
 )
 
 # Seconds for which a new holder grants nothing. The holder before it may have
@@ -120,9 +121,7 @@
 
         :param names: names of the endpoints that remain.
         """
-        for process in tuple(self._held):
-            if process[0] not in names:
-                self._held.pop(process)
+        discard_removed(self._held, names)
 
     def _hold(
         self, process: EndpointProcess, statement: LimitStatement, now: float
--- a/laurelwind/coordination/limits/permit_refusals.py
+++ b/laurelwind/coordination/limits/permit_refusals.py
@@ -12,6 +12,7 @@
     EndpointProcess,
     LimitStatement,
     RateLimits,
+    discard_removed,
     get_process,
 )
 
@@ -51,7 +52,9 @@
         self._clock = clock
         self._refusals: dict[EndpointProcess, _Refusal] = {}
 
-    def find_limit(self, endpoint: EndpointRecord) -> LimitStatement | None:
+    def find_rate_limit(
+        self, endpoint: EndpointRecord
+    ) -> LimitStatement | None:
         """Return the limit of an endpoint, or ``None`` if it has none.
 
         :param endpoint: the endpoint.
@@ -133,9 +136,7 @@
 
         :param names: names of the endpoints that remain.
         """
-        for process in tuple(self._refusals):
-            if process[0] not in names:
-                self._refusals.pop(process)
+        discard_removed(self._refusals, names)
 
     def _select_limited(
         self, endpoints: Iterable[EndpointRecord]
@@ -143,11 +144,14 @@
         # Most endpoints are passed over by their name alone.
         names = self._table.limited_names
         for endpoint in endpoints if names else ():
-            if endpoint.name in names and self.find_limit(endpoint) is not None:
+            if (
+                endpoint.name in names
+                and self.find_rate_limit(endpoint) is not None
+            ):
                 yield endpoint
 
     def _find(self, endpoint: EndpointRecord) -> _Refusal | None:
-        if self.find_limit(endpoint) is None:
+        if self.find_rate_limit(endpoint) is None:
             return None
         return self._refusals.get(get_process(endpoint))
 
@@ -158,7 +162,7 @@
         return not refusal.asking and refusal.until <= self._clock()
 
     def _may_queue(self, endpoint: EndpointRecord) -> bool:
-        if self.find_limit(endpoint) is None:
+        if self.find_rate_limit(endpoint) is None:
             return False
         refusal = self._find(endpoint)
         return refusal is None or refusal.queue_until <= self._clock()
--- a/laurelwind/coordination/selection.py
+++ b/laurelwind/coordination/selection.py
@@ -1,12 +1,7 @@
 """Selects the endpoint of each attempt, and tells what rules one out."""
 
-from collections.abc import Sequence, Set
-
-from attrs import frozen
-
-from laurelwind.coordination.job_requirements import build_requirements
-from laurelwind.coordination.limits.permit_refusals import PermitRefusals
 from laurelwind.coordination.relay_jobs import Job
+from laurelwind.coordination.request_placement import RequestPlacement
 from laurelwind.coordination.retries import draw_retry_after
 from laurelwind.coordination.retry_limits import (
     MIN_REMAINING_S,
@@ -14,8 +9,6 @@
     RetryLimits,
     RetryObstacle,
 )
-from laurelwind.coordination.rollouts.registry import RolloutRegistry
-from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.selection_errors import (
     build_blocked_error,
     build_exhausted_error,
@@ -28,38 +21,23 @@
     ErrorKind,
     LaurelwindError,
 )
-from laurelwind.state.directory import EndpointDirectory, EndpointRecord
-from laurelwind.state.rate_limits import get_process
-
-
-@frozen(kw_only=True)
-class SelectorDependencies:
-    """Collaborators of an :class:`EndpointSelector`.
-
-    :ivar limits: limits on retries.
-    :ivar directory: registered endpoints.
-    :ivar rollouts: selects the version for each request.
-    :ivar placement: selects endpoints.
-    :ivar refusals: tells which endpoints with a rate limit have permits.
-    """
-
-    limits: RetryLimits
-    directory: EndpointDirectory
-    rollouts: RolloutRegistry
-    placement: Placement
-    refusals: PermitRefusals
+from laurelwind.state.directory import EndpointRecord
 
 
 class EndpointSelector:
     """Selects endpoints within the limits on retries.
 
-    :param dependencies: collaborators of the selector.
+    :param limits: limits on retries.
+    :param placement: places requests among endpoints.
     :ivar limits: limits on retries.
+    :ivar placement: places requests among endpoints.
     """
 
-    def __init__(self, *, dependencies: SelectorDependencies) -> None:
-        self._dependencies = dependencies
-        self.limits = dependencies.limits
+    def __init__(
+        self, *, limits: RetryLimits, placement: RequestPlacement
+    ) -> None:
+        self.limits = limits
+        self.placement = placement
 
     def choose(
         self, job: Job, *, avoids_backoff: bool = False
@@ -78,9 +56,11 @@
         self._ensure_may_send(job)
         if job.events and self.limits.find_limit(job) is not None:
             return None
-        endpoint = self._choose_untried(job, avoids_backoff=avoids_backoff)
+        endpoint = self.placement.choose_untried(
+            job, avoids_backoff=avoids_backoff
+        )
         if endpoint is None and not avoids_backoff:
-            endpoint = self._choose_fallback(job)
+            endpoint = self.placement.choose_fallback(job)
         if endpoint is not None:
             self._ensure_start_before_deadline(job, endpoint)
         return endpoint
@@ -92,34 +72,9 @@
         :raises LaurelwindError: as :meth:`choose`.
         """
         self._ensure_may_send(job)
-        if job.attempts >= job.route.max_attempts:
-            return None
         if job.events and self.limits.find_limit(job) is not None:
             return None
-        ready = self._list_ready(job)
-        excluded = self._dependencies.refusals.list_without_queue(ready)
-        return self._dependencies.placement.choose(
-            ready, build_requirements(job, excluded=excluded)
-        )
-
-    def has_limited(self, job: Job) -> bool:
-        """Return whether an endpoint for a request has a rate limit.
-
-        :param job: the request.
-        """
-        ready = self._list_ready(job)
-        return bool(self._dependencies.refusals.list_limited(ready))
-
-    def is_ready(self, job: Job, endpoint: EndpointRecord) -> bool:
-        """Return whether an endpoint still accepts a request.
-
-        :param job: the request.
-        :param endpoint: the endpoint.
-        """
-        return any(
-            get_process(other) == get_process(endpoint)
-            for other in self._list_ready(job)
-        )
+        return self.placement.choose_queued(job)
 
     def build_error(self, job: Job) -> LaurelwindError:
         """Build the error of a request for which no endpoint is left.
@@ -127,18 +82,9 @@
         :param job: the request.
         """
         return build_exhausted_error(
-            job, self._estimate_return(job), is_limited=self.has_limited(job)
-        )
-
-    def estimate_wait(self, job: Job) -> float:
-        """Estimate the seconds until a request would start.
-
-        :param job: the request.
-        """
-        ready = self._list_ready(job)
-        return self._dependencies.placement.estimate_wait(
-            ready,
-            build_requirements(job, excluded=self._list_refusing(ready)),
+            job,
+            self.placement.estimate_return(job),
+            is_limited=bool(self.placement.list_limited(job)),
         )
 
     def can_retry(self, job: Job) -> bool:
@@ -199,8 +145,8 @@
         limit = self.limits.find_limit(job)
         if limit is not None:
             return limit
-        other = self._choose_untried(job, endpoint)
-        if other is None or self._is_queue_too_long(job, other):
+        other = self.placement.choose_untried(job, endpoint)
+        if other is None or self.placement.is_queue_too_long(job, other):
             return RetryObstacle.NO_ENDPOINT
         return None
 
@@ -233,83 +179,18 @@
         if not job.events and screen.reject(job.service, job.request.parts):
             raise build_blocked_error(job)
 
-    def _list_ready(self, job: Job) -> Sequence[EndpointRecord]:
-        return self._dependencies.rollouts.filter_endpoints(
-            job.service,
-            job.sticky_key,
-            self._dependencies.directory.list_ready(job.service),
-            allows_target=not job.avoids_target_version,
-        )
-
-    def _list_refusing(self, endpoints: Sequence[EndpointRecord]) -> Set[str]:
-        return self._dependencies.refusals.list_refusing(endpoints)
-
-    def _estimate_return(self, job: Job) -> float:
-        """Return the seconds until the first endpoint accepts requests."""
-        return min(
-            map(self._estimate_acceptance, self._list_ready(job)), default=0
-        )
-
-    def _estimate_acceptance(self, endpoint: EndpointRecord) -> float:
-        return max(
-            self._dependencies.placement.get_remaining_pause(endpoint),
-            self._dependencies.refusals.estimate_wait(endpoint),
-        )
-
-    def _choose_untried(
-        self,
-        job: Job,
-        current: EndpointRecord | None = None,
-        *,
-        avoids_backoff: bool = False,
-    ) -> EndpointRecord | None:
-        if job.attempts >= job.route.max_attempts:
-            return None
-        ready = self._list_ready(job)
-        excluded = job.fallback_endpoints | self._list_refusing(ready)
-        if current is not None:
-            # It may find no permit at an endpoint with a limit.
-            excluded |= self._dependencies.refusals.list_limited(ready)
-            excluded |= {current.name}
-        return self._dependencies.placement.choose(
-            ready,
-            build_requirements(
-                job,
-                excluded=excluded,
-                avoids_backoff=avoids_backoff or current is not None,
-            ),
-        )
-
-    def _choose_fallback(self, job: Job) -> EndpointRecord | None:
-        if job.attempts - job.refusals >= job.route.max_attempts:
-            return None
-        ready = [
-            endpoint
-            for endpoint in self._list_ready(job)
-            if endpoint.name in job.fallback_endpoints
-        ]
-        return self._dependencies.placement.choose(
-            ready,
-            build_requirements(job, excluded=self._list_refusing(ready)),
-        )
-
     def _reserve_return(self, job: Job) -> bool:
         return (
             self.limits.find_limit(job) is None
-            and self._choose_fallback(job) is not None
+            and self.placement.choose_fallback(job) is not None
             and self.limits.reserve(job, 1)
         )
 
-    def _is_queue_too_long(self, job: Job, endpoint: EndpointRecord) -> bool:
-        delay_s = self._dependencies.placement.estimate_queue_delay(endpoint)
-        return delay_s >= job.remaining_s
-
     def _ensure_start_before_deadline(
         self, job: Job, endpoint: EndpointRecord
     ) -> None:
         """Reject a request that would wait in a queue past its deadline."""
-        if job.may_have_run or not self._is_queue_too_long(job, endpoint):
+        placement = self.placement
+        if job.may_have_run or not placement.is_queue_too_long(job, endpoint):
             return
-        raise build_queue_error(
-            self._dependencies.placement.estimate_queue_delay(endpoint)
-        )
+        raise build_queue_error(placement.estimate_queue_delay(endpoint))
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -9,16 +9,14 @@
 from laurelwind.coordination.limits.endpoint_permits import EndpointPermits
 from laurelwind.coordination.part_screen import PartScreen
 from laurelwind.coordination.relay_jobs import Attempt, Job
+from laurelwind.coordination.request_placement import RequestPlacement
 from laurelwind.coordination.retry_limits import RetryLimits
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling.fleet_retry_budget import (
     FleetRetryBudget,
 )
 from laurelwind.coordination.scheduling.placement import Placement
-from laurelwind.coordination.selection import (
-    EndpointSelector,
-    SelectorDependencies,
-)
+from laurelwind.coordination.selection import EndpointSelector
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
@@ -81,17 +79,17 @@
     def __init__(self, *, dependencies: SenderDependencies) -> None:
         self._dependencies = dependencies
         self.selector = EndpointSelector(
-            dependencies=SelectorDependencies(
-                limits=RetryLimits(
-                    lease=dependencies.lease,
-                    retry_budget=dependencies.retry_budget,
-                    screen=dependencies.screen,
-                ),
+            limits=RetryLimits(
+                lease=dependencies.lease,
+                retry_budget=dependencies.retry_budget,
+                screen=dependencies.screen,
+            ),
+            placement=RequestPlacement(
                 directory=dependencies.directory,
                 rollouts=dependencies.rollouts,
                 placement=dependencies.placement,
                 refusals=dependencies.permits.refusals,
-            )
+            ),
         )
         self._chooser = EndpointChooser(
             selector=self.selector,
@@ -208,7 +206,7 @@
         self, job: Job, endpoint: EndpointRecord, dispatch: Dispatch
     ) -> None:
         table = self._dependencies.tracker.table
-        limit = self._dependencies.permits.refusals.find_limit(endpoint)
+        limit = self._dependencies.permits.refusals.find_rate_limit(endpoint)
         self._dependencies.log.log_info(
             'sent',
             request=job.request.request_id,
--- a/laurelwind/state/rate_limits.py
+++ b/laurelwind/state/rate_limits.py
@@ -2,8 +2,8 @@
 
 import enum
 import math
-from collections.abc import Iterator, Sequence
-from typing import Final
+from collections.abc import Iterator, MutableMapping, Sequence, Set
+from typing import Any, Final
 
 from attrs import evolve, frozen
 
@@ -104,9 +104,7 @@
 
         :param names: names of the endpoints that remain.
         """
-        for process in tuple(self._statements):
-            if process[0] not in names:
-                self._statements.pop(process)
+        discard_removed(self._statements, names)
         self._list_names()
 
     def _store(
@@ -167,6 +165,19 @@
     return endpoint.name, endpoint.started_ms
 
 
+def discard_removed(
+    entries: MutableMapping[EndpointProcess, Any], names: Set[str]
+) -> None:
+    """Discard the entries of endpoints that were removed.
+
+    :param entries: entries by endpoint.
+    :param names: names of the endpoints that remain.
+    """
+    for process in tuple(entries):
+        if process[0] not in names:
+            entries.pop(process)
+
+
 def parse_rate_limit(texts: Sequence[str]) -> float | None:
     """Return the lowest limit of some headers, or ``None`` if all are invalid.
 
--- a/tests/emulated_permits.py
+++ b/tests/emulated_permits.py
@@ -121,7 +121,7 @@
         excluded = refusals.list_refusing([endpoint.record])
         if max_wait_s:
             excluded = refusals.list_without_queue([endpoint.record])
-            if refusals.find_limit(endpoint.record) is None:
+            if refusals.find_rate_limit(endpoint.record) is None:
                 excluded = ()
         if excluded:
             return
