--- a/laurelwind/coordination/choosing.py
+++ b/laurelwind/coordination/choosing.py
@@ -118,6 +118,8 @@
         """
         if job.request.session or job.events:
             return None
+        if not self._selector.placement.is_rolling_out(job):
+            return None
         job.avoids_target_version = True
         choice = await self._choose_at_once(job, avoids_backoff=True)
         job.avoids_target_version = choice is not None
--- a/laurelwind/coordination/request_placement.py
+++ b/laurelwind/coordination/request_placement.py
@@ -97,6 +97,13 @@
         limited = self.refusals.list_limited(self._list_ready(job))
         return limited - job.excluded_endpoints
 
+    def is_rolling_out(self, job: Job) -> bool:
+        """Return whether a version of the request's service is rolled out.
+
+        :param job: the request.
+        """
+        return self.rollouts.is_rolling_out(job.service)
+
     def is_ready(self, job: Job, endpoint: EndpointRecord) -> bool:
         """Return whether an endpoint still accepts a request.
 
--- a/laurelwind/coordination/rollouts/registry.py
+++ b/laurelwind/coordination/rollouts/registry.py
@@ -70,6 +70,14 @@
             rollout.is_target_in_use for rollout in self._rollouts.values()
         )
 
+    def is_rolling_out(self, service: str) -> bool:
+        """Return whether a service has a roll-out that is not settled.
+
+        :param service: name of the service.
+        """
+        rollout = self._rollouts.get(service)
+        return rollout is not None and not rollout.is_settled
+
     def record_read(self, age_s: float = 0) -> None:
         """Record a complete read of the statuses and reports.
 
