--- a/tests/test_permit_fleet.py
+++ b/tests/test_permit_fleet.py
@@ -75,7 +75,7 @@
         await anyio.sleep(VIEW_LAG_S / len(daemons))
 
 
-@pytest.mark.parametrize('size', [7, 30])
+@pytest.mark.parametrize('size', SIZES)
 @pytest.mark.parametrize('seed', range(5))
 def test_the_limits_hold_while_holders_are_killed_and_return(
     monkeypatch, size, seed
@@ -101,7 +101,7 @@
     play(monkeypatch, check, size, seed=seed)
 
 
-@pytest.mark.parametrize('size', [7, 30])
+@pytest.mark.parametrize('size', SIZES)
 @pytest.mark.parametrize('seed', range(5))
 def test_a_holder_that_is_cut_or_outdated_excuses_only_itself(
     monkeypatch, size, seed
