Remember more granted asks, and list limited endpoints only as they change

An ask that arrives again, or a permit that is returned, must find its grant: at a limit of 20 a second and waits of 4 s more than the 64 that were kept can be outstanding, and a returned permit was lost then. Answers that state the same limit again no longer list all limited names.

--- a/laurelwind/coordination/limits/permit_holder.py
+++ b/laurelwind/coordination/limits/permit_holder.py
@@ -27,8 +27,9 @@
 MAX_RETRY_S: Final = 5.0
 # Share by which that time varies, so that daemons do not ask at the same time.
 RETRY_JITTER: Final = 0.5
-# Answers that are remembered for asks that arrive again.
-MAX_REMEMBERED: Final = 64
+# Granted asks of an endpoint that are remembered, as they may arrive again or
+# be returned.
+MAX_REMEMBERED: Final = 1024
 
 
 @define(kw_only=True)
--- a/laurelwind/coordination/scheduling/observations.py
+++ b/laurelwind/coordination/scheduling/observations.py
@@ -146,7 +146,7 @@
         now = read_monotonic_clock()
         if state.paused_until <= now:
             state.paused_until = now
-            state.pause_s = min(lasted_s, MAX_RETURN_S)
+            state.pause_s = min(max(lasted_s, 0), MAX_RETURN_S)
 
     def get_remaining_pause(self, endpoint: EndpointRecord) -> float:
         """Return the seconds until an endpoint accepts requests again.
--- a/laurelwind/state/rate_limits.py
+++ b/laurelwind/state/rate_limits.py
@@ -70,11 +70,15 @@
             if statement.rate is None:
                 return None
             self._store(process, statement, limited_at=math.inf)
+            self._list_names()
             return LimitChange.STATED
         if not _is_newer(statement, known):
             return None
         self._store(process, statement, limited_at=known.limited_at)
-        return _find_change(known.rate, statement.rate)
+        change = _find_change(known.rate, statement.rate)
+        if change is not None:
+            self._list_names()
+        return change
 
     def find(self, process: EndpointProcess) -> LimitStatement | None:
         """Return the statement of a limit that is in force, or ``None``.
@@ -124,7 +128,6 @@
         self._statements[process] = evolve(statement, limited_at=limited_at)
         if len(self._statements) > MAX_STATEMENTS:
             self._statements.pop(next(iter(self._statements)))
-        self._list_names()
 
     def _list_names(self) -> None:
         self.limited_names = frozenset(
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -60,8 +60,10 @@
     assert table.apply(E1, build_statement(2, 10)) is LimitChange.STATED
     assert table.apply(E1, build_statement(None, 12, sent_at=9)) is None
     assert table.find(E1).rate == 2
+    assert table.limited_names == {'e1'}
     lifted = build_statement(None, 12, sent_at=11)
     assert table.apply(E1, lifted) is LimitChange.LIFTED
+    assert not table.limited_names
     assert table.find(E1) is None
     # An answer from before, reported late.
     assert table.apply(E1, build_statement(2, 11.5)) is None
@@ -91,6 +93,7 @@
     assert len(list(table.iterate_rates())) == 3
     table.retain({'e4'})
     assert list(table.iterate_rates()) == [2]
+    assert table.limited_names == {'e4'}
 
 
 @given(
