Specify how routing tables survive a store that is restored from a copy

If a table may be replaced by an older one, or offsets are compared across eras, the checker finds a counterexample.

--- a/specification/__main__.py
+++ b/specification/__main__.py
@@ -5,20 +5,35 @@
 
 from specification.claims import Rules, check
 from specification.permits import Timing, check_permits
+from specification.restores import Rules as ReaderRules
+from specification.restores import check_restores
 
 
 def main() -> int:
     """Run the checks and return the exit code."""
-    return max(_check_claims(), _check_permits())
+    verdicts = (
+        _check_claims(),
+        _report(
+            'permits',
+            check_permits(Timing()),
+            check_permits(Timing(takeover=0)),
+        ),
+        _report(
+            'restores',
+            check_restores(ReaderRules()),
+            check_restores(ReaderRules(keep_newest=False)),
+            check_restores(ReaderRules(compare_eras=False)),
+        ),
+    )
+    return max(verdicts)
 
 
-def _check_permits() -> int:
-    full_result = check_permits(Timing())
-    weakened_result = check_permits(Timing(takeover=0))
-    holds = _find_verdict(full_result)
-    is_good = holds and not _find_verdict(weakened_result)
-    states = full_result['reachable_states']
-    sys.stdout.write(f'permits: states={states} holds={holds} good={is_good}\n')
+def _report(name: str, full: dict[str, Any], *weakened: dict[str, Any]) -> int:
+    """Print whether a specification holds, and fails without each rule."""
+    holds = _find_verdict(full)
+    is_good = holds and not any(map(_find_verdict, weakened))
+    states = full['reachable_states']
+    sys.stdout.write(f'{name}: states={states} holds={holds} good={is_good}\n')
     return 0 if is_good else 1
 
 
--- a/specification/claims.py
+++ b/specification/claims.py
@@ -19,11 +19,12 @@
 * ``takeovers``, ``crashes``, ``losses``: faults that may still occur.
 """
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any, Final, NamedTuple
 
 from attrs import frozen
-from minicheck import Protocol, check_safety
+
+from specification.checking import Invariant, check_states
 
 _OWNERS: Final = (0, 1)
 _ENTRIES: Final = (0, 1)
@@ -31,7 +32,6 @@
 _ACTIVE: Final = 'active'
 _WAITING: Final = 'waiting'
 _NONE: Final = -1
-_MAX_STATES: Final = 3_000_000
 
 Record = tuple[Any, ...]
 
@@ -288,43 +288,7 @@
     return state._replace(entries=entries)
 
 
-def build_protocol(rules: Rules, bounds: Bounds) -> Protocol:
-    """Build the protocol for the model checker.
-
-    :param rules: enabled rules.
-    :param bounds: limits on the faults of one execution.
-    """
-    start = State(
-        log=(),
-        owners=tuple(Owner(_IDLE, _NONE, _NONE, 0) for _ in _OWNERS),
-        entries=tuple('new' for _ in _ENTRIES),
-        delayed_append=None,
-        takeovers=bounds.takeovers,
-        crashes=bounds.crashes,
-        losses=bounds.losses,
-    )
-
-    def list_successors(
-        fields: tuple[Any, ...],
-    ) -> list[tuple[str, tuple[Any, ...]]]:
-        return [
-            (label, tuple(successor))
-            for label, successor in list_transitions(State(*fields), rules)
-        ]
-
-    return Protocol(
-        name='claims',
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(start),
-        transitions=list_successors,
-        invariants=_build_invariants(rules),
-    )
-
-
-def _build_invariants(
-    rules: Rules,
-) -> dict[str, Callable[[dict[str, Any]], bool]]:
+def _build_invariants(rules: Rules) -> dict[str, Invariant]:
     def runs_at_most_once(state: dict[str, Any]) -> bool:
         running = [
             entry_state
@@ -352,5 +316,19 @@
     :param rules: enabled rules.
     :param bounds: limits on the faults of one execution, or the defaults.
     """
-    protocol = build_protocol(rules, bounds or Bounds())
-    return dict(check_safety(protocol, max_states=_MAX_STATES))
+    limits = bounds or Bounds()
+    start = State(
+        log=(),
+        owners=tuple(Owner(_IDLE, _NONE, _NONE, 0) for _ in _OWNERS),
+        entries=tuple('new' for _ in _ENTRIES),
+        delayed_append=None,
+        takeovers=limits.takeovers,
+        crashes=limits.crashes,
+        losses=limits.losses,
+    )
+    return check_states(
+        'claims',
+        start,
+        lambda state: list_transitions(state, rules),
+        _build_invariants(rules),
+    )
--- a/specification/permits.py
+++ b/specification/permits.py
@@ -21,13 +21,13 @@
 from typing import Any, Final, NamedTuple
 
 from attrs import frozen
-from minicheck import Protocol, check_safety
+
+from specification.checking import check_states
 
 NOT_HELD: Final = 99
 NOT_OPEN: Final = -1
 TICK_S: Final = 0.25
 _HOLDERS: Final = (0, 1)
-_MAX_STATES: Final = 3_000_000
 
 
 @frozen(kw_only=True)
@@ -151,23 +151,11 @@
         window=NOT_OPEN,
         granted=0,
     )
-
-    def list_successors(
-        fields: tuple[Any, ...],
-    ) -> list[tuple[str, tuple[Any, ...]]]:
-        return [
-            (label, tuple(successor))
-            for label, successor in list_transitions(State(*fields), timing)
-        ]
-
-    protocol = Protocol(
-        name='permits',
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(start),
-        transitions=list_successors,
-        invariants={
+    return check_states(
+        'permits',
+        start,
+        lambda state: list_transitions(state, timing),
+        {
             'the_limit_holds': lambda state: state['granted'] <= timing.allowed,
         },
     )
-    return dict(check_safety(protocol, max_states=_MAX_STATES))
--- a/tests/test_specification.py
+++ b/tests/test_specification.py
@@ -5,6 +5,7 @@
 from laurelwind.coordination.limits.endpoint_permits import PERMIT_TTL_S
 from laurelwind.coordination.limits.permit_holder import TAKEOVER_S
 from laurelwind.state.permit_schedule import BURST_S
+from specification import restores
 from specification.claims import Bounds, Rules, check
 from specification.permits import TICK_S, Timing, check_permits
 
@@ -55,3 +56,24 @@
     assert timing.burst * TICK_S == BURST_S
     window_s = 4 + PERMIT_TTL_S
     assert timing.window * TICK_S == window_s
+
+
+def test_tables_survive_a_store_that_is_restored_twice():
+    result = restores.check_restores(restores.Rules())
+    assert result['exhaustive']
+    assert all(checked['holds'] for checked in result['properties'].values())
+
+
+@pytest.mark.parametrize(
+    ('rules', 'broken'),
+    [
+        (restores.Rules(keep_newest=False), 'no_table_goes_back'),
+        (
+            restores.Rules(compare_eras=False),
+            'who_has_read_all_has_the_newest',
+        ),
+    ],
+)
+def test_a_restore_breaks_readers_without_a_rule(rules, broken):
+    properties = restores.check_restores(rules)['properties']
+    assert not properties[broken]['holds']
