--- a/tests/emulated_permits.py
+++ b/tests/emulated_permits.py
@@ -114,16 +114,19 @@
             endpoint = random.choice(endpoints)
             group.start_soon(self._send, endpoint, max_wait_s)
 
-    async def _send(self, endpoint, max_wait_s):
+    def _may_ask(self, endpoint, max_wait_s):
         refusals = self.permits.refusals
-        if not self.is_running:
-            return
-        excluded = refusals.list_refusing([endpoint.record])
-        if max_wait_s:
-            excluded = refusals.list_without_queue([endpoint.record])
-            if refusals.find_rate_limit(endpoint.record) is None:
-                excluded = ()
-        if excluded:
+        if refusals.find_rate_limit(endpoint.record) is None:
+            return True
+        list_refusing = (
+            refusals.list_without_queue
+            if max_wait_s
+            else refusals.list_refusing
+        )
+        return not list_refusing([endpoint.record])
+
+    async def _send(self, endpoint, max_wait_s):
+        if not self.is_running or not self._may_ask(endpoint, max_wait_s):
             return
         permit = await self.permits.acquire('r1', endpoint.record, max_wait_s)
         if permit is None:
