--- a/laurelwind/coordination/limits/endpoint_permits.py
+++ b/laurelwind/coordination/limits/endpoint_permits.py
@@ -49,7 +49,7 @@
     :param log: decision log.
     :param clock: monotonic clock, in seconds.
     :ivar limits: the rate limits that endpoints state.
-    :ivar refusals: tells which endpoints are worth an ask.
+    :ivar refusals: refused permits; their endpoints are left out for a while.
     """
 
     def __init__(
--- a/laurelwind/coordination/limits/permit_refusals.py
+++ b/laurelwind/coordination/limits/permit_refusals.py
@@ -39,7 +39,7 @@
 
 
 class PermitRefusals:
-    """Tells which endpoints with a limit are worth an ask.
+    """Finds the endpoints with a limit that may have a permit.
 
     :param table: the limits of the endpoints.
     :param clock: monotonic clock, in seconds.
--- a/laurelwind/coordination/request_placement.py
+++ b/laurelwind/coordination/request_placement.py
@@ -20,7 +20,7 @@
     :ivar directory: registered endpoints.
     :ivar rollouts: selects the version for each request.
     :ivar placement: selects endpoints.
-    :ivar refusals: tells which endpoints with a rate limit have permits.
+    :ivar refusals: finds endpoints with a rate limit that have no permit.
     """
 
     directory: EndpointDirectory
--- a/laurelwind/coordination/selection.py
+++ b/laurelwind/coordination/selection.py
@@ -1,4 +1,4 @@
-"""Selects the endpoint of each attempt, and tells what rules one out."""
+"""Selects the endpoint of each attempt, and finds what rules one out."""
 
 from laurelwind.coordination.relay_jobs import Job
 from laurelwind.coordination.request_placement import RequestPlacement
--- a/laurelwind/protocol/permits.py
+++ b/laurelwind/protocol/permits.py
@@ -1,6 +1,6 @@
 """Encoding of permits for endpoints with a rate limit.
 
-A datagram is an object with one field, which tells its kind. Moments are
+A datagram is an object with one field, which names its kind. Moments are
 encoded as ages in milliseconds, since daemons share no clock.
 """
 
