Add a review case: releases of replicas use up a daemon's descriptors

review/3/run.sh: each replica that leaves is followed by 32 open descriptors of the daemon; after 148 replacements the daemon answers no more.

--- a/review/harness.py
+++ b/review/harness.py
@@ -10,6 +10,7 @@
 import os
 import random
 import re
+import resource
 import signal
 import socket
 import sys
@@ -27,6 +28,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HEARTBEAT_S = 1.2
+# A replica serves for `drain_ms` after it reported `draining`, and a little
+# longer.
+LINGER_S = 2.5
 READY_TIMEOUT_S = 30.0
 CASE_TIMEOUT_S = 112.0
 HOST = 'shop.example'
@@ -129,13 +133,22 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self._answer = answer
+        self._server: asyncio.Server | None = None
+        self._channels: set[Channel] = set()
 
     async def start(self) -> None:
         """Listen on a free port."""
-        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        port = server.sockets[0].getsockname()[1]
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
 
+    def stop(self) -> None:
+        """Stop listening, and close all channels."""
+        if self._server is not None:
+            self._server.close()
+        for channel in tuple(self._channels):
+            channel.close()
+
     def build_entry(self) -> dict:
         """Build the next entry for the store."""
         self.sequence += 1
@@ -199,6 +212,7 @@
     deadline_ms: int = 10000,
     body: bytes = b'',
     headers: Mapping[str, str] | None = None,
+    patience_s: float | None = None,
 ) -> Outcome:
     """Send one request on a new channel, and wait for its answer."""
     sent = _encode_request(
@@ -215,7 +229,7 @@
     with contextlib.suppress(
         OSError, TimeoutError, asyncio.IncompleteReadError
     ):
-        async with asyncio.timeout(deadline_ms / 1000 + 1):
+        async with asyncio.timeout(patience_s or deadline_ms / 1000 + 1):
             await _exchange(address, outcome, sent)
     return outcome
 
@@ -278,8 +292,17 @@
 class Daemon:
     """One daemon, started with the command of the deploy file."""
 
-    def __init__(self, *, name: str, zone: str, ip: str, store: str) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        zone: str,
+        ip: str,
+        store: str,
+        max_fds: int | None = None,
+    ) -> None:
         self.name = name
+        self._max_fds = max_fds
         self.zone = zone
         self.ip = ip
         self.front = f'{ip}:8227'
@@ -315,13 +338,25 @@
                 stdout=log,
                 stderr=log,
                 env={**os.environ, 'LAURELWIND_CONFIG': str(settings)},
+                preexec_fn=self._limit_descriptors,
             )
 
+    def _limit_descriptors(self) -> None:
+        if self._max_fds is not None:
+            limit = (self._max_fds, self._max_fds)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limit)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process is running."""
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    def count_descriptors(self) -> int:
+        """Count the open descriptors of the process, for the record."""
+        if self.process is None:
+            return 0
+        return len(list(Path(f'/proc/{self.process.pid}/fd').iterdir()))
+
     async def kill(self) -> None:
         """End the process."""
         self.signal(signal.SIGKILL)
@@ -375,14 +410,15 @@
         """Write a configuration as the operator."""
         self.store.put('keyed.op', 'config', document)
 
-    async def add_daemon(self, zone: str) -> Daemon:
-        """Start a daemon."""
+    async def add_daemon(self, zone: str, max_fds: int | None = None) -> Daemon:
+        """Start a daemon, with a limit of its descriptors."""
         number = len(self.daemons)
         daemon = Daemon(
             name=f'edge-{zone}-{number}',
             zone=zone,
             ip=f'{self._network}.{100 + number}',
             store=self.store_address,
+            max_fds=max_fds,
         )
         self.daemons.append(daemon)
         await daemon.start(self.folder)
@@ -395,6 +431,16 @@
                 while not await daemon.is_ready():
                     await asyncio.sleep(0.1)
 
+    async def replace_replica(self, old: Replica, new: Replica) -> None:
+        """Start a replica; another one drains and then exits."""
+        await self.add_replica(new)
+        old.state = 'draining'
+        self.beat(old)
+        await asyncio.sleep(LINGER_S)
+        self.replicas.remove(old)
+        self.store.put('keyed.servers', old.name, None)
+        old.stop()
+
     async def run_heartbeats(self) -> None:
         """Renew the entries of the replicas."""
         while True:
