--- a/review/harness.py
+++ b/review/harness.py
@@ -13,6 +13,7 @@
 import resource
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -36,6 +37,8 @@
 HOST = 'shop.example'
 KEY = 'key-of-the-shop'
 TENANT = 'shop'
+# A linger time of zero makes closing a socket reset its channel.
+_ZERO_LINGER = struct.pack('ii', 1, 0)
 _END_OF_HEAD = b'\r\n\r\n'
 _PLACEHOLDER = re.compile(r'{{([\w.]+)(\|json)?}}')
 # The bounds of both sheets.
@@ -53,10 +56,13 @@
 
 
 class Record:
-    """Writes what was sent, run and answered to ``record.txt``."""
+    """Writes what was sent, run and answered.
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / 'record.txt').open('w')
+    :param path: file to write, ``record.txt`` in the folder of a case.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self._file = path.open('w')
         self._started_at = time.monotonic()
 
     def write(self, text: str) -> None:
@@ -111,6 +117,8 @@
 
     def reset(self) -> None:
         """Reset the channel."""
+        raw = self._writer.get_extra_info('socket')
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ZERO_LINGER)
         self._writer.transport.abort()
 
 
@@ -260,7 +268,7 @@
                 reader, outcome, int(outcome.headers['content-length'])
             )
         else:
-            while size := int(await reader.readline(), 16):
+            while size := await _read_chunk_size(reader):
                 await _read_exactly(reader, outcome, size)
                 await reader.readline()
         outcome.is_complete = True
@@ -268,6 +276,13 @@
         writer.close()
 
 
+async def _read_chunk_size(reader: asyncio.StreamReader) -> int:
+    line = await reader.readline()
+    if not line:
+        raise asyncio.IncompleteReadError(b'', None)
+    return int(line, 16)
+
+
 async def _read_exactly(
     reader: asyncio.StreamReader, outcome: Outcome, size: int
 ) -> None:
@@ -468,11 +483,9 @@
                 group.cancel_scope.cancel()
 
 
-def run_case(
-    script: str, play: Callable[[Record, bool], Awaitable[bool]]
-) -> None:
+def run_case(play: Callable[[Record, bool], Awaitable[bool]]) -> None:
     """Run a case, and exit with 0 (held), 1 (broken) or 2 (could not run)."""
-    record = Record(Path(script).resolve().parent)
+    record = Record(Path(os.environ['RECORD']))
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record.write(f'trouble: {has_trouble}')
 
