--- a/review/harness.py
+++ b/review/harness.py
@@ -34,6 +34,10 @@
 LINGER_S = 2.5
 READY_TIMEOUT_S = 30.0
 CASE_TIMEOUT_S = 112.0
+# Last octet of the first daemon, the most daemons, and the ports of each.
+FIRST_HOST = 100
+MAX_DAEMONS = 3
+PORTS = (8227, 8220, 8224, 7355, 9464)
 HOST = 'shop.example'
 KEY = 'key-of-the-shop'
 TENANT = 'shop'
@@ -361,6 +365,11 @@
             limit = (self._max_fds, self._max_fds)
             resource.setrlimit(resource.RLIMIT_NOFILE, limit)
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the process has ended."""
+        return self.process is not None and self.process.returncode is not None
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process is running."""
         if self.process is not None and self.process.returncode is None:
@@ -399,6 +408,15 @@
         return json.dumps(found) if match[2] else str(found)
 
 
+_started: list[Daemon] = []
+
+
+def _end_at_signal(_number: int, _frame: object) -> None:
+    for daemon in _started:
+        daemon.signal(signal.SIGKILL)
+    os._exit(NOT_RUN)
+
+
 class Deployment:
     """A store, replicas and daemons of a small deployment."""
 
@@ -431,11 +449,12 @@
         daemon = Daemon(
             name=f'edge-{zone}-{number}',
             zone=zone,
-            ip=f'{self._network}.{100 + number}',
+            ip=f'{self._network}.{FIRST_HOST + number}',
             store=self.store_address,
             max_fds=max_fds,
         )
         self.daemons.append(daemon)
+        _started.append(daemon)
         await daemon.start(self.folder)
         return daemon
 
@@ -485,18 +504,19 @@
 
 def run_case(play: Callable[[Record, bool], Awaitable[bool]]) -> None:
     """Run a case, and exit with 0 (held), 1 (broken) or 2 (could not run)."""
-    record = Record(Path(os.environ['RECORD']))
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
-    record.write(f'trouble: {has_trouble}')
+    signal.signal(signal.SIGTERM, _end_at_signal)
+    try:
+        record = Record(Path(os.environ['RECORD']))
+        has_trouble = os.environ.get('TROUBLE', '1') != '0'
+        record.write(f'trouble: {has_trouble}')
 
-    async def run() -> bool:
-        async with asyncio.timeout(CASE_TIMEOUT_S):
-            return await play(record, has_trouble)
+        async def run() -> bool:
+            async with asyncio.timeout(CASE_TIMEOUT_S):
+                return await play(record, has_trouble)
 
-    try:
         is_broken = anyio.run(run)
     except Exception as error:
-        record.write(f'the case could not run: {error!r}')
+        sys.stderr.write(f'the case could not run: {error!r}\n')
         sys.exit(NOT_RUN)
     record.write('the rule was broken' if is_broken else 'the rule held')
     sys.exit(BROKEN if is_broken else HELD)
@@ -508,6 +528,22 @@
         network = '127.{}.{}'.format(
             *(random.SystemRandom().randrange(1, 250) for _ in range(2))
         )
-        with contextlib.suppress(OSError), socket.socket() as probe:
-            probe.bind((f'{network}.100', 8227))
+        if all(
+            _is_free(f'{network}.{FIRST_HOST + number}', port)
+            for number in range(MAX_DAEMONS)
+            for port in PORTS
+        ):
             return network
+
+
+def _is_free(ip: str, port: int) -> bool:
+    """Return whether a port is free for TCP and UDP."""
+    with (
+        contextlib.suppress(OSError),
+        socket.socket() as stream,
+        socket.socket(type=socket.SOCK_DGRAM) as datagram,
+    ):
+        stream.bind((ip, port))
+        datagram.bind((ip, port))
+        return True
+    return False
