--- /dev/null
+++ b/laurelwind/coordination/load/__init__.py
@@ -0,0 +1,1 @@
+"""Forecasts of when endpoints would serve a request."""
--- a/tests/test_ended_runs.py
+++ b/tests/test_ended_runs.py
@@ -20,6 +20,23 @@
     return found
 
 
+def describe_state(folder, output):
+    """Describe what is left of a run, and what the run printed last."""
+    lines = [f'processes left: {list_processes(folder)}']
+    lines.extend(output.read_text(errors='replace').splitlines()[-40:])
+    return '\n'.join(lines)
+
+
+def list_processes(folder):
+    return [
+        (
+            pid,
+            Path(f'/proc/{pid}/cmdline').read_bytes().decode(errors='replace'),
+        )
+        for pid in list_daemons(folder)
+    ]
+
+
 def wait_until(condition):
     ends_at = time.monotonic() + WAIT_S
     while not condition() and time.monotonic() < ends_at:
@@ -31,17 +48,26 @@
 # were given.
 def test_an_ended_test_run_leaves_no_daemons(tmp_path):
     folder = tmp_path / 'ended'
-    run = subprocess.Popen(
-        [
-            *(sys.executable, '-m', 'pytest', 'tests/test_fault_soak.py'),
-            *('-k', 'operations-1', '--basetemp', str(folder)),
-        ],
-        stdout=subprocess.DEVNULL,
-    )
+    output = tmp_path / 'output.txt'
+    with output.open('wb') as stream:
+        run = subprocess.Popen(
+            [
+                *(sys.executable, '-m', 'pytest', 'tests/test_fault_soak.py'),
+                *('-k', 'operations-1', '--basetemp', str(folder)),
+            ],
+            stdout=stream,
+            stderr=subprocess.STDOUT,
+        )
     try:
-        assert wait_until(lambda: len(list_daemons(folder)) > 1)
+        assert wait_until(lambda: len(list_daemons(folder)) > 1), (
+            describe_state(folder, output)
+        )
         run.send_signal(signal.SIGTERM)
-        run.wait(WAIT_S)
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            run.wait(WAIT_S)
+        assert run.poll() is not None, describe_state(folder, output)
     finally:
         run.kill()
-    assert wait_until(lambda: not list_daemons(folder))
+    assert wait_until(lambda: not list_daemons(folder)), describe_state(
+        folder, output
+    )
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -8,6 +8,21 @@
 from soak.scenarios import SCENARIOS
 
 
+def print_outcome(row, violations, outcomes, faults):
+    """Print what pytest shows of a failed test, one violation per line.
+
+    An assertion alone is cut after a few lines, and a seed need not break the
+    same guarantee when it is played again.
+    """
+    print(f'scenario {row.scenario}, seed {row.seed}, {row.seconds} s')
+    for violation in violations:
+        print('violation:', violation)
+    for name, count in sorted(outcomes.items()):
+        print('outcome:', name, count)
+    for fault in faults:
+        print('fault:', fault)
+
+
 @pytest.mark.parametrize(
     'row', SEEDS, ids=[f'{row.scenario}-{row.seed}' for row in SEEDS]
 )
@@ -15,7 +30,8 @@
     violations, outcomes, faults = anyio.run(
         run_seed, row.seed, row.seconds, tmp_path, SCENARIOS[row.scenario]
     )
-    assert not violations, (violations, faults)
+    print_outcome(row, violations, outcomes, faults)
+    assert not violations, violations
     assert faults
     served = sum(
         count for name, count in outcomes.items() if name.endswith(' 200')
