Read the body of a request that offers an upgrade by its declared framing

Cause: httptools skips the body of a request that offers an upgrade, and uvicorn served the request with an empty body and parsed the body as the next request. CONNECT with a path was served the same way. A caller that got a final answer instead of 100 Continue could leave out its body, and its next request was read as the body. Bytes behind a request in progress got a 400 that was read as the answer to it, trailers became headers, and a 101 from an endpoint raised an error that was not caught. Change: request_framing.py continues with a second parser that knows only the framing headers, refuses CONNECT, and closes a connection after the answers that are due once its input cannot be parsed. connection_reuse.py holds the decision whether a connection may be used again, for callers and endpoints.

--- a/laurelwind/transport/connection.py
+++ b/laurelwind/transport/connection.py
@@ -24,6 +24,7 @@
 from laurelwind.protocol.exchanges import HeaderPairs
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.state.timers import is_timer_late
+from laurelwind.transport.connection_reuse import MessageProgress, may_reuse
 from laurelwind.transport.incoming_answers import (
     IncomingAnswer,
     parse_idle_timeout,
@@ -95,9 +96,15 @@
     @property
     def is_reusable(self) -> bool:
         """Whether the connection can carry another request."""
-        if self.is_closed or self._is_out_of_sync or self._must_close:
+        if self.is_closed or not self._answers:
             return False
-        return len(self._answers) == 1 and self._answers[0].is_ended
+        return may_reuse(
+            MessageProgress(
+                is_complete=self._answers[0].is_ended,
+                has_surplus=self._is_out_of_sync or len(self._answers) > 1,
+                must_close=self._must_close,
+            )
+        )
 
     @property
     def idle_timeout_s(self) -> float | None:
@@ -259,7 +266,11 @@
         self._overhead_bytes += len(received)
         try:
             self._parser.feed_data(received)
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            # No request asks for an upgrade, so that 101 is no valid answer.
             self._is_out_of_sync = True
             if self._answers and self._answers[0].is_ended:
                 return
--- a/laurelwind/transport/timed_protocol.py
+++ b/laurelwind/transport/timed_protocol.py
@@ -6,7 +6,8 @@
 from typing import Any, Final
 
 from attrs import frozen
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from laurelwind.transport.request_framing import FramedProtocol
 
 HEADER_TIMEOUT_S: Final = 10.0
 IDLE_TIMEOUT_S: Final = 60
@@ -60,7 +61,7 @@
     return ConnectionPolicy(read_limits=lambda: limits)
 
 
-class TimedProtocol(HttpToolsProtocol):
+class TimedProtocol(FramedProtocol):
     """Limits the time of a request's head, and of a connection without one.
 
     A limit that is raised holds for waits that have begun already. One that is
