End test runs that were started in the background

Cause: SIGTERM raises SIGINT in a test run, and a shell without job control starts background processes with SIGINT ignored, so that nothing was cancelled. Load, and a cancellation that is lost in a subprocess or a time-out, were ruled out: with SIGINT ignored, 6 of 6 runs did not end, and the stack showed the soak at work. Change: the test run restores the handler of SIGINT. Result: pytest tests/test_ended_runs.py: [background] failed before and both pass now.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,7 +10,12 @@
 
 
 def pytest_configure():
-    """Let SIGTERM interrupt the run, so that it ends what it has started."""
+    """Let SIGTERM interrupt the run, so that it ends what it has started.
+
+    A shell without job control starts background processes with SIGINT ignored,
+    which would make the interrupt below have no effect.
+    """
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     signal.signal(signal.SIGTERM, interrupt)
 
 
--- a/tests/test_ended_runs.py
+++ b/tests/test_ended_runs.py
@@ -7,6 +7,8 @@
 import time
 from pathlib import Path
 
+import pytest
+
 WAIT_S = 30.0
 
 
@@ -45,13 +47,20 @@
 
 
 # Daemons of a run that was ended went on, and called addresses which later runs
-# were given.
-def test_an_ended_test_run_leaves_no_daemons(tmp_path):
+# were given. A run that a shell started in the background, with SIGINT ignored,
+# did not end at all.
+@pytest.mark.parametrize(
+    'launcher',
+    [(), ('sh', '-c', 'trap "" INT; exec "$@"', 'sh')],
+    ids=['foreground', 'background'],
+)
+def test_an_ended_test_run_leaves_no_daemons(tmp_path, launcher):
     folder = tmp_path / 'ended'
     output = tmp_path / 'output.txt'
     with output.open('wb') as stream:
         run = subprocess.Popen(
             [
+                *launcher,
                 *(sys.executable, '-m', 'pytest', 'tests/test_fault_soak.py'),
                 *('-k', 'operations-1', '--basetemp', str(folder)),
             ],
