Check every second run of a request in one place

Cause: Delivery._check_confidence looked at the attempts and the retry budget, but not at whether the request may run again, and Relay sent it once more after LowConfidenceError without the check that it makes for failures. Each way to a second attempt had a check of its own, or none. Change: second_runs.py holds the check, by the route's kind and by what the attempts proved. Job.may_have_run follows from the attempts that no refusal has disproved; it was set by hand in four places. Selection, delivery and sending ask the check, and Sender.send asks it before each choice of an endpoint, so that a way without a check sends nothing. A route that may run once gets the largest model at once. Tests: test_model_planning.py planned two models for a stream that may not be resumed; the two tests now use a resumable route, and a third one states what the other gets.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -158,12 +158,13 @@
         self.record_answer(job, attempt, failed=is_server_error)
         if is_server_error:
             self._dependencies.placement.record_server_error(attempt.endpoint)
-        if is_server_error and job.route.is_repeatable:
-            job.may_have_run = True
+        selector = self._dependencies.selector
+        if is_server_error and selector.can_retry(job):
             job.excluded_endpoints.add(attempt.endpoint.name)
-            if self._dependencies.selector.reserve_retry(job):
+            if selector.reserve_retry(job):
                 job.saved_failure = BufferedAnswer(head=head, body=body)
                 return False
+        job.has_begun = True
         if len(body) < MAX_BUFFERED_BYTES:
             await answer.begin(head.status, head.headers, len(body))
             await answer.finish(body)
@@ -192,6 +193,7 @@
             if not events:
                 continue
             self._record_events(job, attempt, len(events))
+            job.has_begun = True
             if not answer.has_begun:
                 await answer.begin(head.status, head.headers, None)
             await answer.send(b''.join(event.raw for event in events))
--- a/laurelwind/coordination/model_planning.py
+++ b/laurelwind/coordination/model_planning.py
@@ -27,7 +27,9 @@
         """
         if not route.models:
             return ()
-        if route.max_attempts < 2 or len(route.models) == 1:
+        # An answer of a smaller model could not be escalated.
+        can_escalate = route.is_repeatable and route.max_attempts > 1
+        if not can_escalate or len(route.models) == 1:
             return (route.models[-1],)
         return (route.models[0], route.models[-1])
 
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -192,9 +192,10 @@
                     return
             except EndpointError as error:
                 self._record_failure(job, attempt, error)
-                self._ensure_retry_possible(job, error, answer)
+                self._dependencies.sender.selector.ensure_retry_allowed(
+                    job, error
+                )
             except LowConfidenceError:
-                job.may_have_run = True
                 job.model_index += 1
             finally:
                 self._dependencies.placement.record_ended(attempt.endpoint)
@@ -225,7 +226,6 @@
         obstacle = None
         backoff_s: float = 0
         if error.run is not RunState.NOT_RUN:
-            job.may_have_run = True
             dependencies.reporter.report_failed(job, attempt, error)
             obstacle = dependencies.sender.selector.find_obstacle(
                 job, attempt.endpoint
@@ -263,13 +263,3 @@
             paused_s=backoff_s,
             elapsed_ms=job.elapsed_ms,
         )
-
-    def _ensure_retry_possible(
-        self, job: Job, error: EndpointError, answer: CallerAnswer
-    ) -> None:
-        if error.run is not RunState.NOT_RUN and not job.route.is_repeatable:
-            raise error
-        # A caller's own Last-Event-Id does not tell what this answer holds.
-        if answer.has_begun and not (job.events and job.last_event_id):
-            raise error
-        self._dependencies.sender.selector.ensure_retry_allowed(job, error)
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -54,7 +54,6 @@
     :ivar models: models to try in order; empty if the caller names one.
     :ivar model_index: index in ``models`` of the current model.
     :ivar attempts: number of endpoints that the request was sent to.
-    :ivar may_have_run: whether an endpoint may have run the request.
     :ivar excluded_endpoints: names of endpoints that failed the request.
     :ivar fallback_endpoints: names of endpoints that fell silent, or broke off
         a begun answer; they are used again if no other one is left.
@@ -68,6 +67,7 @@
     :ivar reserved_retries: retries of the budget that are held for the request.
     :ivar saved_failure: complete failure answer of an endpoint, delivered if
         every later attempt fails as well.
+    :ivar has_begun: whether an answer to the caller has begun.
     :ivar last_event_id: id of the last stream event that the caller has, or an
         empty string if that event has none.
     :ivar events: number of events delivered.
@@ -85,7 +85,6 @@
     models: Sequence[RouteModel] = ()
     model_index: int = 0
     attempts: int = 0
-    may_have_run: bool = False
     excluded_endpoints: set[str] = field(factory=set)
     fallback_endpoints: set[str] = field(factory=set)
     refusals: int = 0
@@ -94,6 +93,7 @@
     avoids_target_version: bool = False
     reserved_retries: int = 0
     saved_failure: BufferedAnswer | None = None
+    has_begun: bool = False
     last_event_id: str = ''
     events: int = 0
     first_event_at: float = 0
@@ -122,6 +122,11 @@
             return None
         return round((self.first_event_at - self.arrived_at) * _MS_PER_S)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may run the request, or have run it."""
+        return self.attempts > self.refusals
+
     @property
     def model(self) -> RouteModel | None:
         """Current model, or ``None`` if the route plans none."""
--- a/laurelwind/coordination/retry_limits.py
+++ b/laurelwind/coordination/retry_limits.py
@@ -29,6 +29,7 @@
 
     NOT_REPEATABLE = 'not_repeatable'
     NO_EVENT_ID = 'no_event_id'
+    ANSWER_BEGUN = 'answer_begun'
     ATTEMPTS = 'attempts'
     DEADLINE = 'deadline'
     RETRY_BUDGET = 'retry_budget'
--- a/laurelwind/coordination/selection.py
+++ b/laurelwind/coordination/selection.py
@@ -9,6 +9,7 @@
     RetryLimits,
     RetryObstacle,
 )
+from laurelwind.coordination.second_runs import find_run_obstacle
 from laurelwind.coordination.selection_errors import (
     build_blocked_error,
     build_exhausted_error,
@@ -95,7 +96,8 @@
         :param job: the request.
         """
         return (
-            job.attempts < job.route.max_attempts
+            find_run_obstacle(job) is None
+            and job.attempts < job.route.max_attempts
             and self.limits.find_limit(job) is None
         )
 
@@ -126,6 +128,7 @@
         """
         return (
             bool(job.events)
+            and find_run_obstacle(job) is None
             and job.attempts - job.refusals < job.route.max_attempts
             and job.remaining_s >= MIN_REMAINING_S
         )
@@ -138,10 +141,9 @@
         :param job: the request.
         :param endpoint: the endpoint that the request is at.
         """
-        if not job.route.is_repeatable:
-            return RetryObstacle.NOT_REPEATABLE
-        if job.events and not job.last_event_id:
-            return RetryObstacle.NO_EVENT_ID
+        obstacle = find_run_obstacle(job)
+        if obstacle is not None:
+            return obstacle
         if job.attempts >= job.route.max_attempts:
             return RetryObstacle.ATTEMPTS
         limit = self.limits.find_limit(job)
@@ -159,6 +161,8 @@
         :param error: failure of the last attempt.
         :raises LaurelwindError: if no further attempt is allowed.
         """
+        if find_run_obstacle(job) is not None:
+            raise error
         if self.reserve_retry(job) or self._reserve_return(job):
             return
         if self.can_wait(job):
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -16,6 +16,7 @@
     FleetRetryBudget,
 )
 from laurelwind.coordination.scheduling.placement import Placement
+from laurelwind.coordination.second_runs import ensure_may_run
 from laurelwind.coordination.selection import EndpointSelector
 from laurelwind.coordination.suspects.screen import SuspectScreen
 from laurelwind.coordination.tracker import Tracker
@@ -110,6 +111,7 @@
             not be retried.
         """
         while True:
+            ensure_may_run(job)
             choice = await self._chooser.choose(job)
             try:
                 return await self._send_to_endpoint(job, choice)
@@ -207,9 +209,6 @@
             if is_retry:
                 self.selector.limits.hold_retry(job)
             return
-        job.may_have_run = True
-        if not job.route.is_repeatable:
-            raise error
         self.selector.ensure_retry_allowed(job, error)
 
     def _log_sent(
--- a/tests/test_model_planning.py
+++ b/tests/test_model_planning.py
@@ -41,16 +41,30 @@
 def test_only_the_smallest_and_the_largest_model_are_planned():
     medium = RouteModel(name='medium', cost=0.1)
     planned = ModelPlanner().plan(
-        build_route('r', RequestKind.STREAMING, models=(SMALL, medium, LARGE))
+        build_route(
+            'r',
+            RequestKind.STREAMING,
+            is_resumable=True,
+            models=(SMALL, medium, LARGE),
+        )
     )
     assert planned == (SMALL, LARGE)
 
 
+def test_a_route_that_may_run_once_gets_the_largest_model():
+    """Its answer of low confidence was dropped, and the request ran again."""
+    planned = ModelPlanner().plan(
+        build_route('r', RequestKind.STREAMING, models=(SMALL, LARGE))
+    )
+    assert planned == (LARGE,)
+
+
 def test_a_route_with_one_attempt_gets_the_largest_model():
     planned = ModelPlanner().plan(
         build_route(
             'r',
             RequestKind.STREAMING,
+            is_resumable=True,
             models=(SMALL, LARGE),
             max_attempts=1,
         )
