Kill the daemons that a failed test of ended runs leaves

Cause: the daemons of the inner run went on after a failed test, at 3% of a core each. Change: the test kills them at its end.

--- a/tests/test_ended_runs.py
+++ b/tests/test_ended_runs.py
@@ -1,6 +1,7 @@
 """What a test run that is ended leaves behind."""
 
 import contextlib
+import os
 import signal
 import subprocess
 import sys
@@ -75,8 +76,10 @@
         with contextlib.suppress(subprocess.TimeoutExpired):
             run.wait(WAIT_S)
         assert run.poll() is not None, describe_state(folder, output)
+        assert wait_until(lambda: not list_daemons(folder)), describe_state(
+            folder, output
+        )
     finally:
         run.kill()
-    assert wait_until(lambda: not list_daemons(folder)), describe_state(
-        folder, output
-    )
+        for pid in list_daemons(folder):
+            os.kill(int(pid), signal.SIGKILL)
