Keep the fleet's bound on requests to cold endpoints

A crashed endpoint that is back before its entry is read looks like the least loaded one to every daemon at once: up to 28 requests in a second reach it where 23 are allowed.

An endpoint whose connections break, or refuse to open, now counts as restarted until there is proof to the contrary, and from its next answer on as cold for `cold_start_s`. The same holds for what entries state in `cold_remaining_ms`. Daemons tell each other by datagram. While an endpoint is cold, each request to it needs a permit of one holder; its key does not hold the start time, so that daemons with the old and the new entry ask the same one. Daemons without a holder deal out a second rate by rendezvous hashing, and only use it where no other endpoint is left. A request asks at most one cold endpoint at once before others take it.

An answer to a request that was sent before the failure, a survival that another daemon saw, or a later entry ends the suspicion, so that a lost connection does not take a healthy endpoint from callers. Off without `bounds.cold_overage`, or where the service has no cold time and rate.

--- a/laurelwind/coordination/choosing.py
+++ b/laurelwind/coordination/choosing.py
@@ -109,6 +109,7 @@
             )
             if permit is not None:
                 return Choice(endpoint=endpoint, permit=permit)
+            job.avoids_cold = True
         return None
 
     async def _choose_old_version(self, job: Job) -> Choice | None:
--- /dev/null
+++ b/laurelwind/coordination/cold/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints that take few requests while they warm up."""
--- a/laurelwind/coordination/endpoint_notices.py
+++ b/laurelwind/coordination/endpoint_notices.py
@@ -47,6 +47,8 @@
         if head.status != HTTPStatus.MISDIRECTED_REQUEST:
             # Another endpoint may have answered at this address.
             self.limits.record_answer(attempt, head.rate_limits)
+            if self.limits.cold is not None:
+                self.limits.cold.record_answer(endpoint, attempt.sent_at)
         if head.load is not None:
             self.placement.record_report(endpoint, head.load)
         if head.is_leaving:
--- a/laurelwind/coordination/endpoint_tracking.py
+++ b/laurelwind/coordination/endpoint_tracking.py
@@ -126,12 +126,15 @@
         self._next_offset = batch.next_offset
         grace_until = self._compute_lapse_deadline()
         previous_changes = directory.changes
+        # What is new was written after the last complete read.
+        max_age_s = self._dependencies.clock() - self._complete_at
         for record in batch.records:
             directory.apply(
                 record.key,
                 self._decode_endpoint(record),
                 offset=record.offset,
                 grace_until=grace_until,
+                max_age_s=max_age_s,
             )
         if is_snapshot:
             directory.retain(
--- a/laurelwind/coordination/limits/endpoint_limits.py
+++ b/laurelwind/coordination/limits/endpoint_limits.py
@@ -4,8 +4,10 @@
 
 from attrs import frozen
 
+from laurelwind.coordination.cold.endpoints import ColdEndpoints
 from laurelwind.coordination.relay_attempts import Attempt
 from laurelwind.decisions import DecisionLog
+from laurelwind.state.cold_endpoints import ColdStatement
 from laurelwind.state.rate_limits import (
     EndpointProcess,
     LimitChange,
@@ -34,11 +36,16 @@
     """Applies what answers state about rate limits.
 
     :param log: decision log.
+    :param cold: the cold endpoints, or ``None`` if there are never any.
     :ivar table: the newest statement of each endpoint.
+    :ivar cold: the cold endpoints, or ``None``.
     """
 
-    def __init__(self, *, log: DecisionLog) -> None:
-        self.table = RateLimits()
+    def __init__(
+        self, *, log: DecisionLog, cold: ColdEndpoints | None = None
+    ) -> None:
+        self.table = RateLimits(cold=None if cold is None else cold.table)
+        self.cold = cold
         self._log = log
         self._listeners: list[Callable[[LimitEvent], None]] = []
 
@@ -70,6 +77,17 @@
             ),
         )
 
+    def apply_cold(
+        self, process: EndpointProcess, statement: ColdStatement | None
+    ) -> None:
+        """Apply what another daemon states about a cold endpoint.
+
+        :param process: the endpoint.
+        :param statement: the statement, or ``None``.
+        """
+        if self.cold is not None and statement is not None:
+            self.cold.apply(process[0], statement)
+
     def apply(
         self, process: EndpointProcess, statement: LimitStatement
     ) -> None:
--- a/laurelwind/coordination/limits/permit_asks.py
+++ b/laurelwind/coordination/limits/permit_asks.py
@@ -164,6 +164,7 @@
 
     def _answer(self, ask: PermitAsk) -> PermitAnswer:
         self._limits.apply(ask.process, ask.statement)
+        self._limits.apply_cold(ask.process, ask.cold)
         if self._resolve_holder(ask) == self.local_address:
             return self.held.grant(ask)
         return PermitAnswer(
@@ -176,6 +177,7 @@
     def _accept_answer(self, answer: PermitAnswer) -> None:
         if answer.statement is not None:
             self._limits.apply(answer.process, answer.statement)
+        self._limits.apply_cold(answer.process, answer.cold)
         pending = self._pending.get(answer.number)
         if pending is not None:
             pending.answer = answer
--- a/laurelwind/coordination/limits/permit_holder.py
+++ b/laurelwind/coordination/limits/permit_holder.py
@@ -13,6 +13,7 @@
     LimitStatement,
     RateLimits,
     discard_removed,
+    is_cold_key,
 )
 
 # Seconds for which a new holder grants nothing. The holder before it may have
@@ -151,6 +152,11 @@
             wait_s=wait_s,
             retry_s=retry_s,
             statement=self._table.find_newest(ask.process),
+            cold=(
+                self._table.cold.find_newest(ask.process[0])
+                if is_cold_key(ask.process)
+                else None
+            ),
         )
 
 
--- a/laurelwind/coordination/limits/permit_refusals.py
+++ b/laurelwind/coordination/limits/permit_refusals.py
@@ -14,6 +14,7 @@
     RateLimits,
     discard_removed,
     get_process,
+    is_cold_key,
 )
 
 # Seconds after which a daemon asks again where the holder did not answer.
@@ -29,12 +30,14 @@
     :ivar until: moment from which the daemon may ask for a permit at once.
     :ivar queue_until: moment from which it may ask for one to wait for.
     :ivar due_at: estimated moment at which a permit is due.
+    :ivar unanswered_until: moment until which the holder counts as lost.
     :ivar asking: asks for a permit at once that are under way.
     """
 
     until: float = 0
     queue_until: float = 0
     due_at: float = 0
+    unanswered_until: float = 0
     asking: int = 0
 
 
@@ -59,7 +62,7 @@
 
         :param endpoint: the endpoint.
         """
-        return self._table.find(get_process(endpoint))
+        return self._table.find(self._table.resolve(get_process(endpoint)))
 
     def list_limited(self, endpoints: Iterable[EndpointRecord]) -> Set[str]:
         """Return the names of the endpoints that have a limit.
@@ -68,6 +71,26 @@
         """
         return {endpoint.name for endpoint in self._select_limited(endpoints)}
 
+    def list_cold(self, endpoints: Iterable[EndpointRecord]) -> Set[str]:
+        """Return the names of the endpoints that are cold.
+
+        :param endpoints: the endpoints.
+        """
+        names = self._table.cold.names
+        if not names:
+            return names
+        return {
+            endpoint.name for endpoint in endpoints if endpoint.name in names
+        }
+
+    def is_holder_lost(self, process: EndpointProcess) -> bool:
+        """Return whether the holder of an endpoint's permits did not answer.
+
+        :param process: the endpoint.
+        """
+        refusal = self._refusals.get(process)
+        return refusal is not None and refusal.unanswered_until > self._clock()
+
     def list_refusing(self, endpoints: Iterable[EndpointRecord]) -> Set[str]:
         """Return the names of the endpoints that have no permit at once.
 
@@ -128,9 +151,24 @@
         wait_s = NO_ANSWER_RETRY_S if answer is None else answer.wait_s
         refusal.until = now + retry_s
         refusal.due_at = now + wait_s
-        if ask.max_wait_s or answer is None:
+        if answer is None:
+            refusal.unanswered_until = now + retry_s
+        # Without its holder a cold endpoint still gets a share of requests.
+        is_shared = answer is None and is_cold_key(ask.process)
+        if (ask.max_wait_s or answer is None) and not is_shared:
             refusal.queue_until = now + retry_s
 
+    def record_no_share(self, process: EndpointProcess, wait_s: float) -> None:
+        """Record that no request of this daemon's share is due.
+
+        :param process: the cold endpoint.
+        :param wait_s: seconds until the next one is due.
+        """
+        refusal = self._refusals.setdefault(process, _Refusal())
+        retry_s = min(wait_s, NO_ANSWER_RETRY_S)
+        refusal.queue_until = self._clock() + retry_s
+        refusal.due_at = max(refusal.due_at, self._clock() + retry_s)
+
     def retain(self, names: set[str]) -> None:
         """Discard the refusals of endpoints that were removed.
 
@@ -153,7 +191,7 @@
     def _find(self, endpoint: EndpointRecord) -> _Refusal | None:
         if self.find_rate_limit(endpoint) is None:
             return None
-        return self._refusals.get(get_process(endpoint))
+        return self._refusals.get(self._table.resolve(get_process(endpoint)))
 
     def _may_ask(self, endpoint: EndpointRecord) -> bool:
         refusal = self._find(endpoint)
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -27,6 +27,7 @@
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
     CapacityError,
+    EndpointBrokenError,
     EndpointError,
     EndpointSilentError,
     ErrorKind,
@@ -35,6 +36,7 @@
 )
 from laurelwind.protocol.exchanges import CallerAnswer, RelayRequest
 from laurelwind.relay_metrics import RelayMetrics
+from laurelwind.state.load import read_monotonic_clock
 
 # Parts of a prompt in one log line.
 MAX_LOGGED_PARTS: Final = 8
@@ -235,6 +237,10 @@
                 attempt.elapsed_s,
                 attempt.silent_s if is_silent else 0,
             )
+            if isinstance(error, EndpointBrokenError):
+                dependencies.sender.record_break(
+                    attempt.endpoint, read_monotonic_clock()
+                )
             # Silence indicates load or a network fault, not a fault of the
             # version.
             if not is_silent:
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -65,6 +65,9 @@
         first sent.
     :ivar avoids_target_version: whether it uses no version that is being rolled
         out, as that one had no permit for it.
+    :ivar avoids_cold: whether other endpoints than cold ones take it, as one
+        had no permit for it or could not be reached. Each further ask would
+        take time.
     :ivar reserved_retries: retries of the budget that are held for the request.
     :ivar saved_failure: complete failure answer of an endpoint, delivered if
         every later attempt fails as well.
@@ -92,6 +95,7 @@
     broken_attempts: int = 0
     known_crashes: int = 0
     avoids_target_version: bool = False
+    avoids_cold: bool = False
     reserved_retries: int = 0
     saved_failure: BufferedAnswer | None = None
     last_event_id: str = ''
--- a/laurelwind/coordination/request_placement.py
+++ b/laurelwind/coordination/request_placement.py
@@ -45,6 +45,8 @@
             return None
         ready = self._list_ready(job)
         excluded = job.fallback_endpoints | self.refusals.list_refusing(ready)
+        if job.avoids_cold:
+            excluded |= self.refusals.list_cold(ready)
         if current is not None:
             # It may find no permit at an endpoint with a limit.
             excluded |= self.refusals.list_limited(ready) | {current.name}
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -111,10 +111,11 @@
         """
         while True:
             choice = await self._chooser.choose(job)
+            started_at = read_monotonic_clock()
             try:
                 return await self._send_to_endpoint(job, choice)
             except EndpointError as error:
-                self._handle_unsent(job, choice, error)
+                self._handle_unsent(job, choice, error, started_at)
 
     async def _send_to_endpoint(self, job: Job, choice: Choice) -> Attempt:
         dependencies = self._dependencies
@@ -163,6 +164,17 @@
             endpoint, lost_s, silent_s=silent_s
         )
 
+    def record_break(self, endpoint: EndpointRecord, broke_at: float) -> None:
+        """Record that an endpoint may have restarted.
+
+        :param endpoint: the endpoint.
+        :param broke_at: moment at which its connection broke, or from which
+            none could be opened.
+        """
+        cold = self._dependencies.permits.limits.cold
+        if cold is not None:
+            cold.record_failure(endpoint, broke_at)
+
     def begin_silence(self, endpoint: EndpointRecord, silent_s: float) -> None:
         """Record that a request waits for an endpoint that is silent.
 
@@ -180,7 +192,11 @@
         self._dependencies.placement.end_silence(endpoint)
 
     def _handle_unsent(
-        self, job: Job, choice: Choice, error: EndpointError
+        self,
+        job: Job,
+        choice: Choice,
+        error: EndpointError,
+        started_at: float,
     ) -> None:
         endpoint = choice.endpoint
         if error.run is RunState.NOT_RUN:
@@ -189,7 +205,9 @@
         # An endpoint with a pause or a limit may take the request later.
         if not isinstance(error, EndpointPausedError):
             backoff_s = self.record_failure(endpoint, 0)
+            self.record_break(endpoint, started_at)
             job.excluded_endpoints.add(endpoint.name)
+            job.avoids_cold = True
         self._dependencies.log.log_warning(
             'not_sent',
             request=job.request.request_id,
--- a/laurelwind/coordination/suspects/keys.py
+++ b/laurelwind/coordination/suspects/keys.py
@@ -48,4 +48,13 @@
 
     :param endpoint: the endpoint.
     """
-    return limit_name(f'{endpoint.started_ms}/{endpoint.name}')
+    return build_process_key(endpoint.name, endpoint.started_ms)
+
+
+def build_process_key(name: str, started_ms: int) -> str:
+    """Return the name under which daemons tell each other of a process.
+
+    :param name: name of the endpoint.
+    :param started_ms: start time of the process, in Unix milliseconds.
+    """
+    return limit_name(f'{started_ms}/{name}')
--- a/laurelwind/coordination/suspects/screen.py
+++ b/laurelwind/coordination/suspects/screen.py
@@ -34,6 +34,7 @@
     :param count_members: returns the number of daemons.
     :ivar updates: notices to spread.
     :ivar abandoned: attempts that were given up without a complete answer.
+    :ivar breaks: the broken connections to each endpoint.
     :ivar watch: attempts to end when their request is blocked.
     """
 
@@ -51,6 +52,7 @@
         self._clock = clock
         self._count_members = count_members
         self._evidence = CrashEvidence()
+        self.breaks = self._evidence.breaks
         self._service_answers = ServiceAnswers()
         self._blocked = Blocks()
         self._has_unreviewed = anyio.Event()
--- a/laurelwind/platform/documents.py
+++ b/laurelwind/platform/documents.py
@@ -1,6 +1,7 @@
 """Codec of the platform's documents."""
 
-from collections.abc import Sequence
+import math
+from collections.abc import Mapping, Sequence
 from types import MappingProxyType
 from typing import Any, Final
 
@@ -45,6 +46,10 @@
         Topic.STATUS: DocumentKind.ROLLOUT_STATUS,
     }
 )
+_COLD_FIELD: Final = 'cold_remaining_ms'
+# Longest cold time that an entry may state, in seconds.
+MAX_COLD_S: Final = 600.0
+_MS_PER_S: Final = 1000
 _ENDPOINT_STATES: Final = frozenset(('ready', 'draining'))
 
 
@@ -85,6 +90,7 @@
                 is_draining=_parse_state(document['state']) == 'draining',
                 started_ms=parse_exact_count(document.get('born', 0)),
                 sequence=parse_exact_count(document['sequence']),
+                cold_s=_parse_cold_time(document),
             )
         except STRUCTURE_ERRORS as error:
             raise build_error(error) from error
@@ -201,6 +207,17 @@
     return str(field)
 
 
+def _parse_cold_time(document: Mapping[str, Any]) -> float | None:
+    """Return seconds, infinite if they are invalid: the entry still counts."""
+    if _COLD_FIELD not in document:
+        return None
+    try:
+        cold_s = parse_number(document[_COLD_FIELD]) / _MS_PER_S
+    except STRUCTURE_ERRORS:
+        return math.inf
+    return cold_s if 0 <= cold_s <= MAX_COLD_S else math.inf
+
+
 def _parse_service(field: Any) -> str:
     service = parse_text(field)
     if len(service.encode()) > MAX_SERVICE_BYTES:
--- a/laurelwind/platform/tables.py
+++ b/laurelwind/platform/tables.py
@@ -125,5 +125,8 @@
 
 def _build_service(row: Mapping[str, Any]) -> Service:
     return Service(
-        name=parse_text(row['name']), has_engines=bool(row.get('engine'))
+        name=parse_text(row['name']),
+        has_engines=bool(row.get('engine')),
+        cold_start_s=parse_number(row.get('cold_start_s') or 0),
+        cold_per_s=parse_number(row.get('cold_per_s') or 0),
     )
--- /dev/null
+++ b/laurelwind/protocol/cold.py
@@ -0,0 +1,126 @@
+"""Encoding of statements about cold endpoints.
+
+Moments are encoded as times from now in milliseconds, since daemons share no
+clock.
+"""
+
+import contextlib
+import math
+from collections.abc import Iterable, Iterator
+from typing import Any, Final
+
+import orjson
+
+from laurelwind.state.cold_endpoints import ColdStatement
+
+# Size of a datagram in bytes; it stays within the smallest MTU.
+MAX_DATAGRAM_BYTES: Final = 1200
+# Longest name in a datagram.
+MAX_NAME_LENGTH: Final = 64
+# Longest cold time that a statement may leave, in seconds.
+MAX_COLD_S: Final = 600.0
+_COLD: Final = 'cold'
+_MS_PER_S: Final = 1000
+
+
+def encode_cold(
+    statements: Iterable[tuple[str, ColdStatement]], now: float
+) -> Iterator[bytes]:
+    """Encode statements as datagrams.
+
+    :param statements: names of endpoints and their statements.
+    :param now: the current moment, on the monotonic clock.
+    """
+    rows: list[list[Any]] = []
+    size = 0
+    for name, statement in statements:
+        row = [name, encode_statement(statement, now)]
+        row_size = len(orjson.dumps(row)) + 1
+        if rows and size + row_size > MAX_DATAGRAM_BYTES:
+            yield orjson.dumps({_COLD: rows})
+            rows = []
+            size = 0
+        rows.append(row)
+        size += row_size
+    if rows:
+        yield orjson.dumps({_COLD: rows})
+
+
+def decode_cold(
+    document: Any, now: float
+) -> Iterator[tuple[str, ColdStatement]]:
+    """Decode the statements of a datagram; malformed ones are left out.
+
+    :param document: the decoded JSON document.
+    :param now: the current moment, on the monotonic clock.
+    """
+    rows = document.get(_COLD) if isinstance(document, dict) else None
+    for row in rows if isinstance(rows, list) else ():
+        with contextlib.suppress(TypeError, ValueError, OverflowError):
+            name, fields = row
+            if not isinstance(name, str) or len(name) > MAX_NAME_LENGTH:
+                continue
+            yield name, decode_statement(fields, now)
+
+
+def encode_statement(statement: ColdStatement, now: float) -> list[Any]:
+    """Encode a statement as a row.
+
+    :param statement: the statement.
+    :param now: the current moment, on the monotonic clock.
+    """
+    return [
+        statement.started_ms,
+        statement.sequence,
+        statement.rate,
+        *(
+            None if moment == math.inf else round((moment - now) * _MS_PER_S)
+            for moment in (
+                statement.since,
+                statement.reached_at,
+                statement.until,
+            )
+        ),
+    ]
+
+
+def decode_statement(fields: Any, now: float) -> ColdStatement:
+    """Decode the row of a statement.
+
+    :param fields: the decoded row.
+    :param now: the current moment, on the monotonic clock.
+    :raises ValueError: if it is malformed; also ``TypeError`` and
+        ``OverflowError``.
+    """
+    started_ms, sequence, rate, *times = fields
+    since, reached_at, until = (_decode_moment(time, now) for time in times)
+    statement = ColdStatement(
+        started_ms=int(started_ms),
+        sequence=int(sequence),
+        rate=float(rate),
+        since=since,
+        reached_at=reached_at,
+        until=until,
+    )
+    if not 0 <= statement.rate < math.inf or not _is_ordered(statement, now):
+        raise ValueError
+    return statement
+
+
+def _is_ordered(statement: ColdStatement, now: float) -> bool:
+    """Return whether the moments are in order and the end is not too late."""
+    if statement.is_reached and statement.until - now > MAX_COLD_S:
+        return False
+    return (
+        statement.since <= now
+        and statement.since <= statement.reached_at <= statement.until
+    )
+
+
+def _decode_moment(time_ms: Any, now: float) -> float:
+    if time_ms is None:
+        return math.inf
+    moment = now + float(time_ms) / _MS_PER_S
+    if not math.isfinite(moment):
+        raise ValueError
+    return moment
--- a/laurelwind/protocol/permits.py
+++ b/laurelwind/protocol/permits.py
@@ -6,13 +6,15 @@
 
 import contextlib
 import math
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from types import MappingProxyType
 from typing import Any, Final
 
 import orjson
 from attrs import frozen
 
+from laurelwind.protocol.cold import decode_statement, encode_statement
+from laurelwind.state.cold_endpoints import ColdStatement
 from laurelwind.state.rate_limits import EndpointProcess, LimitStatement
 
 # Size of a datagram in bytes; it stays within the smallest MTU.
@@ -23,6 +25,7 @@
 _ANSWER: Final = 'permit_answer'
 _RETURN: Final = 'permit_return'
 _LIMITS: Final = 'limits'
+_FIELD_COUNT: Final = 4
 _MS_PER_S: Final = 1000
 
 
@@ -36,6 +39,7 @@
     :ivar zone: availability zone of the endpoint.
     :ivar max_wait_s: longest wait for the permit, in seconds.
     :ivar statement: the limit, as the asker knows it.
+    :ivar cold: why the endpoint is cold, as the asker knows it, or ``None``.
     """
 
     number: int
@@ -44,6 +48,7 @@
     zone: str
     max_wait_s: float
     statement: LimitStatement
+    cold: ColdStatement | None = None
 
 
 @frozen(kw_only=True)
@@ -57,6 +62,8 @@
         the next one would be.
     :ivar retry_s: seconds for which a daemon that gets no permit does not ask.
     :ivar statement: the newest statement that the holder knows, or ``None``.
+    :ivar cold: the newest statement that it knows about a cold endpoint, or
+        ``None``.
     """
 
     number: int
@@ -65,6 +72,7 @@
     wait_s: float = 0
     retry_s: float = 0
     statement: LimitStatement | None = None
+    cold: ColdStatement | None = None
 
 
 @frozen(kw_only=True)
@@ -94,13 +102,15 @@
         row = [message.number, message.asker, *message.process]
         return orjson.dumps({_RETURN: row})
     statement = _encode_statement(message.statement, now)
+    # Only rows for cold endpoints have a fifth field.
+    cold = [] if message.cold is None else [encode_statement(message.cold, now)]
     if isinstance(message, PermitAnswer):
         verdict = (message.is_granted, message.wait_s, message.retry_s)
-        row = [message.number, message.process, verdict, statement]
+        row = [message.number, message.process, verdict, statement, *cold]
         return orjson.dumps({_ANSWER: row})
     sender = (message.number, message.asker)
     endpoint = (*message.process, message.zone)
-    row = [sender, endpoint, message.max_wait_s, statement]
+    row = [sender, endpoint, message.max_wait_s, statement, *cold]
     return orjson.dumps({_ASK: row})
 
 
@@ -161,7 +171,8 @@
 
 
 def _decode_ask(row: Any, now: float) -> PermitAsk:
-    (number, asker), (name, started_ms, zone), max_wait_s, statement = row
+    fields, cold = _split_cold(row, now)
+    (number, asker), (name, started_ms, zone), max_wait_s, statement = fields
     return PermitAsk(
         number=int(number),
         asker=_decode_name(asker),
@@ -169,11 +180,13 @@
         zone=_decode_name(zone),
         max_wait_s=_decode_seconds(max_wait_s),
         statement=_decode_statement(statement, now),
+        cold=cold,
     )
 
 
 def _decode_answer(row: Any, now: float) -> PermitAnswer:
-    number, process, (is_granted, wait_s, retry_s), statement = row
+    fields, cold = _split_cold(row, now)
+    number, process, (is_granted, wait_s, retry_s), statement = fields
     return PermitAnswer(
         number=int(number),
         process=_decode_process(*process),
@@ -183,6 +196,7 @@
         statement=(
             None if statement is None else _decode_statement(statement, now)
         ),
+        cold=cold,
     )
 
 
@@ -229,6 +243,15 @@
     )
 
 
+def _split_cold(
+    row: Sequence[Any], now: float
+) -> tuple[Sequence[Any], ColdStatement | None]:
+    """Return the fields of a row, and what it states about a cold endpoint."""
+    if len(row) <= _FIELD_COUNT:
+        return row, None
+    return row[:_FIELD_COUNT], decode_statement(row[_FIELD_COUNT], now)
+
+
 def _decode_process(name: Any, started_ms: Any) -> EndpointProcess:
     return _decode_name(name), int(started_ms)
 
--- /dev/null
+++ b/laurelwind/relay_cold.py
@@ -0,0 +1,80 @@
+"""Wires what a relay daemon knows of cold endpoints."""
+
+from typing import TYPE_CHECKING
+
+from laurelwind.coordination.cold.access import ColdAccess
+from laurelwind.coordination.cold.endpoints import (
+    ColdDependencies,
+    ColdEndpoints,
+)
+from laurelwind.coordination.cold.gossip import ColdGossip
+from laurelwind.coordination.cold.rates import ColdBounds
+from laurelwind.coordination.cold.shares import ColdShares
+from laurelwind.coordination.suspects.keys import build_process_key
+from laurelwind.relay_settings import BoundSettings
+from laurelwind.state.routes import Service
+
+if TYPE_CHECKING:
+    from laurelwind.relay_daemon import RelayDaemon
+
+
+def build_cold_endpoints(daemon: 'RelayDaemon') -> ColdEndpoints:
+    """Build the cold endpoints of a daemon.
+
+    :param daemon: the daemon; its tracker, screen and placement are built.
+    """
+
+    def find_service(name: str) -> Service | None:
+        table = daemon.tracker.table
+        return None if table is None else table.services.get(name)
+
+    def has_survived(name: str, started_ms: int, broke_at: float) -> bool:
+        key = build_process_key(name, started_ms)
+        return daemon.screen.breaks.has_survived(key, broke_at)
+
+    cold = ColdEndpoints(
+        dependencies=ColdDependencies(
+            bounds=build_cold_bounds(daemon.settings.bounds),
+            find_service=find_service,
+            has_survived=has_survived,
+            record_end=daemon.placement.record_limit_end,
+            log=daemon.log,
+        )
+    )
+    daemon.directory.add_listener(cold.record_entry)
+    return cold
+
+
+def build_cold_access(daemon: 'RelayDaemon', cold: ColdEndpoints) -> ColdAccess:
+    """Build what the permits for cold endpoints need.
+
+    :param daemon: the daemon; its datagrams are built.
+    :param cold: the cold endpoints.
+    """
+    membership = daemon.membership
+    return ColdAccess(
+        shares=ColdShares(
+            local_address=daemon.settings.listen.peers,
+            list_members=lambda: (
+                membership.members if membership.first_read.is_set() else ()
+            ),
+        ),
+        gossip=ColdGossip(
+            endpoints=cold,
+            channel=daemon.datagrams,
+            list_peers=daemon.list_peers,
+        ),
+        count=lambda outcome: daemon.metrics.cold_permits.labels(outcome).inc(),
+    )
+
+
+def build_cold_bounds(bounds: BoundSettings) -> ColdBounds | None:
+    """Build the bound for cold endpoints, or ``None`` if there is none.
+
+    :param bounds: bounds of the settings.
+    """
+    if bounds.cold_overage is None:
+        return None
+    return ColdBounds(
+        overage=bounds.cold_overage, tolerance=bounds.cold_tolerance or 0
+    )
--- a/laurelwind/relay_gauges.py
+++ b/laurelwind/relay_gauges.py
@@ -50,6 +50,11 @@
         'Sum of the rate limits that endpoints state, in requests per second.',
         lambda: sum(daemon.permits.limits.table.iterate_rates()),
     )
+    add_gauge(
+        'laurelwind_cold_endpoints',
+        'Endpoints that take few requests as they are cold, or may be.',
+        lambda: len(daemon.permits.limits.table.cold.names),
+    )
     add_gauge(
         'laurelwind_blocked_parts',
         'Groups of prompt parts whose requests are rejected.',
--- a/laurelwind/relay_metrics.py
+++ b/laurelwind/relay_metrics.py
@@ -65,6 +65,12 @@
             ('outcome',),
             registry=self.registry,
         )
+        self.cold_permits = Counter(
+            'laurelwind_cold_permits',
+            'Permits for cold endpoints, by outcome of the ask.',
+            ('outcome',),
+            registry=self.registry,
+        )
         self.cut_answers = Counter(
             'laurelwind_cut_answers',
             'Answers that this daemon ended before they were complete.',
--- a/laurelwind/relay_permits.py
+++ b/laurelwind/relay_permits.py
@@ -12,6 +12,7 @@
 from laurelwind.coordination.limits.limit_gossip import LimitGossip
 from laurelwind.coordination.limits.permit_asks import PermitAsks
 from laurelwind.protocol.platform import ListedInstance
+from laurelwind.relay_cold import build_cold_access, build_cold_endpoints
 
 if TYPE_CHECKING:
     from laurelwind.relay_daemon import RelayDaemon
@@ -22,7 +23,8 @@
 
     :param daemon: the daemon; its members, peers and placement are built.
     """
-    limits = EndpointLimits(log=daemon.log)
+    cold = build_cold_endpoints(daemon)
+    limits = EndpointLimits(log=daemon.log, cold=cold)
 
     def handle_change(event: LimitEvent) -> None:
         if event.statement.rate is None:
@@ -43,6 +45,7 @@
             local_address=daemon.settings.listen.peers,
         ),
         count=lambda outcome: daemon.metrics.permits.labels(outcome).inc(),
+        cold=build_cold_access(daemon, cold),
         log=daemon.log,
     )
 
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -70,6 +70,10 @@
     :ivar retry_window_s: length of the window in seconds.
     :ivar exposure_share: largest share of a service's requests that a bad
         version may receive during a roll-out.
+    :ivar cold_overage: factor of the rate at which cold endpoints take requests
+        that the fleet may reach in a second; without it and
+        ``cold_tolerance``, endpoints are never cold.
+    :ivar cold_tolerance: requests of a second on top of that.
     """
 
     revocation_s: float = 5.0
@@ -81,6 +85,8 @@
     retry_extra: float = 20.0
     retry_window_s: float = 10.0
     exposure_share: float = 0.1
+    cold_overage: float | None = None
+    cold_tolerance: float | None = None
 
 
 @frozen(kw_only=True)
@@ -126,6 +132,8 @@
         'bounds.retry_share': bounds.retry_share,
         'bounds.retry_extra': bounds.retry_extra,
         'bounds.exposure_share': bounds.exposure_share,
+        'bounds.cold_overage': bounds.cold_overage or 0,
+        'bounds.cold_tolerance': bounds.cold_tolerance or 0,
     }
     for path, number in shares.items():
         if not 0 <= number < math.inf:
--- a/laurelwind/state/directory.py
+++ b/laurelwind/state/directory.py
@@ -1,6 +1,7 @@
 """Directory of serving endpoints, built from the records they register."""
 
-from collections.abc import Iterator, Mapping
+import math
+from collections.abc import Callable, Iterator, Mapping
 from typing import Final
 
 from attrs import evolve, frozen
@@ -27,6 +28,8 @@
     :ivar is_draining: whether it accepts no new requests.
     :ivar started_ms: start time of the process, in Unix milliseconds.
     :ivar sequence: sequence number of this report since ``started_ms``.
+    :ivar cold_s: seconds for which it is cold, infinite if the report states no
+        valid time, or ``None`` if it states none.
     """
 
     name: str
@@ -38,6 +41,7 @@
     is_draining: bool = False
     started_ms: int = 0
     sequence: int = 0
+    cold_s: float | None = None
 
     @property
     def progress(self) -> tuple[int, int]:
@@ -45,6 +49,23 @@
         return (self.started_ms, self.sequence)
 
 
+@frozen(kw_only=True)
+class EndpointEntry:
+    """A report that was not known before.
+
+    :ivar record: the report.
+    :ivar is_new_process: whether it is the first one known of its process.
+    :ivar is_new_cold_time: whether it states another cold time than the last.
+    :ivar max_age_s: seconds since it was written, at most; infinite for what
+        was there when the directory was first read.
+    """
+
+    record: EndpointRecord
+    is_new_process: bool
+    is_new_cold_time: bool
+    max_age_s: float
+
+
 @frozen(kw_only=True)
 class _Entry:
     record: EndpointRecord
@@ -68,6 +89,14 @@
         self._progress_by_name: dict[str, tuple[int, int]] = {}
         self._leaving: dict[str, int] = {}
         self.changes = 0
+        self._listeners: list[Callable[[EndpointEntry], None]] = []
+
+    def add_listener(self, listener: Callable[[EndpointEntry], None]) -> None:
+        """Register a callback for reports that were not known before.
+
+        :param listener: called with each report.
+        """
+        self._listeners.append(listener)
 
     @property
     def has_lapsed_records(self) -> bool:
@@ -101,6 +130,7 @@
         *,
         offset: int,
         grace_until: float | None = None,
+        max_age_s: float = math.inf,
     ) -> bool:
         """Apply one record.
 
@@ -111,6 +141,7 @@
             newer than the last one for the name is ignored.
         :param grace_until: end of the grace period for a removal, or ``None``
             to drop the endpoint at once.
+        :param max_age_s: seconds since the record was written, at most.
         :returns: whether the directory changed.
         """
         if offset <= self._offsets.get(name, -1):
@@ -125,10 +156,12 @@
             return False
         self._progress_by_name[name] = record.progress
         self._entries[name] = _Entry(record=record, offset=offset)
-        if previous is not None and _is_unchanged(previous, record):
-            return False
-        self._rebuild()
-        return True
+        is_unchanged = previous is not None and _is_unchanged(previous, record)
+        if not is_unchanged:
+            self._rebuild()
+        if record.progress > known_progress:
+            self._report(previous, record, known_progress, max_age_s)
+        return not is_unchanged
 
     def record_leaving(self, name: str, started_ms: int) -> bool:
         """Record that an endpoint reports that it is about to stop.
@@ -191,6 +224,27 @@
             self._rebuild()
         return bool(expired)
 
+    def _report(
+        self,
+        previous: _Entry | None,
+        record: EndpointRecord,
+        known_progress: tuple[int, int],
+        max_age_s: float,
+    ) -> None:
+        is_new_process = record.started_ms > known_progress[0]
+        entry = EndpointEntry(
+            record=record,
+            is_new_process=is_new_process,
+            is_new_cold_time=(
+                is_new_process
+                or previous is None
+                or previous.record.cold_s != record.cold_s
+            ),
+            max_age_s=max_age_s,
+        )
+        for listener in self._listeners:
+            listener(entry)
+
     def _remove(
         self, name: str, offset: int, grace_until: float | None
     ) -> bool:
@@ -224,4 +278,7 @@
 def _is_unchanged(previous: _Entry, record: EndpointRecord) -> bool:
     if previous.drop_at is not None:
         return False
-    return evolve(previous.record, sequence=record.sequence) == record
+    return (
+        evolve(previous.record, sequence=record.sequence, cold_s=record.cold_s)
+        == record
+    )
--- a/laurelwind/state/rate_limits.py
+++ b/laurelwind/state/rate_limits.py
@@ -7,6 +7,7 @@
 
 from attrs import evolve, frozen
 
+from laurelwind.state.cold_endpoints import ColdTable
 from laurelwind.state.directory import EndpointRecord
 
 # Endpoints whose statements are kept; the newest statements count. Peers
@@ -17,6 +18,11 @@
 # A limit holds for one process: a restarted one has not stated any.
 EndpointProcess = tuple[str, int]
 
+# Stands for the start time in the key under which permits for a cold endpoint
+# are granted. Daemons that know of its restart and those that do not yet must
+# ask the same holder.
+COLD_STARTED_MS: Final = -1
+
 
 @frozen(kw_only=True)
 class LimitStatement:
@@ -50,13 +56,33 @@
 class RateLimits:
     """The newest statement of each endpoint, merged in any order.
 
-    :ivar limited_names: names of the endpoints with a limit in force.
+    A cold endpoint has a limit under a key of its own while it is cold.
+
+    :param cold: the cold endpoints, or ``None`` if there are never any.
+    :ivar cold: the cold endpoints.
     """
 
-    def __init__(self) -> None:
-        self.limited_names: frozenset[str] = frozenset()
+    def __init__(self, *, cold: ColdTable | None = None) -> None:
+        self.cold = ColdTable() if cold is None else cold
+        # Lowest limit of any process, by the name of the endpoint.
+        self._rates: dict[str, float] = {}
         self._statements: dict[EndpointProcess, LimitStatement] = {}
 
+    @property
+    def limited_names(self) -> Set[str]:
+        """Names of the endpoints with a limit in force."""
+        return self._rates.keys() | self.cold.names
+
+    def resolve(self, process: EndpointProcess) -> EndpointProcess:
+        """Return the key under which permits are granted at the moment.
+
+        :param process: the endpoint.
+        """
+        name, _ = process
+        if self.cold.find(name) is None:
+            return process
+        return name, COLD_STARTED_MS
+
     def apply(
         self, process: EndpointProcess, statement: LimitStatement
     ) -> LimitChange | None:
@@ -65,6 +91,8 @@
         :param process: the endpoint.
         :param statement: what its answer says.
         """
+        if is_cold_key(process):
+            return None
         known = self._statements.get(process)
         if known is None:
             if statement.rate is None:
@@ -85,6 +113,8 @@
 
         :param process: the endpoint.
         """
+        if is_cold_key(process):
+            return self._find_cold(process[0])
         statement = self._statements.get(process)
         if statement is None or statement.rate is None:
             return None
@@ -111,6 +141,17 @@
         discard_removed(self._statements, names)
         self._list_names()
 
+    def _find_cold(self, name: str) -> LimitStatement | None:
+        cold = self.cold.find(name)
+        if cold is None:
+            return None
+        return LimitStatement(
+            rate=min(cold.rate, self._rates.get(name, math.inf)),
+            sent_at=cold.since,
+            stated_at=cold.since,
+            limited_at=cold.since,
+        )
+
     def _store(
         self,
         process: EndpointProcess,
@@ -130,11 +171,11 @@
             self._statements.pop(next(iter(self._statements)))
 
     def _list_names(self) -> None:
-        self.limited_names = frozenset(
-            name
-            for (name, _), statement in self._statements.items()
-            if statement.rate is not None
-        )
+        self._rates = {}
+        for (name, _), statement in self._statements.items():
+            if statement.rate is not None:
+                lowest = self._rates.get(name, math.inf)
+                self._rates[name] = min(statement.rate, lowest)
 
 
 def _is_newer(statement: LimitStatement, known: LimitStatement) -> bool:
@@ -160,6 +201,14 @@
     return LimitChange.CHANGED
 
 
+def is_cold_key(process: EndpointProcess) -> bool:
+    """Return whether a key is that of a cold endpoint's permits.
+
+    :param process: the key.
+    """
+    return process[1] == COLD_STARTED_MS
+
+
 def get_process(endpoint: EndpointRecord) -> EndpointProcess:
     """Return the key of an endpoint's process.
 
--- a/laurelwind/state/routes.py
+++ b/laurelwind/state/routes.py
@@ -120,10 +120,15 @@
 
     :ivar name: name of the service.
     :ivar has_engines: whether its endpoints are model engines.
+    :ivar cold_start_s: seconds for which an endpoint is cold after its start,
+        or zero.
+    :ivar cold_per_s: requests per second that a cold endpoint takes.
     """
 
     name: str
     has_engines: bool = False
+    cold_start_s: float = 0
+    cold_per_s: float = 0
 
 
 @frozen(kw_only=True)
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -296,6 +296,8 @@
         retry_ratio=1.0,
         gateway=None,
         screen=None,
+        permits=None,
+        zone='a',
     ):
         self.log = build_silent_log()
         self.lease = FreshnessLease(duration_s=4.5)
@@ -308,8 +310,8 @@
         self.rollouts = RolloutRegistry(
             local_daemon='d1', exposure_share=0.15, log=self.log
         )
-        self.placement = Placement(zone='a')
-        self.permits = build_permits(self.log)
+        self.placement = Placement(zone=zone)
+        self.permits = permits or build_permits(self.log)
         self.screen = screen or SuspectScreen(
             log=self.log, count_members=lambda: 1
         )
