Read the pace of endpoints, and forecast requests there

Cause: a load report with a fourth figure was dropped whole, so that the load of all endpoints of the new deployments was unknown. Change: the fourth figure is kept as slowdown of the report; one that cannot be used leaves the first three in force. Each endpoint has a smoothed pace with its age, each service learned rates (seconds per event, prefill ratio, lengths of answers). Placement.forecast returns the forecast at the endpoint that it would choose; endpoints without a pace are placed as before.

--- a/laurelwind/coordination/admission.py
+++ b/laurelwind/coordination/admission.py
@@ -137,6 +137,8 @@
         arrived_at: float,
     ) -> Job:
         route, workspace = match
+        service = route.choose_service(request.session or request.request_id)
+        table = self._dependencies.tracker.table
         timeout_s = route.timeout_s
         if request.deadline_s is not None:
             timeout_s = min(timeout_s, request.deadline_s)
@@ -144,7 +146,8 @@
             request=request,
             route=route,
             workspace=workspace,
-            service=route.choose_service(request.session or request.request_id),
+            service=service,
+            engine=None if table is None else table.services.get(service),
             arrived_at=arrived_at,
             deadline_at=arrived_at + timeout_s,
             models=self._dependencies.planner.plan(route),
--- a/laurelwind/coordination/job_requirements.py
+++ b/laurelwind/coordination/job_requirements.py
@@ -3,9 +3,10 @@
 from collections.abc import Set
 from typing import Final
 
-from laurelwind.coordination.relay_jobs import Job
+from laurelwind.coordination.relay_jobs import PREFILL_TOKENS_PER_S, Job
 from laurelwind.coordination.scheduling.requirements import (
     PlacementRequirements,
+    RequestTraits,
 )
 
 _NONE: Final[Set[str]] = frozenset()
@@ -31,4 +32,28 @@
         excluded_endpoints=frozenset(job.excluded_endpoints | excluded),
         avoids_backoff=avoids_backoff,
         scheduling_class=job.scheduling_class,
+        traits=build_traits(job),
+    )
+
+
+def build_traits(job: Job) -> RequestTraits:
+    """Describe the work of a request.
+
+    :param job: the request.
+    """
+    request = job.request
+    engine = job.engine
+    prefill_s: float = 0
+    if engine is not None and engine.has_engines:
+        prefill_s = request.prompt_tokens / PREFILL_TOKENS_PER_S
+    return RequestTraits(
+        route=job.route.name,
+        step_class=job.step_class,
+        prompt_tokens=request.prompt_tokens,
+        length_hint=request.length_hint,
+        output_limit=request.output_tokens,
+        prefill_s=prefill_s * job.cost_share,
+        priority=job.priority,
+        sent_events=job.events,
+        memory_limit=0 if engine is None else engine.memory_tokens,
     )
--- /dev/null
+++ b/laurelwind/coordination/load/service_loads.py
@@ -0,0 +1,121 @@
+"""What a daemon has learned of the load of one service."""
+
+import math
+from collections import deque
+from typing import Final
+
+from attrs import define, field
+
+from laurelwind.coordination.load.answer_lengths import AnswerLengths
+from laurelwind.coordination.load.event_times import EventTimes
+from laurelwind.coordination.load.step_classes import ClassDemand, StepClass
+from laurelwind.coordination.load.token_statistics import TokenStatistics
+
+# Time after the last report of a pace for which a service counts as one whose
+# endpoints report it.
+PACED_TTL_S: Final = 30.0
+# First events from which the time to read prompts is learned, the fewest, the
+# quantile that counts (others waited in a queue), and its bounds.
+_MAX_PREFILLS: Final = 48
+_MIN_PREFILLS: Final = 8
+PREFILL_QUANTILE: Final = 0.25
+MIN_PREFILL_RATIO: Final = 0.05
+MAX_PREFILL_RATIO: Final = 5.0
+# Weight of each request in the mean time for which requests take a slot.
+HOLD_WEIGHT: Final = 0.05
+# Prompts that are read faster tell nothing of the time that prompts take.
+MIN_PREFILL_S: Final = 0.05
+
+
+def _build_event_times() -> dict[StepClass, EventTimes]:
+    return {step_class: EventTimes() for step_class in StepClass}
+
+
+def _build_token_statistics() -> dict[StepClass, TokenStatistics]:
+    return {step_class: TokenStatistics() for step_class in StepClass}
+
+
+@define(kw_only=True)
+class ServiceLoad:
+    """Learned rates of the endpoints of one service, all at the usual pace.
+
+    :ivar lengths: lengths of answers.
+    :ivar event_times: seconds per event, by class of the endpoint.
+    :ivar demand: demand by class.
+    :ivar tokens: tokens that requests hold, by class of the endpoint.
+    :ivar prefill_ratio: seconds to read a prompt, relative to the estimate.
+    :ivar hold_s: moving average of the seconds for which a request takes a
+        slot.
+    :ivar paced_at: moment of the last report of a pace, or minus infinity.
+    :ivar used_at: moment of the last request.
+    """
+
+    lengths: AnswerLengths = field(factory=AnswerLengths)
+    event_times: dict[StepClass, EventTimes] = field(factory=_build_event_times)
+    demand: ClassDemand = field(factory=ClassDemand)
+    tokens: dict[StepClass, TokenStatistics] = field(
+        factory=_build_token_statistics
+    )
+    prefill_ratio: float = 1.0
+    hold_s: float = 0
+    paced_at: float = -math.inf
+    used_at: float = 0
+    _prefill_ratios: deque[float] = field(
+        factory=lambda: deque(maxlen=_MAX_PREFILLS), init=False
+    )
+
+    def is_paced(self, now: float) -> bool:
+        """Return whether the endpoints of the service report their pace.
+
+        :param now: the current moment.
+        """
+        return now - self.paced_at <= PACED_TTL_S
+
+    def record_first_event(self, waited_s: float, prefill_s: float) -> None:
+        """Learn from a first event how long prompts take to read.
+
+        :param waited_s: seconds since sending, divided by the slowdown.
+        :param prefill_s: estimated prefill time of the prompt, in seconds.
+        """
+        if prefill_s < MIN_PREFILL_S:
+            return
+        self._prefill_ratios.append(waited_s / prefill_s)
+        if len(self._prefill_ratios) < _MIN_PREFILLS:
+            return
+        ratios = sorted(self._prefill_ratios)
+        ratio = ratios[int(len(ratios) * PREFILL_QUANTILE)]
+        self.prefill_ratio = min(
+            max(ratio, MIN_PREFILL_RATIO), MAX_PREFILL_RATIO
+        )
+
+    def record_held(
+        self, step_class: StepClass, held_s: float, now: float
+    ) -> None:
+        """Record the time for which a request took a slot.
+
+        :param step_class: class of the request.
+        :param held_s: seconds, divided by the slowdown.
+        :param now: the current moment.
+        """
+        before_s = self.hold_s or held_s
+        self.hold_s = before_s + (held_s - before_s) * HOLD_WEIGHT
+        self.demand.record(step_class, held_s, now)
+
+    def estimate_event(
+        self, step_classes: tuple[StepClass | None, ...], running: float
+    ) -> float:
+        """Estimate the seconds per event in a batch that holds these classes.
+
+        It is zero while nothing is known.
+
+        :param step_classes: classes in the batch; ``None`` for any.
+        :param running: requests of the batch.
+        """
+        estimates_s = [
+            self.event_times[step_class].estimate(running)
+            for step_class in step_classes
+            if step_class is not None
+        ]
+        return max(estimates_s, default=0) or max(
+            times.mean_s for times in self.event_times.values()
+        )
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -6,6 +6,10 @@
 
 from attrs import define, field, frozen
 
+from laurelwind.coordination.load.step_classes import (
+    StepClass,
+    classify_step,
+)
 from laurelwind.coordination.scheduling.requirements import SchedulingClass
 from laurelwind.coordination.suspects.keys import (
     build_part_keys,
@@ -15,7 +19,13 @@
 from laurelwind.protocol.exchanges import AnswerHead, RelayRequest
 from laurelwind.state.crash_reports import SuspectKey, SuspectKeys
 from laurelwind.state.load import read_monotonic_clock
-from laurelwind.state.routes import RequestKind, Route, RouteModel, Workspace
+from laurelwind.state.routes import (
+    RequestKind,
+    Route,
+    RouteModel,
+    Service,
+    Workspace,
+)
 
 # Prefill throughput of an engine with its largest model, in prompt tokens per
 # second.  Other models are faster in proportion to their lower cost.
@@ -51,6 +61,7 @@
     :ivar service: name of the target service.
     :ivar arrived_at: moment of arrival.
     :ivar deadline_at: moment at which the complete answer is due.
+    :ivar engine: the target service in the routing table, or ``None``.
     :ivar models: models to try in order; empty if the caller names one.
     :ivar model_index: index in ``models`` of the current model.
     :ivar attempts: number of endpoints that the request was sent to.
@@ -82,6 +93,7 @@
     service: str
     arrived_at: float
     deadline_at: float
+    engine: Service | None = None
     models: Sequence[RouteModel] = ()
     model_index: int = 0
     attempts: int = 0
@@ -202,6 +214,25 @@
             else SchedulingClass.OTHER
         )
 
+    @property
+    def cost_share(self) -> float:
+        """Cost of its model, relative to the largest one of the service."""
+        if self.engine is None:
+            return 1
+        name = self.request.model if self.model is None else self.model.name
+        return self.engine.get_cost_share(name)
+
+    @property
+    def step_class(self) -> StepClass:
+        """Class by what it costs the steps of its batch."""
+        costs = () if self.engine is None else self.engine.costs.values()
+        prefill_s = self.request.prompt_tokens / PREFILL_TOKENS_PER_S
+        return classify_step(
+            self.cost_share,
+            is_long=prefill_s * self.cost_share > LONG_PREFILL_S,
+            has_small_model=len(set(costs)) > 1,
+        )
+
     def estimate_prefill(self, tokens: int) -> float:
         """Estimate the prefill time of prompt tokens, in seconds.
 
--- a/laurelwind/coordination/scheduling/endpoint_states.py
+++ b/laurelwind/coordination/scheduling/endpoint_states.py
@@ -2,8 +2,10 @@
 
 from typing import Final
 
-from attrs import define
+from attrs import define, field
 
+from laurelwind.coordination.load.arrivals import RecentArrivals
+from laurelwind.coordination.load.paces import PaceEstimate
 from laurelwind.protocol.exchanges import LoadReport
 
 # Lifetime of an endpoint's load report.
@@ -51,6 +53,10 @@
     :ivar pause_s: length of that pause.
     :ivar expected_loss_s: moving average of the seconds that a request loses
         at the endpoint by failures, as of ``expected_loss_at``.
+    :ivar service: name of its service, or empty before its first report.
+    :ivar pace: smoothed pace.
+    :ivar arrivals: requests sent to it lately.
+    :ivar held_tokens: tokens that this daemon's requests there may hold.
     """
 
     in_flight: int = 0
@@ -72,6 +78,10 @@
     pause_s: float = 0
     expected_loss_s: float = 0
     expected_loss_at: float = 0
+    service: str = ''
+    pace: PaceEstimate = field(factory=PaceEstimate)
+    arrivals: RecentArrivals = field(factory=RecentArrivals)
+    held_tokens: int = 0
 
     def is_avoided(self, now: float) -> bool:
         """Return whether requests are sent to other endpoints if possible."""
@@ -86,6 +96,18 @@
         )
         return max(others, 0) + self.in_flight
 
+    def get_report(self, now: float) -> LoadReport | None:
+        """Return the last load report, unless it has expired."""
+        is_expired = now - self.reported_at > REPORT_TTL_S
+        return None if is_expired else self.report
+
+    def estimate_requests(self, now: float) -> float:
+        """Estimate the requests there, with those sent since the report."""
+        if self.get_report(now) is None:
+            return self.in_flight
+        sent_since, _ = self.arrivals.count_remote(self.reported_at)
+        return self.estimate_load(now) + sent_since
+
     def get_expected_loss(self, now: float) -> float:
         """Return the expected loss in seconds, decayed linearly with age."""
         remaining = max(
--- /dev/null
+++ b/laurelwind/coordination/scheduling/paced_placement.py
@@ -0,0 +1,270 @@
+"""Selects endpoints that report their pace, by forecast.
+
+The cost of an endpoint is the predicted finish of the request there, plus the
+time that the request takes from the others of its batch.
+"""
+
+import math
+import random
+from collections.abc import Sequence
+
+from attrs import frozen
+
+from laurelwind.coordination.load.forecasts import Forecast, Work
+from laurelwind.coordination.load.predictions import EndpointFigures, predict
+from laurelwind.coordination.load.service_loads import ServiceLoad
+from laurelwind.coordination.load.step_classes import StepClass
+from laurelwind.coordination.scheduling.endpoint_states import EndpointState
+from laurelwind.coordination.scheduling.load_observations import (
+    estimate_tokens,
+)
+from laurelwind.coordination.scheduling.penalties import (
+    CLASS_MISMATCH_PENALTY_S,
+    CROSS_ZONE_PENALTY_S,
+    FULL_PENALTY_S,
+)
+from laurelwind.coordination.scheduling.requirements import (
+    PlacementRequirements,
+    RequestTraits,
+)
+from laurelwind.coordination.scheduling.sampling import Candidate, draw_sample
+
+
+@frozen(kw_only=True)
+class Option:
+    """An endpoint that was compared for a request.
+
+    :ivar candidate: the endpoint.
+    :ivar forecast: forecast for the request there.
+    :ivar cost: cost in seconds.
+    """
+
+    candidate: Candidate
+    forecast: Forecast
+    cost: float
+
+
+@frozen(kw_only=True)
+class PacedRequest:
+    """A request to place.
+
+    :ivar requirements: its requirements.
+    :ivar work: its work.
+    :ivar load: what was learned of its service.
+    :ivar now: the current moment.
+    """
+
+    requirements: PlacementRequirements
+    work: Work
+    load: ServiceLoad
+    now: float
+
+    @property
+    def traits(self) -> RequestTraits:
+        """Traits of the request."""
+        return self.requirements.traits
+
+    @property
+    def events(self) -> float:
+        """Expected events of its answer; zero if unknown."""
+        return self.load.lengths.convert_to_events(self.work.output_tokens)
+
+
+def build_work(load: ServiceLoad, traits: RequestTraits) -> Work:
+    """Build the work of a request from what its service has shown.
+
+    :param load: what was learned of the service.
+    :param traits: what is known of the request.
+    """
+    events = load.lengths.estimate_events(
+        traits.route, traits.length_hint, traits.sent_events
+    )
+    tokens = load.lengths.convert_to_tokens(max(events - traits.sent_events, 0))
+    if traits.output_limit:
+        tokens = min(tokens, traits.output_limit)
+    return Work(
+        prompt_tokens=traits.prompt_tokens,
+        output_tokens=tokens,
+        prefill_s=traits.prefill_s,
+        priority=traits.priority,
+    )
+
+
+def choose_option(
+    candidates: Sequence[Candidate],
+    request: PacedRequest,
+    *,
+    zone: str,
+    rng: random.Random,
+) -> Option | None:
+    """Return the best of a few endpoints, or ``None`` if there is none.
+
+    :param candidates: endpoints that may serve the request.
+    :param request: the request.
+    :param zone: local availability zone.
+    :param rng: random source.
+    """
+    sample = draw_sample(
+        [candidate for candidate in candidates if has_room(candidate, request)],
+        zone=zone,
+        step_class=request.traits.step_class,
+        affinity_key=request.requirements.affinity_key,
+        rng=rng,
+    )
+    options = []
+    for candidate in sample.candidates:
+        forecast = forecast_at(candidate, request)
+        cost = _compute_cost(candidate, forecast, request, zone)
+        if candidate.endpoint.name in sample.preferred:
+            cost -= (
+                request.requirements.reuse_saving_s
+                * request.load.prefill_ratio
+                * forecast.slowdown
+            )
+        options.append(
+            Option(candidate=candidate, forecast=forecast, cost=cost)
+        )
+    if not options:
+        return None
+    # Equal costs are frequent before anything was measured; the sample is in
+    # random order except for the preferred endpoints.
+    return min(options, key=lambda option: option.cost)
+
+
+def forecast_at(candidate: Candidate, request: PacedRequest) -> Forecast:
+    """Forecast a request at one endpoint.
+
+    :param candidate: the endpoint.
+    :param request: the request.
+    """
+    figures = build_figures(candidate, request)
+    return predict(
+        figures,
+        prefill_s=request.work.prefill_s
+        * request.load.prefill_ratio
+        * figures.slowdown,
+        events=request.events,
+    )
+
+
+def build_figures(
+    candidate: Candidate, request: PacedRequest
+) -> EndpointFigures:
+    """Collect what is known of an endpoint.
+
+    :param candidate: the endpoint.
+    :param request: the request to forecast.
+    """
+    state = candidate.state
+    now = request.now
+    report = state.get_report(now)
+    slots = max(candidate.endpoint.slots, 1)
+    requests = state.estimate_requests(now)
+    waiting = max(requests - slots, 0 if report is None else report.waiting)
+    slowdown = state.pace.estimate(now)
+    limit = request.traits.memory_limit
+    return EndpointFigures(
+        running=max(requests - waiting, 0),
+        waiting=waiting,
+        slots=slots,
+        queued_s=state.estimate_queue_delay(now),
+        hold_s=request.load.hold_s * slowdown,
+        event_s=_estimate_event(candidate, request, requests),
+        slowdown=slowdown,
+        memory_share=(
+            estimate_held_tokens(candidate, request.load, now) / limit
+            if limit
+            else 0
+        ),
+        age_s=math.inf if report is None else now - state.reported_at,
+    )
+
+
+def has_room(candidate: Candidate, request: PacedRequest) -> bool:
+    """Return whether an endpoint has the memory for a request.
+
+    :param candidate: the endpoint.
+    :param request: the request.
+    """
+    limit = request.traits.memory_limit
+    if not limit:
+        return True
+    held = estimate_held_tokens(candidate, request.load, request.now)
+    return held + estimate_tokens(request.load, request.traits) <= limit
+
+
+def estimate_held_tokens(
+    candidate: Candidate, load: ServiceLoad, now: float
+) -> float:
+    """Estimate the tokens that all requests at an endpoint may hold.
+
+    Those of this daemon are counted; of others, the report gives the number,
+    and hints the prompts since.
+
+    :param candidate: the endpoint.
+    :param load: what was learned of its service.
+    :param now: the current moment.
+    """
+    state = candidate.state
+    since = state.reported_at if state.get_report(now) else -math.inf
+    hinted, hinted_tokens = state.arrivals.count_remote(since)
+    others = max(state.estimate_requests(now) - state.in_flight - hinted, 0)
+    step_class = candidate.step_class
+    if step_class is None:
+        step_class = StepClass.HEAVY
+    reported = load.tokens[step_class].estimate_total(others)
+    return state.held_tokens + reported + hinted_tokens
+
+
+def _estimate_event(
+    candidate: Candidate, request: PacedRequest, running: float
+) -> float:
+    state = candidate.state
+    slowdown = state.pace.estimate(request.now)
+    usual_s = request.load.estimate_event(
+        (candidate.step_class, request.traits.step_class), running + 1
+    )
+    measured_s = state.get_unit_latency(request.now)
+    # Half the weight: it is measured over some time, and the pace changes.
+    return (
+        (usual_s * slowdown + measured_s) / 2
+        if measured_s
+        else usual_s * slowdown
+    )
+
+
+def _compute_cost(
+    candidate: Candidate,
+    forecast: Forecast,
+    request: PacedRequest,
+    zone: str,
+) -> float:
+    state: EndpointState = candidate.state
+    now = request.now
+    cost = forecast.finish_s + state.get_expected_loss(now)
+    cost += (1 - state.estimate_return_share(now)) * FULL_PENALTY_S
+    if candidate.endpoint.zone != zone:
+        cost += CROSS_ZONE_PENALTY_S
+    if not request.events or forecast.finish_s <= forecast.start_s:
+        # The finish is unknown.
+        cost += forecast.occupancy * FULL_PENALTY_S
+    return cost + _compute_delay_of_others(candidate, forecast, request)
+
+
+def _compute_delay_of_others(
+    candidate: Candidate, forecast: Forecast, request: PacedRequest
+) -> float:
+    """Return the seconds that all requests of the batch lose together."""
+    load = request.load
+    step_class = request.traits.step_class
+    lane = candidate.step_class
+    others = candidate.state.estimate_requests(request.now)
+    event_delay_s = load.event_times[step_class].slope_s
+    mismatch_s: float = 0
+    if lane is not None and step_class < lane:
+        own_s = load.event_times[step_class].mean_s
+        event_delay_s += max(own_s - load.event_times[lane].mean_s, 0)
+        mismatch_s = CLASS_MISMATCH_PENALTY_S
+    delay_s = request.work.prefill_s * load.prefill_ratio
+    delay_s += request.events * event_delay_s
+    return mismatch_s + others * delay_s * forecast.slowdown
--- a/laurelwind/coordination/scheduling/placement.py
+++ b/laurelwind/coordination/scheduling/placement.py
@@ -7,6 +7,9 @@
 batched with requests of similar cost.  For this reason endpoints are divided
 into scheduling classes by prefill time, and the daemons of an availability zone
 notify each other of the prefill time that they queue at each endpoint.
+
+Endpoints of services that report their pace are chosen by forecast, in
+``paced_placement``.
 """
 
 import math
@@ -14,6 +17,7 @@
 from collections.abc import Sequence
 from typing import Final
 
+from laurelwind.coordination.load.forecasts import Forecast, Work
 from laurelwind.coordination.scheduling.candidates import (
     find_by_name,
     limit_candidates,
@@ -21,13 +25,27 @@
 from laurelwind.coordination.scheduling.endpoint_states import (
     EndpointState,
 )
-from laurelwind.coordination.scheduling.observations import (
-    EndpointObservations,
+from laurelwind.coordination.scheduling.load_observations import (
+    LoadObservations,
+)
+from laurelwind.coordination.scheduling.paced_placement import (
+    Option,
+    PacedRequest,
+    build_work,
+    choose_option,
+    forecast_at,
+)
+from laurelwind.coordination.scheduling.penalties import (
+    CLASS_MISMATCH_PENALTY_S,
+    CROSS_ZONE_PENALTY_S,
+    FULL_PENALTY_S,
 )
 from laurelwind.coordination.scheduling.requirements import (
     ClassAssignments,
     PlacementRequirements,
+    RequestTraits,
 )
+from laurelwind.coordination.scheduling.sampling import Candidate
 from laurelwind.coordination.scheduling.slowness import (
     compute_baseline_latency,
     compute_slow_penalty,
@@ -36,26 +54,24 @@
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.state.rendezvous import compute_rendezvous_hash
 
-# Placement penalties, in seconds of queueing delay.  A full endpoint costs as
-# much as one second of queued work; another availability zone or scheduling
-# class costs a fraction of that.
-FULL_PENALTY_S: Final = 1.0
-CROSS_ZONE_PENALTY_S: Final = 0.35
-CLASS_MISMATCH_PENALTY_S: Final = 0.5
 # Seconds by which the endpoint with a cached prompt prefix may cost more than
 # the cheapest endpoint, in addition to the prefill time that the cache saves.
 AFFINITY_TOLERANCE_S: Final = 0.05
 
+_States = Sequence[tuple[EndpointRecord, EndpointState]]
 
-class Placement(EndpointObservations):
+
+class Placement(LoadObservations):
     """Selects endpoints by cost and tracks the state of each endpoint.
 
     :param zone: availability zone of the local instance.
+    :param rng: random source, or ``None`` for one of its own.
     """
 
-    def __init__(self, *, zone: str) -> None:
+    def __init__(self, *, zone: str, rng: random.Random | None = None) -> None:
         super().__init__()
         self._zone = zone
+        self._rng = rng or random.Random()
         self._classes = ClassAssignments()
 
     def choose(
@@ -68,6 +84,9 @@
         :param endpoints: endpoints that may serve the request.
         :param requirements: requirements of the request.
         """
+        if self._has_pace(endpoints):
+            option = self._choose_option(endpoints, requirements)
+            return None if option is None else option.candidate.endpoint
         costs = self._compute_costs(endpoints, requirements)
         if not costs:
             return None
@@ -99,15 +118,123 @@
         :param endpoints: endpoints that may serve the request.
         :param requirements: requirements of the request.
         """
+        if self._has_pace(endpoints):
+            option = self._choose_option(endpoints, requirements)
+            if option is None:
+                return math.inf
+            forecast = option.forecast
+            return forecast.start_s + forecast.occupancy * FULL_PENALTY_S
         costs = self._compute_costs(endpoints, requirements)
         return min(costs.values(), default=math.inf)
 
-    def _compute_costs(
+    def forecast(
         self,
         endpoints: Sequence[EndpointRecord],
         requirements: PlacementRequirements,
-    ) -> dict[str, float]:
-        now = read_monotonic_clock()
+        work: Work,
+    ) -> Forecast | None:
+        """Forecast a request at the endpoint that it would be sent to.
+
+        It is ``None`` while nothing is known: no endpoint reports its pace, or
+        none may serve the request.
+
+        :param endpoints: endpoints that may serve the request.
+        :param requirements: requirements of the request.
+        :param work: work of the request.
+        """
+        if not self._has_pace(endpoints):
+            return None
+        option = self._choose_option(endpoints, requirements, work)
+        return None if option is None else option.forecast
+
+    def forecast_at(
+        self,
+        endpoint: EndpointRecord,
+        traits: RequestTraits,
+        work: Work | None = None,
+    ) -> Forecast | None:
+        """Forecast a request at one endpoint, or ``None`` without its pace.
+
+        :param endpoint: the endpoint.
+        :param traits: what is known of the request.
+        :param work: its work, or ``None`` to estimate it.
+        """
+        if not self.is_paced(endpoint.service):
+            return None
+        requirements = PlacementRequirements(traits=traits)
+        return forecast_at(
+            self._build_candidate(endpoint),
+            self._build_request(endpoint.service, requirements, work),
+        )
+
+    def estimate_work(self, service: str, traits: RequestTraits) -> Work:
+        """Estimate the work of a request.
+
+        :param service: name of its service.
+        :param traits: what is known of the request.
+        """
+        return build_work(self.get_service_load(service), traits)
+
+    def estimate_queue_delay(self, endpoint: EndpointRecord) -> float:
+        """Estimate the queueing delay at an endpoint; see the base class."""
+        forecast = self.forecast_at(endpoint, RequestTraits())
+        if forecast is None:
+            return super().estimate_queue_delay(endpoint)
+        return forecast.start_s
+
+    def _has_pace(self, endpoints: Sequence[EndpointRecord]) -> bool:
+        return bool(endpoints) and self.is_paced(endpoints[0].service)
+
+    def _build_candidate(self, endpoint: EndpointRecord) -> Candidate:
+        return Candidate(
+            endpoint=endpoint,
+            state=self._get_state(endpoint),
+            step_class=self.get_class(endpoint),
+        )
+
+    def _build_request(
+        self,
+        service: str,
+        requirements: PlacementRequirements,
+        work: Work | None,
+    ) -> PacedRequest:
+        load = self.get_service_load(service)
+        if work is None:
+            work = build_work(load, requirements.traits)
+        return PacedRequest(
+            requirements=requirements,
+            work=work,
+            load=load,
+            now=read_monotonic_clock(),
+        )
+
+    def _choose_option(
+        self,
+        endpoints: Sequence[EndpointRecord],
+        requirements: PlacementRequirements,
+        work: Work | None = None,
+    ) -> Option | None:
+        service = endpoints[0].service
+        request = self._build_request(service, requirements, work)
+        if self._positions.refresh(service, endpoints, request.now):
+            request.load.demand.update_shares(request.now)
+        _, available = self._list_available(
+            endpoints, requirements, request.now
+        )
+        return choose_option(
+            [self._build_candidate(endpoint) for endpoint, _ in available],
+            request,
+            zone=self._zone,
+            rng=self._rng,
+        )
+
+    def _list_available(
+        self,
+        endpoints: Sequence[EndpointRecord],
+        requirements: PlacementRequirements,
+        now: float,
+    ) -> tuple[_States, _States]:
+        """Return the endpoints to compare, and those of them to choose from."""
         candidates = [
             (endpoint, self._get_state(endpoint))
             for endpoint in limit_candidates(
@@ -123,6 +250,17 @@
         ]
         if not available and not requirements.avoids_backoff:
             available = candidates
+        return candidates, available
+
+    def _compute_costs(
+        self,
+        endpoints: Sequence[EndpointRecord],
+        requirements: PlacementRequirements,
+    ) -> dict[str, float]:
+        now = read_monotonic_clock()
+        candidates, available = self._list_available(
+            endpoints, requirements, now
+        )
         classes = (
             {}
             if requirements.scheduling_class is None
--- a/laurelwind/coordination/scheduling/requirements.py
+++ b/laurelwind/coordination/scheduling/requirements.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from laurelwind.coordination.load.step_classes import StepClass
 from laurelwind.state.directory import EndpointRecord
 
 
@@ -23,6 +24,33 @@
 }
 
 
+@frozen(kw_only=True)
+class RequestTraits:
+    """What is known of a request's work before it is placed.
+
+    :ivar route: name of its route.
+    :ivar step_class: class by what it costs the steps of its batch.
+    :ivar prompt_tokens: tokens of the prompt, with those sent already.
+    :ivar length_hint: the caller's estimate of the output tokens, or zero.
+    :ivar output_limit: largest length of the answer in tokens, or zero.
+    :ivar prefill_s: estimated prefill time of the prompt, in seconds.
+    :ivar priority: 0 (most urgent) to 9.
+    :ivar sent_events: events that the caller has already.
+    :ivar memory_limit: tokens that an endpoint of the service has memory for,
+        or zero if unknown.
+    """
+
+    route: str = ''
+    step_class: StepClass = StepClass.HEAVY
+    prompt_tokens: int = 0
+    length_hint: int = 0
+    output_limit: int = 0
+    prefill_s: float = 0
+    priority: int = 0
+    sent_events: int = 0
+    memory_limit: int = 0
+
+
 @frozen(kw_only=True)
 class PlacementRequirements:
     """Requirements and preferences of a request for its endpoint.
@@ -35,6 +63,7 @@
         than used when there is no other.
     :ivar scheduling_class: class of the request, or ``None`` where classes are
         not separated.
+    :ivar traits: work of the request, for services that report their pace.
     """
 
     affinity_key: str = ''
@@ -42,6 +71,7 @@
     excluded_endpoints: frozenset[str] = frozenset()
     avoids_backoff: bool = False
     scheduling_class: SchedulingClass | None = None
+    traits: RequestTraits = RequestTraits()
 
 
 class ClassAssignments:
--- a/laurelwind/platform/headers.py
+++ b/laurelwind/platform/headers.py
@@ -11,6 +11,8 @@
     model=b'x-model',
     # Prompt tokens and the output limit, not the tokens used.
     tokens=b'x-token-usage',
+    # Estimate of the output tokens: right at the median, often far off.
+    length_hint=b'x-length-hint',
     # Names and lengths of the prompt's parts, not a hash of the prefix.
     parts=b'x-prefix-hash',
     session=b'session',
--- a/laurelwind/platform/tables.py
+++ b/laurelwind/platform/tables.py
@@ -124,6 +124,13 @@
 
 
 def _build_service(row: Mapping[str, Any]) -> Service:
+    engine = row.get('engine') or {}
     return Service(
-        name=parse_text(row['name']), has_engines=bool(row.get('engine'))
+        name=parse_text(row['name']),
+        has_engines=bool(engine),
+        memory_tokens=max(int(engine.get('kv_cache_tokens') or 0), 0),
+        costs={
+            parse_text(model['name']): parse_number(model.get('cost', 0))
+            for model in engine.get('models') or ()
+        },
     )
--- a/laurelwind/protocol/exchanges.py
+++ b/laurelwind/protocol/exchanges.py
@@ -38,6 +38,8 @@
     :ivar model: model that the caller requests, or an empty string.
     :ivar prompt_tokens: length of the prompt, or zero if not given.
     :ivar output_tokens: largest length of the answer, or zero if not given.
+    :ivar length_hint: the caller's estimate of the answer's length in tokens,
+        or zero if not given.
     :ivar parts: parts of the prompt, in order.
     :ivar session: identifier that related requests share, or an empty string.
     :ivar last_event_id: the last event of a stream that the caller received,
@@ -55,6 +57,7 @@
     model: str = ''
     prompt_tokens: int = 0
     output_tokens: int = 0
+    length_hint: int = 0
     parts: Sequence[PromptPart] = ()
     session: str = ''
     last_event_id: str = ''
@@ -109,11 +112,14 @@
     :ivar running: number of running requests.
     :ivar waiting: number of queued requests.
     :ivar slots: largest number of requests that run concurrently.
+    :ivar slowdown: time that work takes there at the moment, as a multiple of
+        the usual time, or ``None`` if it is not reported.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @frozen(kw_only=True)
--- a/laurelwind/protocol/headers.py
+++ b/laurelwind/protocol/headers.py
@@ -39,6 +39,11 @@
 # Longer numbers count as malformed: they fit no integer of 64 bits.
 _MAX_DIGITS: Final = 18
 _IS_LEAVING: Final = '1'
+_LOAD_COUNTS: Final = 3
+_PERCENT: Final = 100
+# A larger fourth figure of a load report counts as malformed: at a hundredth of
+# the usual speed an endpoint serves no request within its deadline.
+MAX_PACE_PERCENT: Final = 10_000
 
 
 @frozen(kw_only=True)
@@ -49,13 +54,15 @@
     :ivar deadline_ms: milliseconds that the sender waits.
     :ivar model: requested model.
     :ivar tokens: tokens of the prompt and the largest output, comma-separated.
+    :ivar length_hint: the caller's estimate of the output tokens.
     :ivar parts: parts of the prompt as ``NAME:TOKENS``, comma-separated.
     :ivar session: identifier that related requests share.
     :ivar last_event_id: the last event of a stream that the caller received.
     :ivar endpoint: the endpoint for which the request is intended.
     :ivar workspace: the caller's workspace.
     :ivar priority: priority at the endpoint.
-    :ivar load: running requests, waiting requests and slots, comma-separated.
+    :ivar load: running requests, waiting requests, slots and optionally the
+        time that work takes, in percent of the usual time; comma-separated.
     :ivar did_not_run: present if the request did not run.
     :ivar confidence: confidence of the model in its answer.
     :ivar leaving: present in answers of an endpoint that is about to stop.
@@ -68,6 +75,7 @@
     deadline_ms: bytes = b'x-deadline-ms'
     model: bytes = b'x-model'
     tokens: bytes = b'x-tokens'
+    length_hint: bytes = b'x-length-hint'
     parts: bytes = b'x-prompt-parts'
     session: bytes = b'x-session'
     last_event_id: bytes = b'last-event-id'
@@ -131,6 +139,9 @@
             model=_get_text(headers_by_name, names.model),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
+            length_hint=_parse_count(
+                _get_text(headers_by_name, names.length_hint)
+            ),
             parts=_parse_prompt_parts(headers_by_name.get(names.parts, b'')),
             session=_get_text(headers_by_name, names.session),
             last_event_id=_get_text(headers_by_name, names.last_event_id),
@@ -286,10 +297,25 @@
 
 
 def _parse_load(text: bytes | None) -> LoadReport | None:
-    counts = (text or b'').decode('latin-1').split(',')
-    if len(counts) != 3 or not all(
+    """Parse a load report; figures behind the fourth are ignored."""
+    figures = (text or b'').decode('latin-1').split(',')
+    counts = figures[:_LOAD_COUNTS]
+    if len(counts) < _LOAD_COUNTS or not all(
         _is_count(count.strip()) for count in counts
     ):
         return None
     running, waiting, slots = (int(count) for count in counts)
-    return LoadReport(running=running, waiting=waiting, slots=slots)
+    return LoadReport(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        slowdown=_parse_slowdown(figures[_LOAD_COUNTS:]),
+    )
+
+
+def _parse_slowdown(figures: Sequence[str]) -> float | None:
+    """Return the reported slowdown, or ``None`` if it cannot be used."""
+    percent = _parse_number(figures[0].encode('latin-1')) if figures else None
+    if percent is None or not 0 < percent <= MAX_PACE_PERCENT:
+        return None
+    return percent / _PERCENT
--- a/laurelwind/state/routes.py
+++ b/laurelwind/state/routes.py
@@ -120,10 +120,26 @@
 
     :ivar name: name of the service.
     :ivar has_engines: whether its endpoints are model engines.
+    :ivar memory_tokens: tokens of requests that an engine has memory for, or
+        zero if unknown.
+    :ivar costs: costs of its models, by name.
     """
 
     name: str
     has_engines: bool = False
+    memory_tokens: int = 0
+    costs: Mapping[str, float] = field(factory=dict)
+
+    def get_cost_share(self, model: str) -> float:
+        """Return the cost of a model, relative to the largest one.
+
+        A model without a cost counts as the largest one.
+
+        :param model: name of the model.
+        """
+        highest = max(self.costs.values(), default=0)
+        cost = self.costs.get(model, 0)
+        return cost / highest if cost > 0 else 1
 
 
 @frozen(kw_only=True)
--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -178,3 +178,27 @@
     )
     assert head.load is None
     assert head.length is None
+
+
+@pytest.mark.parametrize(
+    ('text', 'slowdown'),
+    [
+        (b'3,1,8,250', 2.5),
+        (b'3,1,8, 55.5 ', 0.555),
+        (b'3,1,8', None),
+        (b'3,1,8,', None),
+        (b'3,1,8,0', None),
+        (b'3,1,8,-20', None),
+        (b'3,1,8,10001', None),
+        (b'3,1,8,1e999', None),
+        (b'3,1,8,nan', None),
+        (b'3,1,8,\xb2', None),
+        (b'3,1,8,x', None),
+        (b'3,1,8,120,7', 1.2),
+    ],
+)
+def test_a_pace_that_cannot_be_used_leaves_the_load_in_force(text, slowdown):
+    """A report of four figures was dropped, so that the load was unknown."""
+    head = CODEC.decode_answer_head(200, [(b'x-instance-load', text)])
+    assert (head.load.running, head.load.waiting, head.load.slots) == (3, 1, 8)
+    assert head.load.slowdown == slowdown
