Place requests by forecast, apart by the cost of their steps

Change: where endpoints report their pace, the best of a few random endpoints by predicted finish is chosen, plus what the batch there loses. Endpoints are divided by the cost of the steps, with shares that follow the demand of all daemons. Daemons forward load reports to three random peers, at a fixed cost. Endpoints without memory for a request are left out: tokens in flight are counted here and estimated for other daemons.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -12,6 +12,7 @@
     has_all_events,
 )
 from laurelwind.coordination.endpoint_notices import EndpointNotices
+from laurelwind.coordination.job_requirements import build_traits
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.plain_answers import (
     MAX_BUFFERED_BYTES,
@@ -207,6 +208,9 @@
             )
         self.record_answer(job, attempt, failed=False)
         self._dependencies.screen.record_completion(job.request_key)
+        self._dependencies.placement.record_length(
+            job.service, build_traits(job)
+        )
         await answer.finish()
         self._log_answered(job, attempt, head.status)
 
@@ -221,6 +225,9 @@
         screen = self._dependencies.screen
         if not attempt.events:
             screen.record_answer(job.service, job.request.parts)
+            self._dependencies.placement.record_first_event(
+                attempt.endpoint, attempt.elapsed_s, attempt.prefill_s
+            )
         if attempt.is_up_to_date:
             key = build_endpoint_key(attempt.endpoint)
             screen.record_event(key, attempt.sent_at)
--- /dev/null
+++ b/laurelwind/coordination/load/report_gossip.py
@@ -0,0 +1,108 @@
+"""Spreads the load reports of endpoints that state their pace.
+
+A daemon gets an answer of the same endpoint every few seconds only, while its
+load and pace change many times a second.  It therefore forwards the reports
+that are new to it to a few random peers.  The cost of a daemon depends neither
+on the number of daemons nor on that of endpoints.  Nothing is sent where no
+endpoint states its pace.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from laurelwind.coordination.load.step_classes import StepClass
+from laurelwind.coordination.scheduling.load_observations import (
+    LoadObservations,
+)
+from laurelwind.protocol.datagrams import DatagramChannel
+from laurelwind.protocol.load_reports import (
+    MAX_REPORTS,
+    decode_demand,
+    decode_reports,
+    encode_reports,
+)
+from laurelwind.state.directory import EndpointRecord
+from laurelwind.state.load import read_monotonic_clock
+
+# Seconds between two rounds, and peers that receive a datagram in each.  With
+# three peers a report reaches 71 daemons in about four rounds.
+PERIOD_S: Final = 0.1
+FANOUT: Final = 3
+
+
+class ReportGossip:
+    """Sends and receives load reports and the demand by class.
+
+    :param observations: holds the reports.
+    :param channel: sends and receives datagrams.
+    :param list_peers: returns the addresses of all other daemons.
+    :param find_endpoint: returns the endpoint of a name, or ``None``.
+    """
+
+    def __init__(
+        self,
+        *,
+        observations: LoadObservations,
+        channel: DatagramChannel,
+        list_peers: Callable[[], Sequence[str]],
+        find_endpoint: Callable[[str], EndpointRecord | None],
+    ) -> None:
+        self._observations = observations
+        self._channel = channel
+        self._list_peers = list_peers
+        self._find_endpoint = find_endpoint
+        channel.add_listener(self.receive)
+
+    def start(self, group: TaskGroup) -> None:
+        """Start to spread reports.
+
+        :param group: task group of the daemon.
+        """
+        group.start_soon(self._spread)
+
+    def build_datagram(self) -> bytes | None:
+        """Return the datagram of a round, or ``None`` if nothing is new."""
+        reports = self._observations.take_updates(MAX_REPORTS)
+        if not reports:
+            return None
+        demand = {}
+        for service, load in self._observations.list_paced():
+            shares = load.demand.measure()
+            if shares:
+                demand[service] = [
+                    shares.get(step_class, 0) for step_class in StepClass
+                ]
+        return encode_reports(reports, demand)
+
+    def receive(self, document: Any) -> None:
+        """Apply the datagram of another daemon.
+
+        :param document: the parsed datagram of any kind.
+        """
+        for shared in decode_reports(document):
+            endpoint = self._find_endpoint(shared.endpoint)
+            if endpoint is not None:
+                self._observations.record_remote_report(
+                    endpoint, shared.report, shared.age_s
+                )
+        for service, shares in decode_demand(document).items():
+            if self._observations.is_paced(service):
+                self._observations.get_service_load(
+                    service
+                ).demand.record_remote(
+                    dict(zip(StepClass, shares, strict=False)),
+                    read_monotonic_clock(),
+                )
+
+    async def _spread(self) -> None:
+        while True:
+            await anyio.sleep(PERIOD_S)
+            datagram = self.build_datagram()
+            if datagram is not None:
+                peers = self._list_peers()
+                for peer in random.sample(peers, min(FANOUT, len(peers))):
+                    await self._channel.send(peer, datagram)
--- a/laurelwind/coordination/load/service_loads.py
+++ b/laurelwind/coordination/load/service_loads.py
@@ -7,9 +7,9 @@
 from attrs import define, field
 
 from laurelwind.coordination.load.answer_lengths import AnswerLengths
+from laurelwind.coordination.load.batches import BatchStatistics
 from laurelwind.coordination.load.event_times import EventTimes
 from laurelwind.coordination.load.step_classes import ClassDemand, StepClass
-from laurelwind.coordination.load.token_statistics import TokenStatistics
 
 # Time after the last report of a pace for which a service counts as one whose
 # endpoints report it.
@@ -21,8 +21,6 @@
 PREFILL_QUANTILE: Final = 0.25
 MIN_PREFILL_RATIO: Final = 0.05
 MAX_PREFILL_RATIO: Final = 5.0
-# Weight of each request in the mean time for which requests take a slot.
-HOLD_WEIGHT: Final = 0.05
 # Prompts that are read faster tell nothing of the time that prompts take.
 MIN_PREFILL_S: Final = 0.05
 
@@ -31,8 +29,8 @@
     return {step_class: EventTimes() for step_class in StepClass}
 
 
-def _build_token_statistics() -> dict[StepClass, TokenStatistics]:
-    return {step_class: TokenStatistics() for step_class in StepClass}
+def _build_batches() -> dict[StepClass, BatchStatistics]:
+    return {step_class: BatchStatistics() for step_class in StepClass}
 
 
 @define(kw_only=True)
@@ -42,10 +40,8 @@
     :ivar lengths: lengths of answers.
     :ivar event_times: seconds per event, by class of the endpoint.
     :ivar demand: demand by class.
-    :ivar tokens: tokens that requests hold, by class of the endpoint.
+    :ivar batches: usual state of the endpoints, by class.
     :ivar prefill_ratio: seconds to read a prompt, relative to the estimate.
-    :ivar hold_s: moving average of the seconds for which a request takes a
-        slot.
     :ivar paced_at: moment of the last report of a pace, or minus infinity.
     :ivar used_at: moment of the last request.
     """
@@ -53,11 +49,8 @@
     lengths: AnswerLengths = field(factory=AnswerLengths)
     event_times: dict[StepClass, EventTimes] = field(factory=_build_event_times)
     demand: ClassDemand = field(factory=ClassDemand)
-    tokens: dict[StepClass, TokenStatistics] = field(
-        factory=_build_token_statistics
-    )
+    batches: dict[StepClass, BatchStatistics] = field(factory=_build_batches)
     prefill_ratio: float = 1.0
-    hold_s: float = 0
     paced_at: float = -math.inf
     used_at: float = 0
     _prefill_ratios: deque[float] = field(
@@ -88,19 +81,6 @@
             max(ratio, MIN_PREFILL_RATIO), MAX_PREFILL_RATIO
         )
 
-    def record_held(
-        self, step_class: StepClass, held_s: float, now: float
-    ) -> None:
-        """Record the time for which a request took a slot.
-
-        :param step_class: class of the request.
-        :param held_s: seconds, divided by the slowdown.
-        :param now: the current moment.
-        """
-        before_s = self.hold_s or held_s
-        self.hold_s = before_s + (held_s - before_s) * HOLD_WEIGHT
-        self.demand.record(step_class, held_s, now)
-
     def estimate_event(
         self, step_classes: tuple[StepClass | None, ...], running: float
     ) -> float:
--- a/laurelwind/coordination/load/step_classes.py
+++ b/laurelwind/coordination/load/step_classes.py
@@ -41,8 +41,9 @@
 class ClassDemand:
     """Demand by class of one service, and the shares of endpoints from it.
 
-    Demand is the time for which requests hold a slot, so that endpoints of all
-    classes hold about as many requests each.
+    Demand is the time of an endpoint that requests take: that of the prompt,
+    and a part of each step that their batch shares.  Endpoints of all classes
+    are then about equally busy.
 
     :ivar shares: shares in force; empty before there was demand.
     """
@@ -53,18 +54,18 @@
     _remote: dict[StepClass, float] = field(factory=dict, init=False)
     _remote_at: float = field(default=-math.inf, init=False)
 
-    def record(self, step_class: StepClass, held_s: float, now: float) -> None:
+    def record(self, step_class: StepClass, work_s: float, now: float) -> None:
         """Record a request that has ended.
 
         :param step_class: its class.
-        :param held_s: seconds for which it held a slot, at the usual pace.
+        :param work_s: seconds of its endpoint that it took, at the usual pace.
         :param now: the current moment.
         """
         decay = math.exp(-max(now - self._local_at, 0) / DEMAND_WINDOW_S)
         for known in self._local:
             self._local[known] *= decay
         self._local_at = now
-        self._local[step_class] = self._local.get(step_class, 0) + held_s
+        self._local[step_class] = self._local.get(step_class, 0) + work_s
 
     def measure(self) -> Shares:
         """Return the shares of this daemon's own demand, which peers receive.
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -197,7 +197,9 @@
                 job.may_have_run = True
                 job.model_index += 1
             finally:
-                self._dependencies.placement.record_ended(attempt.endpoint)
+                self._dependencies.placement.record_attempt_end(
+                    attempt.endpoint, attempt.reservation
+                )
                 with anyio.CancelScope(shield=True):
                     await attempt.exchange.close()
 
--- a/laurelwind/coordination/relay_attempts.py
+++ b/laurelwind/coordination/relay_attempts.py
@@ -4,6 +4,7 @@
 
 from attrs import define
 
+from laurelwind.coordination.scheduling.reservations import Reservation
 from laurelwind.protocol.exchanges import EndpointExchange
 from laurelwind.state.directory import EndpointRecord
 from laurelwind.state.load import read_monotonic_clock
@@ -24,6 +25,7 @@
     :ivar model: name of the model, or empty.
     :ivar prefill_s: estimated prefill time of the prompt, in seconds.
     :ivar expected_delay_s: time to first byte estimated at sending, in seconds.
+    :ivar reservation: what it holds at an endpoint that reports its pace.
     :ivar first_byte_at: moment of the first byte, or zero before it.
     :ivar last_event_at: moment of the last event, or zero before it.
     :ivar events: number of events received.
@@ -37,6 +39,7 @@
     model: str = ''
     prefill_s: float = 0
     expected_delay_s: float = 0
+    reservation: Reservation | None = None
     first_byte_at: float = 0
     last_event_at: float = 0
     events: int = 0
--- a/laurelwind/coordination/scheduling/endpoint_states.py
+++ b/laurelwind/coordination/scheduling/endpoint_states.py
@@ -10,6 +10,10 @@
 
 # Lifetime of an endpoint's load report.
 REPORT_TTL_S: Final = 1.5
+# Time over which an expired report of an endpoint that states its pace is
+# forgotten, and after which an arrival told by another daemon is.
+OVERDUE_REPORT_S: Final = 6.0
+ARRIVAL_TTL_S: Final = 3.0
 # Time over which the queueing delay observed from an answer decays to zero.
 DELAY_TTL_S: Final = 1.5
 # Lifetime of the latency per event after the last event, and the weight of each
@@ -102,11 +106,21 @@
         return None if is_expired else self.report
 
     def estimate_requests(self, now: float) -> float:
-        """Estimate the requests there, with those sent since the report."""
-        if self.get_report(now) is None:
+        """Estimate the requests there, with those sent since the report.
+
+        An endpoint reports when it answers, so one without a new report may be
+        overloaded: the others of the last one are forgotten gradually.
+        """
+        if self.report is None:
             return self.in_flight
-        sent_since, _ = self.arrivals.count_remote(self.reported_at)
-        return self.estimate_load(now) + sent_since
+        overdue_s = max(now - self.reported_at - REPORT_TTL_S, 0)
+        remaining = max(1 - overdue_s / OVERDUE_REPORT_S, 0)
+        reported = self.report.running + self.report.waiting
+        others = max(reported - self.in_flight_at_report, 0) * remaining
+        sent_since, _ = self.arrivals.count_remote(
+            max(self.reported_at, now - ARRIVAL_TTL_S)
+        )
+        return others + sent_since + self.in_flight
 
     def get_expected_loss(self, now: float) -> float:
         """Return the expected loss in seconds, decayed linearly with age."""
--- a/laurelwind/coordination/scheduling/paced_placement.py
+++ b/laurelwind/coordination/scheduling/paced_placement.py
@@ -4,19 +4,25 @@
 time that the request takes from the others of its batch.
 """
 
+import functools
 import math
 import random
 from collections.abc import Sequence
+from typing import Final
 
 from attrs import frozen
 
+from laurelwind.coordination.load.batches import BatchStatistics
 from laurelwind.coordination.load.forecasts import Forecast, Work
 from laurelwind.coordination.load.predictions import EndpointFigures, predict
 from laurelwind.coordination.load.service_loads import ServiceLoad
-from laurelwind.coordination.load.step_classes import StepClass
-from laurelwind.coordination.scheduling.endpoint_states import EndpointState
-from laurelwind.coordination.scheduling.load_observations import (
-    estimate_tokens,
+from laurelwind.coordination.scheduling.endpoint_states import (
+    REPORT_TTL_S,
+    EndpointState,
+)
+from laurelwind.coordination.scheduling.memory import (
+    estimate_held_tokens,
+    has_room,
 )
 from laurelwind.coordination.scheduling.penalties import (
     CLASS_MISMATCH_PENALTY_S,
@@ -29,6 +35,9 @@
 )
 from laurelwind.coordination.scheduling.sampling import Candidate, draw_sample
 
+# Multiple of the usual age from which a report counts as overdue.
+OVERDUE_RATIO: Final = 1.5
+
 
 @frozen(kw_only=True)
 class Option:
@@ -64,6 +73,23 @@
         """Traits of the request."""
         return self.requirements.traits
 
+    def get_batch(self, candidate: Candidate) -> BatchStatistics:
+        """Return the usual state of the endpoints of an endpoint's class.
+
+        :param candidate: the endpoint.
+        """
+        step_class = candidate.step_class
+        if step_class is None:
+            step_class = self.traits.step_class
+        return self.load.batches[step_class]
+
+    def fits(self, candidate: Candidate) -> bool:
+        """Return whether an endpoint has the memory for the request.
+
+        :param candidate: the endpoint.
+        """
+        return has_room(candidate, self.load, self.traits, self.now)
+
     @property
     def events(self) -> float:
         """Expected events of its answer; zero if unknown."""
@@ -104,15 +130,20 @@
     :param zone: local availability zone.
     :param rng: random source.
     """
-    sample = draw_sample(
-        [candidate for candidate in candidates if has_room(candidate, request)],
+    draw = functools.partial(
+        draw_sample,
         zone=zone,
         step_class=request.traits.step_class,
         affinity_key=request.requirements.affinity_key,
         rng=rng,
     )
+    sample = draw(candidates)
+    roomy = [one for one in sample.candidates if request.fits(one)]
+    if not roomy:
+        sample = draw([one for one in candidates if request.fits(one)])
+        roomy = sample.candidates
     options = []
-    for candidate in sample.candidates:
+    for candidate in roomy:
         forecast = forecast_at(candidate, request)
         cost = _compute_cost(candidate, forecast, request, zone)
         if candidate.endpoint.name in sample.preferred:
@@ -168,7 +199,7 @@
         waiting=waiting,
         slots=slots,
         queued_s=state.estimate_queue_delay(now),
-        hold_s=request.load.hold_s * slowdown,
+        hold_s=request.get_batch(candidate).hold_s * slowdown,
         event_s=_estimate_event(candidate, request, requests),
         slowdown=slowdown,
         memory_share=(
@@ -180,42 +211,6 @@
     )
 
 
-def has_room(candidate: Candidate, request: PacedRequest) -> bool:
-    """Return whether an endpoint has the memory for a request.
-
-    :param candidate: the endpoint.
-    :param request: the request.
-    """
-    limit = request.traits.memory_limit
-    if not limit:
-        return True
-    held = estimate_held_tokens(candidate, request.load, request.now)
-    return held + estimate_tokens(request.load, request.traits) <= limit
-
-
-def estimate_held_tokens(
-    candidate: Candidate, load: ServiceLoad, now: float
-) -> float:
-    """Estimate the tokens that all requests at an endpoint may hold.
-
-    Those of this daemon are counted; of others, the report gives the number,
-    and hints the prompts since.
-
-    :param candidate: the endpoint.
-    :param load: what was learned of its service.
-    :param now: the current moment.
-    """
-    state = candidate.state
-    since = state.reported_at if state.get_report(now) else -math.inf
-    hinted, hinted_tokens = state.arrivals.count_remote(since)
-    others = max(state.estimate_requests(now) - state.in_flight - hinted, 0)
-    step_class = candidate.step_class
-    if step_class is None:
-        step_class = StepClass.HEAVY
-    reported = load.tokens[step_class].estimate_total(others)
-    return state.held_tokens + reported + hinted_tokens
-
-
 def _estimate_event(
     candidate: Candidate, request: PacedRequest, running: float
 ) -> float:
@@ -242,6 +237,7 @@
     state: EndpointState = candidate.state
     now = request.now
     cost = forecast.finish_s + state.get_expected_loss(now)
+    cost += _measure_overdue(candidate, forecast, request)
     cost += (1 - state.estimate_return_share(now)) * FULL_PENALTY_S
     if candidate.endpoint.zone != zone:
         cost += CROSS_ZONE_PENALTY_S
@@ -251,6 +247,22 @@
     return cost + _compute_delay_of_others(candidate, forecast, request)
 
 
+def _measure_overdue(
+    candidate: Candidate, forecast: Forecast, request: PacedRequest
+) -> float:
+    """Return the seconds by which an endpoint's next report is overdue.
+
+    Endpoints report when they answer, so one that stalls reports nothing, and
+    its last report shows less than it holds.
+    """
+    batch = request.get_batch(candidate)
+    if forecast.age_s > REPORT_TTL_S:
+        return 0
+    usual_s = batch.report_age_s
+    batch.record_report_age(forecast.age_s)
+    return max(forecast.age_s - OVERDUE_RATIO * usual_s, 0)
+
+
 def _compute_delay_of_others(
     candidate: Candidate, forecast: Forecast, request: PacedRequest
 ) -> float:
--- a/laurelwind/coordination/scheduling/placement.py
+++ b/laurelwind/coordination/scheduling/placement.py
@@ -17,23 +17,14 @@
 from collections.abc import Sequence
 from typing import Final
 
-from laurelwind.coordination.load.forecasts import Forecast, Work
 from laurelwind.coordination.scheduling.candidates import (
     find_by_name,
-    limit_candidates,
 )
 from laurelwind.coordination.scheduling.endpoint_states import (
     EndpointState,
 )
-from laurelwind.coordination.scheduling.load_observations import (
-    LoadObservations,
-)
-from laurelwind.coordination.scheduling.paced_placement import (
-    Option,
-    PacedRequest,
-    build_work,
-    choose_option,
-    forecast_at,
+from laurelwind.coordination.scheduling.forecast_placement import (
+    ForecastPlacement,
 )
 from laurelwind.coordination.scheduling.penalties import (
     CLASS_MISMATCH_PENALTY_S,
@@ -43,9 +34,7 @@
 from laurelwind.coordination.scheduling.requirements import (
     ClassAssignments,
     PlacementRequirements,
-    RequestTraits,
 )
-from laurelwind.coordination.scheduling.sampling import Candidate
 from laurelwind.coordination.scheduling.slowness import (
     compute_baseline_latency,
     compute_slow_penalty,
@@ -58,10 +47,8 @@
 # the cheapest endpoint, in addition to the prefill time that the cache saves.
 AFFINITY_TOLERANCE_S: Final = 0.05
 
-_States = Sequence[tuple[EndpointRecord, EndpointState]]
-
 
-class Placement(LoadObservations):
+class Placement(ForecastPlacement):
     """Selects endpoints by cost and tracks the state of each endpoint.
 
     :param zone: availability zone of the local instance.
@@ -69,9 +56,7 @@
     """
 
     def __init__(self, *, zone: str, rng: random.Random | None = None) -> None:
-        super().__init__()
-        self._zone = zone
-        self._rng = rng or random.Random()
+        super().__init__(zone=zone, rng=rng)
         self._classes = ClassAssignments()
 
     def choose(
@@ -127,131 +112,6 @@
         costs = self._compute_costs(endpoints, requirements)
         return min(costs.values(), default=math.inf)
 
-    def forecast(
-        self,
-        endpoints: Sequence[EndpointRecord],
-        requirements: PlacementRequirements,
-        work: Work,
-    ) -> Forecast | None:
-        """Forecast a request at the endpoint that it would be sent to.
-
-        It is ``None`` while nothing is known: no endpoint reports its pace, or
-        none may serve the request.
-
-        :param endpoints: endpoints that may serve the request.
-        :param requirements: requirements of the request.
-        :param work: work of the request.
-        """
-        if not self._has_pace(endpoints):
-            return None
-        option = self._choose_option(endpoints, requirements, work)
-        return None if option is None else option.forecast
-
-    def forecast_at(
-        self,
-        endpoint: EndpointRecord,
-        traits: RequestTraits,
-        work: Work | None = None,
-    ) -> Forecast | None:
-        """Forecast a request at one endpoint, or ``None`` without its pace.
-
-        :param endpoint: the endpoint.
-        :param traits: what is known of the request.
-        :param work: its work, or ``None`` to estimate it.
-        """
-        if not self.is_paced(endpoint.service):
-            return None
-        requirements = PlacementRequirements(traits=traits)
-        return forecast_at(
-            self._build_candidate(endpoint),
-            self._build_request(endpoint.service, requirements, work),
-        )
-
-    def estimate_work(self, service: str, traits: RequestTraits) -> Work:
-        """Estimate the work of a request.
-
-        :param service: name of its service.
-        :param traits: what is known of the request.
-        """
-        return build_work(self.get_service_load(service), traits)
-
-    def estimate_queue_delay(self, endpoint: EndpointRecord) -> float:
-        """Estimate the queueing delay at an endpoint; see the base class."""
-        forecast = self.forecast_at(endpoint, RequestTraits())
-        if forecast is None:
-            return super().estimate_queue_delay(endpoint)
-        return forecast.start_s
-
-    def _has_pace(self, endpoints: Sequence[EndpointRecord]) -> bool:
-        return bool(endpoints) and self.is_paced(endpoints[0].service)
-
-    def _build_candidate(self, endpoint: EndpointRecord) -> Candidate:
-        return Candidate(
-            endpoint=endpoint,
-            state=self._get_state(endpoint),
-            step_class=self.get_class(endpoint),
-        )
-
-    def _build_request(
-        self,
-        service: str,
-        requirements: PlacementRequirements,
-        work: Work | None,
-    ) -> PacedRequest:
-        load = self.get_service_load(service)
-        if work is None:
-            work = build_work(load, requirements.traits)
-        return PacedRequest(
-            requirements=requirements,
-            work=work,
-            load=load,
-            now=read_monotonic_clock(),
-        )
-
-    def _choose_option(
-        self,
-        endpoints: Sequence[EndpointRecord],
-        requirements: PlacementRequirements,
-        work: Work | None = None,
-    ) -> Option | None:
-        service = endpoints[0].service
-        request = self._build_request(service, requirements, work)
-        if self._positions.refresh(service, endpoints, request.now):
-            request.load.demand.update_shares(request.now)
-        _, available = self._list_available(
-            endpoints, requirements, request.now
-        )
-        return choose_option(
-            [self._build_candidate(endpoint) for endpoint, _ in available],
-            request,
-            zone=self._zone,
-            rng=self._rng,
-        )
-
-    def _list_available(
-        self,
-        endpoints: Sequence[EndpointRecord],
-        requirements: PlacementRequirements,
-        now: float,
-    ) -> tuple[_States, _States]:
-        """Return the endpoints to compare, and those of them to choose from."""
-        candidates = [
-            (endpoint, self._get_state(endpoint))
-            for endpoint in limit_candidates(
-                endpoints, requirements.affinity_key
-            )
-            if endpoint.name not in requirements.excluded_endpoints
-            and self._get_state(endpoint).paused_until <= now
-        ]
-        available = [
-            candidate
-            for candidate in candidates
-            if not candidate[1].is_avoided(now)
-        ]
-        if not available and not requirements.avoids_backoff:
-            available = candidates
-        return candidates, available
-
     def _compute_costs(
         self,
         endpoints: Sequence[EndpointRecord],
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 
 from laurelwind.coordination.choosing import Choice, EndpointChooser
+from laurelwind.coordination.job_requirements import build_traits
 from laurelwind.coordination.limits.endpoint_permits import EndpointPermits
 from laurelwind.coordination.relay_attempts import Attempt
 from laurelwind.coordination.relay_jobs import Job
@@ -125,14 +126,17 @@
             job, endpoint, lambda: self._may_send(choice)
         )
         self._log_sent(job, endpoint, dispatch)
-        dependencies.placement.record_sent(endpoint, job.prefill_s)
-        expected_delay_s = dependencies.placement.estimate_queue_delay(endpoint)
+        delay = dependencies.placement.record_request(
+            endpoint, job.prefill_s, build_traits(job)
+        )
         dependencies.notify_work(endpoint.name, job.prefill_s)
         sent_at = read_monotonic_clock()
         try:
             exchange = await dependencies.gateway.send(job.request, dispatch)
         except BaseException:
-            dependencies.placement.record_ended(endpoint)
+            dependencies.placement.record_attempt_end(
+                endpoint, delay.reservation
+            )
             raise
         return Attempt(
             endpoint=endpoint,
@@ -140,7 +144,8 @@
             sent_at=sent_at,
             model=dispatch.model,
             prefill_s=job.prefill_s,
-            expected_delay_s=expected_delay_s,
+            expected_delay_s=delay.expected_s,
+            reservation=delay.reservation,
         )
 
     def _may_send(self, choice: Choice) -> bool:
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -27,7 +27,7 @@
 from laurelwind.relay_gauges import register_gauges
 from laurelwind.relay_limits import TableLimits
 from laurelwind.relay_metrics import RelayMetrics
-from laurelwind.relay_permits import build_permits
+from laurelwind.relay_permits import build_permits, build_report_gossip
 from laurelwind.relay_settings import RelaySettings
 from laurelwind.relay_tracking import (
     PlatformAdapters,
@@ -139,6 +139,7 @@
             ),
         )
         self.permits = build_permits(self)
+        self.reports = build_report_gossip(self)
         self._limits = TableLimits(tracker=self.tracker)
         self.relay = self._build_relay()
         self.application = RelayApplication(
@@ -203,6 +204,7 @@
         self.hints.start(group)
         self.gossip.start(group)
         self.permits.start(group)
+        self.reports.start(group)
         applications: dict[str, ASGIApp] = {
             self.settings.listen.callers: self.application,
             self.settings.listen.peers: TopicApplication(copies=self.copies),
--- a/laurelwind/relay_permits.py
+++ b/laurelwind/relay_permits.py
@@ -1,4 +1,4 @@
-"""Wires the permits of a relay daemon for endpoints with a rate limit."""
+"""Wires what daemons exchange about endpoints: permits and load reports."""
 
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
@@ -11,6 +11,7 @@
 from laurelwind.coordination.limits.holders import HolderChoice
 from laurelwind.coordination.limits.limit_gossip import LimitGossip
 from laurelwind.coordination.limits.permit_asks import PermitAsks
+from laurelwind.coordination.load.report_gossip import ReportGossip
 from laurelwind.protocol.platform import ListedInstance
 
 if TYPE_CHECKING:
@@ -47,6 +48,35 @@
     )
 
 
+def build_report_gossip(daemon: 'RelayDaemon') -> ReportGossip:
+    """Build the exchange of load reports, and register its gauges.
+
+    :param daemon: the daemon; its peers and placement are built.
+    """
+    placement = daemon.placement
+    daemon.metrics.add_gauge(
+        'laurelwind_paced_services',
+        'Services whose endpoints report their pace.',
+        lambda: len(placement.list_paced()),
+    )
+    daemon.metrics.add_gauge(
+        'laurelwind_slowest_endpoint',
+        'Largest slowdown of an endpoint whose pace is known.',
+        placement.get_largest_slowdown,
+    )
+    daemon.metrics.add_gauge(
+        'laurelwind_oldest_pace_seconds',
+        'Age of the oldest pace of an endpoint with requests in flight.',
+        placement.get_oldest_pace_age,
+    )
+    return ReportGossip(
+        observations=placement,
+        channel=daemon.datagrams,
+        list_peers=daemon.list_peers,
+        find_endpoint=daemon.directory.find,
+    )
+
+
 def _list_holders(daemon: 'RelayDaemon') -> Sequence[ListedInstance]:
     """List the daemons that may hold permits, none until they are known.
 
--- a/laurelwind/state/directory.py
+++ b/laurelwind/state/directory.py
@@ -90,6 +90,14 @@
             for name, records in self._ready_by_service.items()
         }
 
+    def find(self, name: str) -> EndpointRecord | None:
+        """Return the endpoint of a name, or ``None``.
+
+        :param name: name of the endpoint.
+        """
+        entry = self._entries.get(name)
+        return None if entry is None else entry.record
+
     def list_names(self) -> set[str]:
         """Return the names of all endpoints in the directory."""
         return set(self._entries)
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -12,9 +12,16 @@
 from laurelwind.coordination.limits.holders import HolderChoice
 from laurelwind.coordination.limits.limit_gossip import LimitGossip
 from laurelwind.coordination.limits.permit_asks import PermitAsks
+from laurelwind.coordination.load import report_gossip
 from laurelwind.coordination.relay import build_relay
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
-from laurelwind.coordination.scheduling import observations, placement
+from laurelwind.coordination.scheduling import (
+    forecast_placement,
+    load_observations,
+    observations,
+    placement,
+    report_observations,
+)
 from laurelwind.coordination.scheduling.fleet_retry_budget import (
     FleetRetryBudget,
 )
@@ -250,7 +257,14 @@
 
 def patch_placement_clock(monkeypatch, clock):
     """Replace the clock that placement reads."""
-    for module in (observations, placement):
+    for module in (
+        observations,
+        report_observations,
+        load_observations,
+        forecast_placement,
+        placement,
+        report_gossip,
+    ):
         monkeypatch.setattr(module, 'read_monotonic_clock', clock)
 
 
