Tell slow endpoints from silent ones, and move streams that would be late

Cause: a silence was judged by the pace at sending, and a stream on a slow engine ran until its deadline (70 events in 16 s at 235 ms each, while others took 70 ms). Change: the first event is due at the endpoint's own pace and queue; where a report since sending shows a slower pace or a queue, the wait is extended once. A stream whose predicted finish is past its deadline moves once to an endpoint that ends it in time, if it can be resumed and the limits on attempts and retries allow it. Nothing counts against the slow endpoint.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -12,7 +12,6 @@
     has_all_events,
 )
 from laurelwind.coordination.endpoint_notices import EndpointNotices
-from laurelwind.coordination.job_requirements import build_traits
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.plain_answers import (
     MAX_BUFFERED_BYTES,
@@ -29,6 +28,7 @@
     SilenceLimit,
     SilenceMonitor,
 )
+from laurelwind.coordination.stream_progress import StreamProgress
 from laurelwind.coordination.suspects.keys import build_endpoint_key
 from laurelwind.coordination.suspects.screen import SuspectScreen
 from laurelwind.decisions import DecisionLog
@@ -60,6 +60,7 @@
     :ivar selector: decides whether a request may be retried.
     :ivar monitor: decides when silence ends an attempt.
     :ivar placement: tracks the state of endpoints.
+    :ivar progress: learns from streams, and moves late ones.
     :ivar notices: applies what endpoints report of themselves.
     :ivar rollouts: tracks the outcomes of versions.
     :ivar screen: learns which requests are answered.
@@ -71,6 +72,7 @@
     selector: EndpointSelector
     monitor: SilenceMonitor
     placement: Placement
+    progress: StreamProgress
     notices: EndpointNotices
     rollouts: RolloutRegistry
     screen: SuspectScreen
@@ -101,8 +103,8 @@
         :param attempt: the attempt that is answered.
         :param answer: answer to the caller.
         :raises EndpointError: if the answer is refused, late or incomplete.
-        :raises LowConfidenceError: if the request must be escalated to a larger
-            model.
+        :raises StreamLateError: if the stream moves, as it would be late.
+        :raises LowConfidenceError: if a larger model must be asked.
         """
         answer.endpoint = attempt.endpoint.name
         with self._timings.track(job, attempt):
@@ -198,6 +200,7 @@
             await answer.send(b''.join(event.raw for event in events))
             job.record_events(len(events), reader.resume_id)
             answer.events = job.events
+            self._dependencies.progress.review(job, attempt)
         if reader.has_incomplete_event or not has_all_events(
             job, attempt, head
         ):
@@ -208,9 +211,7 @@
             )
         self.record_answer(job, attempt, failed=False)
         self._dependencies.screen.record_completion(job.request_key)
-        self._dependencies.placement.record_length(
-            job.service, build_traits(job)
-        )
+        self._dependencies.progress.record_end(job)
         await answer.finish()
         self._log_answered(job, attempt, head.status)
 
@@ -225,9 +226,7 @@
         screen = self._dependencies.screen
         if not attempt.events:
             screen.record_answer(job.service, job.request.parts)
-            self._dependencies.placement.record_first_event(
-                attempt.endpoint, attempt.elapsed_s, attempt.prefill_s
-            )
+            self._dependencies.progress.record_first_event(attempt)
         if attempt.is_up_to_date:
             key = build_endpoint_key(attempt.endpoint)
             screen.record_event(key, attempt.sent_at)
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -21,6 +21,10 @@
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import Sender, SenderDependencies
 from laurelwind.coordination.silence_monitor import SilenceMonitor
+from laurelwind.coordination.stream_progress import (
+    StreamLateError,
+    StreamProgress,
+)
 from laurelwind.coordination.suspects.reporting import CrashReporter
 from laurelwind.coordination.suspects.screen import SuspectScreen
 from laurelwind.coordination.suspects.watch import WatchedAttempt
@@ -77,6 +81,11 @@
             selector=sender.selector,
             monitor=SilenceMonitor(sender=sender, log=dependencies.log),
             placement=dependencies.placement,
+            progress=StreamProgress(
+                selector=sender.selector,
+                placement=dependencies.placement,
+                log=dependencies.log,
+            ),
             notices=EndpointNotices(
                 placement=dependencies.placement,
                 limits=dependencies.permits.limits,
@@ -196,6 +205,9 @@
             except LowConfidenceError:
                 job.may_have_run = True
                 job.model_index += 1
+            except StreamLateError:
+                # The endpoint is slow and sound, so nothing counts against it.
+                job.fallback_endpoints.add(attempt.endpoint.name)
             finally:
                 self._dependencies.placement.record_attempt_end(
                     attempt.endpoint, attempt.reservation
@@ -215,7 +227,11 @@
                 return await self._dependencies.delivery.deliver(
                     job, attempt, answer
                 )
-        except (LowConfidenceError, anyio.get_cancelled_exc_class()):
+        except (
+            LowConfidenceError,
+            StreamLateError,
+            anyio.get_cancelled_exc_class(),
+        ):
             self._dependencies.reporter.report_abandoned(job, attempt)
             raise
 
--- a/laurelwind/coordination/relay_attempts.py
+++ b/laurelwind/coordination/relay_attempts.py
@@ -27,6 +27,8 @@
     :ivar expected_delay_s: time to first byte estimated at sending, in seconds.
     :ivar reservation: what it holds at an endpoint that reports its pace.
     :ivar first_byte_at: moment of the first byte, or zero before it.
+    :ivar first_event_at: moment of the first event, or zero before it.
+    :ivar reviewed_at: moment at which its finish was last predicted, or zero.
     :ivar last_event_at: moment of the last event, or zero before it.
     :ivar events: number of events received.
     :ivar waited_s: seconds that the last read waited.
@@ -41,6 +43,8 @@
     expected_delay_s: float = 0
     reservation: Reservation | None = None
     first_byte_at: float = 0
+    first_event_at: float = 0
+    reviewed_at: float = 0
     last_event_at: float = 0
     events: int = 0
     waited_s: float = 0
@@ -76,6 +80,8 @@
         unit_latency_s = (
             (now - self.last_event_at) / count if self.events else None
         )
+        if not self.events:
+            self.first_event_at = now
         self.last_event_at = now
         self.events += count
         return unit_latency_s
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -77,6 +77,7 @@
     :ivar avoids_target_version: whether it uses no version that is being rolled
         out, as that one had no permit for it.
     :ivar reserved_retries: retries of the budget that are held for the request.
+    :ivar has_moved: whether it was moved, as it would have been late.
     :ivar saved_failure: complete failure answer of an endpoint, delivered if
         every later attempt fails as well.
     :ivar last_event_id: id of the last stream event that the caller has, or an
@@ -105,6 +106,7 @@
     known_crashes: int = 0
     avoids_target_version: bool = False
     reserved_retries: int = 0
+    has_moved: bool = False
     saved_failure: BufferedAnswer | None = None
     last_event_id: str = ''
     events: int = 0
--- a/laurelwind/coordination/scheduling/load_observations.py
+++ b/laurelwind/coordination/scheduling/load_observations.py
@@ -92,6 +92,30 @@
             now,
         )
 
+    def estimate_slowness(
+        self,
+        endpoint: EndpointRecord,
+        reservation: Reservation,
+        expected_s: float,
+    ) -> float:
+        """Estimate how much longer than expected an endpoint needs.
+
+        Only a report since the request was sent counts: an endpoint that
+        reports is alive, and its pace and queue tell why it sends nothing yet.
+
+        :param endpoint: the endpoint.
+        :param reservation: what the request holds there.
+        :param expected_s: seconds that were expected at the pace then.
+        """
+        state = self._get_state(endpoint)
+        now = read_monotonic_clock()
+        report = state.get_report(now)
+        if report is None or state.reported_at <= reservation.sent_at:
+            return 0
+        ratio = state.pace.estimate(now) / reservation.slowdown
+        queue_s = state.estimate_queued_prefill(now) if report.waiting else 0
+        return max(ratio - 1, 0) * expected_s + queue_s
+
     def record_remote_work(self, name: str, prefill_s: float) -> None:
         """Record a request that another daemon sent; see the base class."""
         state = self._get_named_state(name)
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -177,6 +177,23 @@
         if self._dependencies.placement.begin_silence(endpoint):
             self._dependencies.notify_loss(endpoint.name, silent_s)
 
+    def estimate_slowness(
+        self, attempt: Attempt, timeout_s: float | None
+    ) -> float:
+        """Estimate how much longer an endpoint needs than was expected.
+
+        :param attempt: the attempt that waits for it.
+        :param timeout_s: seconds after which it would count as silent.
+        """
+        if attempt.reservation is None:
+            return 0
+        expected_s = attempt.expected_delay_s
+        if attempt.first_byte_at:
+            expected_s = timeout_s or 0
+        return self._dependencies.placement.estimate_slowness(
+            attempt.endpoint, attempt.reservation, expected_s
+        )
+
     def end_silence(self, endpoint: EndpointRecord) -> None:
         """Record that such a request got an answer, or ended.
 
--- a/laurelwind/coordination/silence_monitor.py
+++ b/laurelwind/coordination/silence_monitor.py
@@ -72,11 +72,19 @@
             another one can take over, or its connection breaks.
         """
         timer = _Timer(timeout_s=limit.timeout_s)
+        is_extended = False
         while True:
             with timer.start():
                 return await receive()
-            if not timer.must_repeat():
+            if timer.must_repeat():
+                continue
+            slow_s = self._sender.estimate_slowness(attempt, limit.timeout_s)
+            if is_extended or not slow_s:
                 break
+            # An endpoint that is slow by its own reports is not silent yet.
+            is_extended = True
+            timer = _Timer(timeout_s=min(slow_s, job.remaining_s / 2))
+            self._log_slowness(job, attempt, slow_s)
         obstacle = self._leave(job, attempt, limit)
         self._begin_silence(job, attempt, obstacle)
         try:
@@ -129,6 +137,17 @@
             left_s=round(job.remaining_s, 3),
         )
 
+    def _log_slowness(self, job: Job, attempt: Attempt, slow_s: float) -> None:
+        self._log.log_info(
+            'slowness_tolerated',
+            request=job.request.request_id,
+            endpoint=attempt.endpoint.name,
+            silent_s=round(attempt.silent_s, 3),
+            slow_s=round(slow_s, 3),
+            events=job.events,
+            left_s=round(job.remaining_s, 3),
+        )
+
     def _log_end(self, job: Job, attempt: Attempt) -> None:
         self._log.log_info(
             'silence_ended',
