--- a/laurelwind/coordination/scheduling/endpoint_states.py
+++ b/laurelwind/coordination/scheduling/endpoint_states.py
@@ -2,12 +2,18 @@
 
 from typing import Final
 
-from attrs import define
+from attrs import define, field
 
+from laurelwind.coordination.load.arrivals import RecentArrivals
+from laurelwind.coordination.load.paces import PaceEstimate
 from laurelwind.protocol.exchanges import LoadReport
 
 # Lifetime of an endpoint's load report.
 REPORT_TTL_S: Final = 1.5
+# Time over which an expired report of an endpoint that states its pace is
+# forgotten, and after which an arrival told by another daemon is.
+OVERDUE_REPORT_S: Final = 6.0
+ARRIVAL_TTL_S: Final = 3.0
 # Time over which the queueing delay observed from an answer decays to zero.
 DELAY_TTL_S: Final = 1.5
 # Lifetime of the latency per event after the last event, and the weight of each
@@ -51,6 +57,10 @@
     :ivar pause_s: length of that pause.
     :ivar expected_loss_s: moving average of the seconds that a request loses
         at the endpoint by failures, as of ``expected_loss_at``.
+    :ivar service: name of its service, or empty before its first report.
+    :ivar pace: smoothed pace.
+    :ivar arrivals: requests sent to it lately.
+    :ivar held_tokens: tokens that this daemon's requests there may hold.
     """
 
     in_flight: int = 0
@@ -72,6 +82,10 @@
     pause_s: float = 0
     expected_loss_s: float = 0
     expected_loss_at: float = 0
+    service: str = ''
+    pace: PaceEstimate = field(factory=PaceEstimate)
+    arrivals: RecentArrivals = field(factory=RecentArrivals)
+    held_tokens: int = 0
 
     def is_avoided(self, now: float) -> bool:
         """Return whether requests are sent to other endpoints if possible."""
@@ -86,6 +100,28 @@
         )
         return max(others, 0) + self.in_flight
 
+    def get_report(self, now: float) -> LoadReport | None:
+        """Return the last load report, unless it has expired."""
+        is_expired = now - self.reported_at > REPORT_TTL_S
+        return None if is_expired else self.report
+
+    def estimate_requests(self, now: float) -> float:
+        """Estimate the requests there, with those sent since the report.
+
+        An endpoint reports when it answers, so one without a new report may be
+        overloaded: the others of the last one are forgotten gradually.
+        """
+        if self.report is None:
+            return self.in_flight
+        overdue_s = max(now - self.reported_at - REPORT_TTL_S, 0)
+        remaining = max(1 - overdue_s / OVERDUE_REPORT_S, 0)
+        reported = self.report.running + self.report.waiting
+        others = max(reported - self.in_flight_at_report, 0) * remaining
+        sent_since, _ = self.arrivals.count_remote(
+            max(self.reported_at, now - ARRIVAL_TTL_S)
+        )
+        return others + sent_since + self.in_flight
+
     def get_expected_loss(self, now: float) -> float:
         """Return the expected loss in seconds, decayed linearly with age."""
         remaining = max(
--- a/laurelwind/coordination/scheduling/placement.py
+++ b/laurelwind/coordination/scheduling/placement.py
@@ -7,6 +7,9 @@
 batched with requests of similar cost.  For this reason endpoints are divided
 into scheduling classes by prefill time, and the daemons of an availability zone
 notify each other of the prefill time that they queue at each endpoint.
+
+Endpoints of services that report their pace are chosen by forecast, in
+``paced_placement``.
 """
 
 import math
@@ -16,13 +19,17 @@
 
 from laurelwind.coordination.scheduling.candidates import (
     find_by_name,
-    limit_candidates,
 )
 from laurelwind.coordination.scheduling.endpoint_states import (
     EndpointState,
 )
-from laurelwind.coordination.scheduling.observations import (
-    EndpointObservations,
+from laurelwind.coordination.scheduling.forecast_placement import (
+    ForecastPlacement,
+)
+from laurelwind.coordination.scheduling.penalties import (
+    CLASS_MISMATCH_PENALTY_S,
+    CROSS_ZONE_PENALTY_S,
+    FULL_PENALTY_S,
 )
 from laurelwind.coordination.scheduling.requirements import (
     ClassAssignments,
@@ -36,26 +43,20 @@
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.state.rendezvous import compute_rendezvous_hash
 
-# Placement penalties, in seconds of queueing delay.  A full endpoint costs as
-# much as one second of queued work; another availability zone or scheduling
-# class costs a fraction of that.
-FULL_PENALTY_S: Final = 1.0
-CROSS_ZONE_PENALTY_S: Final = 0.35
-CLASS_MISMATCH_PENALTY_S: Final = 0.5
 # Seconds by which the endpoint with a cached prompt prefix may cost more than
 # the cheapest endpoint, in addition to the prefill time that the cache saves.
 AFFINITY_TOLERANCE_S: Final = 0.05
 
 
-class Placement(EndpointObservations):
+class Placement(ForecastPlacement):
     """Selects endpoints by cost and tracks the state of each endpoint.
 
     :param zone: availability zone of the local instance.
+    :param rng: random source, or ``None`` for one of its own.
     """
 
-    def __init__(self, *, zone: str) -> None:
-        super().__init__()
-        self._zone = zone
+    def __init__(self, *, zone: str, rng: random.Random | None = None) -> None:
+        super().__init__(zone=zone, rng=rng)
         self._classes = ClassAssignments()
 
     def choose(
@@ -68,6 +69,9 @@
         :param endpoints: endpoints that may serve the request.
         :param requirements: requirements of the request.
         """
+        if self._has_pace(endpoints):
+            option = self._choose_option(endpoints, requirements)
+            return None if option is None else option.candidate.endpoint
         costs = self._compute_costs(endpoints, requirements)
         if not costs:
             return None
@@ -99,6 +103,12 @@
         :param endpoints: endpoints that may serve the request.
         :param requirements: requirements of the request.
         """
+        if self._has_pace(endpoints):
+            option = self._choose_option(endpoints, requirements)
+            if option is None:
+                return math.inf
+            forecast = option.forecast
+            return forecast.start_s + forecast.occupancy * FULL_PENALTY_S
         costs = self._compute_costs(endpoints, requirements)
         return min(costs.values(), default=math.inf)
 
@@ -108,21 +118,9 @@
         requirements: PlacementRequirements,
     ) -> dict[str, float]:
         now = read_monotonic_clock()
-        candidates = [
-            (endpoint, self._get_state(endpoint))
-            for endpoint in limit_candidates(
-                endpoints, requirements.affinity_key
-            )
-            if endpoint.name not in requirements.excluded_endpoints
-            and self._get_state(endpoint).paused_until <= now
-        ]
-        available = [
-            candidate
-            for candidate in candidates
-            if not candidate[1].is_avoided(now)
-        ]
-        if not available and not requirements.avoids_backoff:
-            available = candidates
+        candidates, available = self._list_available(
+            endpoints, requirements, now
+        )
         classes = (
             {}
             if requirements.scheduling_class is None
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 
 from laurelwind.coordination.choosing import Choice, EndpointChooser
+from laurelwind.coordination.job_requirements import build_traits
 from laurelwind.coordination.limits.endpoint_permits import EndpointPermits
 from laurelwind.coordination.relay_attempts import Attempt
 from laurelwind.coordination.relay_jobs import Job
@@ -128,14 +129,17 @@
             job, endpoint, lambda: self._may_send(choice)
         )
         self._log_sent(job, endpoint, dispatch)
-        dependencies.placement.record_sent(endpoint, job.prefill_s)
-        expected_delay_s = dependencies.placement.estimate_queue_delay(endpoint)
+        delay = dependencies.placement.record_request(
+            endpoint, job.prefill_s, build_traits(job)
+        )
         dependencies.notify_work(endpoint.name, job.prefill_s)
         sent_at = read_monotonic_clock()
         try:
             exchange = await dependencies.gateway.send(job.request, dispatch)
         except BaseException:
-            dependencies.placement.record_ended(endpoint)
+            dependencies.placement.record_attempt_end(
+                endpoint, delay.reservation
+            )
             raise
         return Attempt(
             endpoint=endpoint,
@@ -143,7 +147,8 @@
             sent_at=sent_at,
             model=dispatch.model,
             prefill_s=job.prefill_s,
-            expected_delay_s=expected_delay_s,
+            expected_delay_s=delay.expected_s,
+            reservation=delay.reservation,
         )
 
     def _may_send(self, choice: Choice) -> bool:
@@ -186,6 +191,23 @@
         if self._dependencies.placement.begin_silence(endpoint):
             self._dependencies.notify_loss(endpoint.name, silent_s)
 
+    def estimate_slowness(
+        self, attempt: Attempt, timeout_s: float | None
+    ) -> float:
+        """Estimate how much longer an endpoint needs than was expected.
+
+        :param attempt: the attempt that waits for it.
+        :param timeout_s: seconds after which it would count as silent.
+        """
+        if attempt.reservation is None:
+            return 0
+        expected_s = attempt.expected_delay_s
+        if attempt.first_byte_at:
+            expected_s = timeout_s or 0
+        return self._dependencies.placement.estimate_slowness(
+            attempt.endpoint, attempt.reservation, expected_s
+        )
+
     def end_silence(self, endpoint: EndpointRecord) -> None:
         """Record that such a request got an answer, or ended.
 
--- a/laurelwind/platform/tables.py
+++ b/laurelwind/platform/tables.py
@@ -124,9 +124,15 @@
 
 
 def _build_service(row: Mapping[str, Any]) -> Service:
+    engine = row.get('engine') or {}
     return Service(
         name=parse_text(row['name']),
-        has_engines=bool(row.get('engine')),
         cold_start_s=parse_number(row.get('cold_start_s') or 0),
         cold_per_s=parse_number(row.get('cold_per_s') or 0),
+        has_engines=bool(engine),
+        memory_tokens=max(int(engine.get('kv_cache_tokens') or 0), 0),
+        costs={
+            parse_text(model['name']): parse_number(model.get('cost', 0))
+            for model in engine.get('models') or ()
+        },
     )
--- a/laurelwind/state/routes.py
+++ b/laurelwind/state/routes.py
@@ -123,12 +123,28 @@
     :ivar cold_start_s: seconds for which an endpoint is cold after its start,
         or zero.
     :ivar cold_per_s: requests per second that a cold endpoint takes.
+    :ivar memory_tokens: tokens of requests that an engine has memory for, or
+        zero if unknown.
+    :ivar costs: costs of its models, by name.
     """
 
     name: str
     has_engines: bool = False
     cold_start_s: float = 0
     cold_per_s: float = 0
+    memory_tokens: int = 0
+    costs: Mapping[str, float] = field(factory=dict)
+
+    def get_cost_share(self, model: str) -> float:
+        """Return the cost of a model, relative to the largest one.
+
+        A model without a cost counts as the largest one.
+
+        :param model: name of the model.
+        """
+        highest = max(self.costs.values(), default=0)
+        cost = self.costs.get(model, 0)
+        return cost / highest if cost > 0 else 1
 
 
 @frozen(kw_only=True)
