--- a/laurelwind/coordination/load/report_gossip.py
+++ b/laurelwind/coordination/load/report_gossip.py
@@ -14,10 +14,11 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from laurelwind.coordination.load.step_classes import StepClass
+from laurelwind.coordination.load.step_classes import Shares, StepClass
 from laurelwind.coordination.scheduling.load_observations import (
     LoadObservations,
 )
+from laurelwind.decisions import DecisionLog
 from laurelwind.protocol.datagrams import DatagramChannel
 from laurelwind.protocol.load_reports import (
     MAX_REPORTS,
@@ -41,6 +42,7 @@
     :param channel: sends and receives datagrams.
     :param list_peers: returns the addresses of all other daemons.
     :param find_endpoint: returns the endpoint of a name, or ``None``.
+    :param log: decision log.
     """
 
     def __init__(
@@ -50,11 +52,14 @@
         channel: DatagramChannel,
         list_peers: Callable[[], Sequence[str]],
         find_endpoint: Callable[[str], EndpointRecord | None],
+        log: DecisionLog,
     ) -> None:
         self._observations = observations
         self._channel = channel
         self._list_peers = list_peers
         self._find_endpoint = find_endpoint
+        self._log = log
+        self._logged_shares: dict[str, Shares] = {}
         channel.add_listener(self.receive)
 
     def start(self, group: TaskGroup) -> None:
@@ -101,8 +106,26 @@
     async def _spread(self) -> None:
         while True:
             await anyio.sleep(PERIOD_S)
+            self._log_shares()
             datagram = self.build_datagram()
             if datagram is not None:
                 peers = self._list_peers()
                 for peer in random.sample(peers, min(FANOUT, len(peers))):
                     await self._channel.send(peer, datagram)
+
+    def _log_shares(self) -> None:
+        shares = {
+            service: load.demand.shares
+            for service, load in self._observations.list_paced()
+        }
+        for service, new in shares.items():
+            if new and new is not self._logged_shares.get(service):
+                self._log.log_info(
+                    'step_classes_changed',
+                    service=service,
+                    **{
+                        step_class.name.lower(): round(share, 3)
+                        for step_class, share in new.items()
+                    },
+                )
+        self._logged_shares = shares
--- a/laurelwind/coordination/scheduling/class_positions.py
+++ b/laurelwind/coordination/scheduling/class_positions.py
@@ -1,6 +1,6 @@
 """Positions of endpoints in their zones, which set their class."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Final
 
 from laurelwind.coordination.load.step_classes import (
@@ -64,10 +64,12 @@
             position = hash_fraction(endpoint.name)
         return find_class(position, shares)
 
-    def discard(self, service: str) -> None:
-        """Discard the positions of a service.
+    def retain(self, services: Collection[str]) -> None:
+        """Discard the positions of other services.
 
-        :param service: name of the service.
+        :param services: names of the services that remain.
         """
-        self._positions.pop(service, None)
-        self._refreshed_at.pop(service, None)
+        for service in tuple(self._refreshed_at):
+            if service not in services:
+                self._positions.pop(service, None)
+                self._refreshed_at.pop(service)
--- a/laurelwind/coordination/scheduling/forecast_placement.py
+++ b/laurelwind/coordination/scheduling/forecast_placement.py
@@ -37,12 +37,15 @@
 
     :param zone: availability zone of the local instance.
     :param rng: random source, or ``None`` for one of its own.
+    :ivar choices_without_memory: choices that found no endpoint with memory
+        for the request.
     """
 
     def __init__(self, *, zone: str, rng: random.Random | None = None) -> None:
         super().__init__()
         self._zone = zone
         self._rng = rng or random.Random()
+        self.choices_without_memory = 0
 
     def forecast(
         self,
@@ -107,6 +110,7 @@
             return SentDelay(expected_s=self.estimate_queue_delay(endpoint))
         return SentDelay(
             expected_s=forecast.first_s,
+            forecast=forecast,
             reservation=self.record_attempt(endpoint, traits),
         )
 
@@ -156,12 +160,15 @@
         _, available = self._list_available(
             endpoints, requirements, request.now
         )
-        return choose_option(
+        option = choose_option(
             [self._build_candidate(endpoint) for endpoint, _ in available],
             request,
             zone=self._zone,
             rng=self._rng,
         )
+        if option is None and available:
+            self.choices_without_memory += 1
+        return option
 
     def _list_available(
         self,
--- a/laurelwind/coordination/scheduling/load_observations.py
+++ b/laurelwind/coordination/scheduling/load_observations.py
@@ -92,6 +92,11 @@
             now,
         )
 
+    def retain_endpoints(self, names: set[str]) -> None:
+        """Discard the state of removed endpoints, and of unused services."""
+        super().retain_endpoints(names)
+        self._positions.retain(self._services.keys())
+
     def estimate_slowness(
         self,
         endpoint: EndpointRecord,
--- a/laurelwind/coordination/scheduling/reservations.py
+++ b/laurelwind/coordination/scheduling/reservations.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from laurelwind.coordination.load.forecasts import Forecast
 from laurelwind.coordination.load.service_loads import ServiceLoad
 from laurelwind.coordination.load.step_classes import StepClass
 from laurelwind.coordination.scheduling.requirements import RequestTraits
@@ -36,11 +37,14 @@
     """What is expected of an attempt as it is sent.
 
     :ivar expected_s: seconds until the first byte without a fault.
+    :ivar forecast: forecast at sending, or ``None`` if the endpoints of the
+        service report no pace.
     :ivar reservation: what it holds, or ``None`` if the endpoints of the
         service report no pace.
     """
 
     expected_s: float
+    forecast: Forecast | None = None
     reservation: Reservation | None = None
 
 
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -1,7 +1,8 @@
 """Sends requests to the endpoints that the selector chooses."""
 
+import math
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
 from attrs import frozen
 
@@ -17,6 +18,7 @@
     FleetRetryBudget,
 )
 from laurelwind.coordination.scheduling.placement import Placement
+from laurelwind.coordination.scheduling.reservations import SentDelay
 from laurelwind.coordination.selection import EndpointSelector
 from laurelwind.coordination.suspects.screen import SuspectScreen
 from laurelwind.coordination.tracker import Tracker
@@ -125,10 +127,10 @@
         dispatch = _build_dispatch(
             job, endpoint, lambda: self._may_send(choice)
         )
-        self._log_sent(job, endpoint, dispatch)
         delay = dependencies.placement.record_request(
             endpoint, job.prefill_s, build_traits(job)
         )
+        self._log_sent(job, endpoint, dispatch, delay)
         dependencies.notify_work(endpoint.name, job.prefill_s)
         sent_at = read_monotonic_clock()
         try:
@@ -235,7 +237,11 @@
         self.selector.ensure_retry_allowed(job, error)
 
     def _log_sent(
-        self, job: Job, endpoint: EndpointRecord, dispatch: Dispatch
+        self,
+        job: Job,
+        endpoint: EndpointRecord,
+        dispatch: Dispatch,
+        delay: SentDelay,
     ) -> None:
         table = self._dependencies.tracker.table
         limit = self._dependencies.permits.refusals.find_rate_limit(endpoint)
@@ -252,9 +258,28 @@
             table=None if table is None else table.version,
             table_age_ms=round(self._dependencies.lease.age_s * _MS_PER_S),
             left_ms=round(dispatch.deadline_s * _MS_PER_S),
+            **_describe_forecast(job, delay),
         )
 
 
+def _describe_forecast(job: Job, delay: SentDelay) -> dict[str, Any]:
+    """Return the fields that services with a pace have in the log."""
+    forecast = delay.forecast
+    if forecast is None:
+        return {}
+    age_ms = None
+    if math.isfinite(forecast.age_s):
+        age_ms = round(forecast.age_s * _MS_PER_S)
+    return {
+        'step_class': job.step_class.name.lower(),
+        'slowdown': round(forecast.slowdown, 2),
+        'occupancy': round(forecast.occupancy, 2),
+        'report_age_ms': age_ms,
+        'first_in_ms': round(forecast.first_s * _MS_PER_S),
+        'finish_in_ms': round(forecast.finish_s * _MS_PER_S),
+    }
+
+
 def _build_dispatch(
     job: Job,
     endpoint: EndpointRecord,
--- a/laurelwind/relay_permits.py
+++ b/laurelwind/relay_permits.py
@@ -69,11 +69,17 @@
         'Age of the oldest pace of an endpoint with requests in flight.',
         placement.get_oldest_pace_age,
     )
+    daemon.metrics.add_gauge(
+        'laurelwind_choices_without_memory',
+        'Choices since the start that found no endpoint with enough memory.',
+        lambda: placement.choices_without_memory,
+    )
     return ReportGossip(
         observations=placement,
         channel=daemon.datagrams,
         list_peers=daemon.list_peers,
         find_endpoint=daemon.directory.find,
+        log=daemon.log,
     )
 
 
--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -31,7 +31,11 @@
 )
 from laurelwind.protocol.exchanges import LoadReport
 from laurelwind.transport.hints import MIN_WORK_S
-from tests.relay_helpers import SilentChannel, build_endpoint_record
+from tests.relay_helpers import (
+    SilentChannel,
+    build_endpoint_record,
+    build_silent_log,
+)
 
 TICK_S = 0.02
 STEP_S = 0.0026
@@ -247,6 +251,7 @@
                 channel=SilentChannel(),
                 list_peers=list,
                 find_endpoint=lambda name: self.by_name[name].record,
+                log=build_silent_log(),
             )
             self.daemons.append(daemon)
         self.ended = []
