Evacuate availability zones by an operators' record

The record `evacuate/ZONE` had no effect. With `bounds.evacuate_s`, no request is sent to an endpoint of such a zone until the record is removed: the zone is left out as an endpoint is chosen, and checked again as the connection is open. Streams that run there go on. Records and tables share a topic, so its reads keep the shorter of both bounds.

While the store fails the last known state holds. An evacuation that a restored store lacks is kept for the grace period, in which the operator writes it again. A body that is no object changes nothing. Endpoints of a zone that is taken back count as cold where their entries do not tell.

--- a/laurelwind/coordination/request_placement.py
+++ b/laurelwind/coordination/request_placement.py
@@ -10,6 +10,7 @@
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.state.directory import EndpointDirectory, EndpointRecord
+from laurelwind.state.evacuated_zones import EvacuatedZones
 from laurelwind.state.rate_limits import get_process
 
 
@@ -21,12 +22,14 @@
     :ivar rollouts: selects the version for each request.
     :ivar placement: selects endpoints.
     :ivar refusals: finds endpoints with a rate limit that have no permit.
+    :ivar zones: the evacuated zones.
     """
 
     directory: EndpointDirectory
     rollouts: RolloutRegistry
     placement: Placement
     refusals: PermitRefusals
+    zones: EvacuatedZones
 
     def choose_untried(
         self,
@@ -161,9 +164,16 @@
         )
 
     def _list_ready(self, job: Job) -> Sequence[EndpointRecord]:
+        ready: Sequence[EndpointRecord] = self.directory.list_ready(job.service)
+        if self.zones.names:
+            ready = [
+                endpoint
+                for endpoint in ready
+                if endpoint.zone not in self.zones.names
+            ]
         return self.rollouts.filter_endpoints(
             job.service,
             job.sticky_key,
-            self.directory.list_ready(job.service),
+            ready,
             allows_target=not job.avoids_target_version,
         )
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from attrs import frozen
+from attrs import field, frozen
 
 from laurelwind.coordination.choosing import Choice, EndpointChooser
 from laurelwind.coordination.limits.endpoint_permits import EndpointPermits
@@ -27,6 +27,7 @@
 )
 from laurelwind.protocol.exchanges import Dispatch, EndpointGateway
 from laurelwind.state.directory import EndpointDirectory, EndpointRecord
+from laurelwind.state.evacuated_zones import EvacuatedZones
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.state.stops import StopLimit
@@ -55,6 +56,7 @@
     :ivar notify_leaving: notifies other daemons that the named endpoint is
         about to stop, with the start time of its process.
     :ivar log: decision log.
+    :ivar zones: the evacuated zones.
     """
 
     tracker: Tracker
@@ -71,6 +73,7 @@
     notify_loss: Callable[[str, float], None]
     notify_leaving: Callable[[str, int], None]
     log: DecisionLog
+    zones: EvacuatedZones = field(factory=EvacuatedZones)
 
 
 class Sender:
@@ -94,6 +97,7 @@
                 rollouts=dependencies.rollouts,
                 placement=dependencies.placement,
                 refusals=dependencies.permits.refusals,
+                zones=dependencies.zones,
             ),
         )
         self._chooser = EndpointChooser(
@@ -148,7 +152,13 @@
         dependencies = self._dependencies
         if dependencies.placement.get_remaining_pause(choice.endpoint):
             return False
-        return dependencies.permits.is_valid(choice.permit)
+        zone = choice.endpoint.zone
+        if zone in dependencies.zones.names:
+            return False
+        if not dependencies.permits.is_valid(choice.permit):
+            return False
+        dependencies.zones.record_sent(zone, read_monotonic_clock())
+        return True
 
     def record_failure(
         self, endpoint: EndpointRecord, lost_s: float, silent_s: float = 0
--- a/laurelwind/coordination/tracker.py
+++ b/laurelwind/coordination/tracker.py
@@ -26,6 +26,7 @@
     ReaderHealth,
     TopicReader,
 )
+from laurelwind.coordination.zones.evacuations import Evacuations
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ConfigurationError, PlatformError
 from laurelwind.protocol.documents import DocumentCodec, DocumentKind
@@ -63,6 +64,7 @@
     :ivar lease: renewed by each complete read of the operators' topic.
     :ivar directory: directory of the endpoints.
     :ivar rollouts: state of the roll-outs.
+    :ivar evacuations: applies the evacuations of zones.
     :ivar log: the decision log.
     """
 
@@ -75,6 +77,7 @@
     lease: FreshnessLease
     directory: EndpointDirectory
     rollouts: RolloutRegistry
+    evacuations: Evacuations
     log: DecisionLog
 
 
@@ -214,6 +217,9 @@
             self._dependencies.health.record_recovery('operators')
             self._first_batch.set()
             self._apply_operator_batch(batch, self._operators.as_of)
+            self._dependencies.evacuations.review(
+                batch, is_snapshot=self._operators.was_snapshot
+            )
 
     def _build_reader(self, topic: Topic) -> TopicReader:
         return TopicReader(
@@ -238,6 +244,7 @@
         era = decode_position(batch.next_offset).era
         if self.era is not None and era > self.era:
             self._dependencies.rollouts.handle_restore()
+            self._dependencies.evacuations.handle_restore()
             self._dependencies.log.log_warning(
                 'store_restored',
                 era=era,
@@ -247,7 +254,7 @@
         self.era = era
 
     def _apply_operator_record(self, record: KeyedRecord) -> None:
-        if record.body is None:
+        if self._dependencies.evacuations.apply(record) or record.body is None:
             return
         documents = self._dependencies.documents
         kind = documents.get_kind(Topic.OPERATORS, record.key)
--- /dev/null
+++ b/laurelwind/coordination/zones/__init__.py
@@ -0,0 +1,1 @@
+"""Availability zones that operators evacuate."""
--- a/laurelwind/platform/documents.py
+++ b/laurelwind/platform/documents.py
@@ -34,6 +34,7 @@
 
 _TABLE_KEY: Final = 'config'
 _ROLLOUT_PREFIX: Final = 'rollout/'
+_EVACUATION_PREFIX: Final = 'evacuate/'
 _REPORT_PREFIX: Final = 'laurelwind/report/'
 _SHIFT_PREFIX: Final = 'laurelwind/shift/'
 # Daemons write under keys that hold the service between a prefix and their own
@@ -60,6 +61,8 @@
         """Return the kind of a document; see :class:`DocumentCodec`."""
         if topic is Topic.OPERATORS and key == _TABLE_KEY:
             return DocumentKind.ROUTING_TABLE
+        if topic is Topic.OPERATORS and key.startswith(_EVACUATION_PREFIX):
+            return DocumentKind.EVACUATION
         if key.startswith(_ROLLOUT_PREFIX):
             return _ROLLOUT_KINDS.get(topic, DocumentKind.OTHER)
         if key.startswith(_REPORT_PREFIX):
@@ -95,6 +98,16 @@
         except STRUCTURE_ERRORS as error:
             raise build_error(error) from error
 
+    def get_zone(self, key: str) -> str:
+        """Return the zone of an evacuation; see :class:`DocumentCodec`."""
+        return key.removeprefix(_EVACUATION_PREFIX)
+
+    def decode_evacuation(self, key: str, body: bytes | None) -> str:
+        """Check the evacuation of a zone; see :class:`DocumentCodec`."""
+        if body is not None:
+            parse_object(body)
+        return self.get_zone(key)
+
     def decode_order(self, body: bytes) -> RolloutOrder:
         """Decode a roll-out order; see :class:`DocumentCodec`."""
         document = parse_object(body)
--- a/laurelwind/protocol/documents.py
+++ b/laurelwind/protocol/documents.py
@@ -22,6 +22,7 @@
     ROLLOUT_STATUS = 'rollout_status'
     ROLLOUT_REPORT = 'rollout_report'
     ROLLOUT_SHIFT = 'rollout_shift'
+    EVACUATION = 'evacuation'
     OTHER = 'other'
 
 
@@ -55,6 +56,21 @@
         :param body: the document.
         """
 
+    @abc.abstractmethod
+    def get_zone(self, key: str) -> str:
+        """Return the zone that an evacuation is about.
+
+        :param key: key of the document.
+        """
+
+    @abc.abstractmethod
+    def decode_evacuation(self, key: str, body: bytes | None) -> str:
+        """Check the evacuation of a zone, or its end; return the zone.
+
+        :param key: key of the document.
+        :param body: the document, or ``None`` if it was removed.
+        """
+
     @abc.abstractmethod
     def decode_order(self, body: bytes) -> RolloutOrder:
         """Decode an operator's roll-out order.
--- a/laurelwind/relay_cold.py
+++ b/laurelwind/relay_cold.py
@@ -42,6 +42,7 @@
         )
     )
     daemon.directory.add_listener(cold.record_entry)
+    daemon.evacuations.add_listener(cold.record_return)
     return cold
 
 
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -35,6 +35,7 @@
     build_local_member,
     build_topic_bounds,
     build_tracking,
+    build_zones,
 )
 from laurelwind.state.directory import EndpointDirectory
 from laurelwind.state.leases import FreshnessLease
@@ -90,6 +91,7 @@
             duration_s=bounds.revocation_s * LEASE_SHARE
         )
         self.directory = EndpointDirectory()
+        self.zones = build_zones(bounds)
         self.rollouts = RolloutRegistry(
             local_daemon=settings.listen.callers,
             exposure_share=bounds.exposure_share,
@@ -105,6 +107,7 @@
                 lease=self.lease,
                 directory=self.directory,
                 rollouts=self.rollouts,
+                zones=self.zones,
             ),
             budgets=self._budgets,
             log=self.log,
@@ -112,6 +115,7 @@
         self.copies = tracking.copies
         self.membership = tracking.membership
         self.tracker = tracking.tracker
+        self.evacuations = tracking.evacuations
         self._apply_absence_age(bounds.apply_s)
         self.placement = Placement(zone=settings.daemon.zone)
         self.tracker.add_listener(self._discard_removed_endpoints)
@@ -289,6 +293,7 @@
                 directory=self.directory,
                 rollouts=self.rollouts,
                 placement=self.placement,
+                zones=self.zones,
                 permits=self.permits,
                 screen=self.screen,
                 stop=self.stop,
--- a/laurelwind/relay_gauges.py
+++ b/laurelwind/relay_gauges.py
@@ -15,6 +15,7 @@
     """
     add_gauge = daemon.metrics.add_gauge
     _add_ages(daemon)
+    _add_endpoints(daemon)
     add_gauge(
         'laurelwind_in_flight',
         'Requests from their head to the end of their answer.',
@@ -35,26 +36,6 @@
         'Daemons that are alive.',
         lambda: len(daemon.membership.members),
     )
-    add_gauge(
-        'laurelwind_endpoints_ready',
-        'Endpoints that take new work.',
-        lambda: sum(daemon.directory.count_ready().values()),
-    )
-    add_gauge(
-        'laurelwind_limited_endpoints',
-        'Endpoints that state a rate limit.',
-        lambda: len(tuple(daemon.permits.limits.table.iterate_rates())),
-    )
-    add_gauge(
-        'laurelwind_endpoint_limits_per_second',
-        'Sum of the rate limits that endpoints state, in requests per second.',
-        lambda: sum(daemon.permits.limits.table.iterate_rates()),
-    )
-    add_gauge(
-        'laurelwind_cold_endpoints',
-        'Endpoints that take few requests as they are cold, or may be.',
-        lambda: len(daemon.permits.limits.table.cold.names),
-    )
     add_gauge(
         'laurelwind_blocked_parts',
         'Groups of prompt parts whose requests are rejected.',
@@ -84,3 +65,32 @@
         'Seconds since the list of daemons was known to be the newest.',
         lambda: daemon.copies[Topic.MEMBERS].age_s,
     )
+
+
+def _add_endpoints(daemon: 'RelayDaemon') -> None:
+    add_gauge = daemon.metrics.add_gauge
+    add_gauge(
+        'laurelwind_endpoints_ready',
+        'Endpoints that take new work.',
+        lambda: sum(daemon.directory.count_ready().values()),
+    )
+    add_gauge(
+        'laurelwind_limited_endpoints',
+        'Endpoints that state a rate limit.',
+        lambda: len(tuple(daemon.permits.limits.table.iterate_rates())),
+    )
+    add_gauge(
+        'laurelwind_endpoint_limits_per_second',
+        'Sum of the rate limits that endpoints state, in requests per second.',
+        lambda: sum(daemon.permits.limits.table.iterate_rates()),
+    )
+    add_gauge(
+        'laurelwind_evacuated_zones',
+        'Zones whose endpoints get no requests.',
+        lambda: len(daemon.zones.names),
+    )
+    add_gauge(
+        'laurelwind_cold_endpoints',
+        'Endpoints that take few requests as they are cold, or may be.',
+        lambda: len(daemon.permits.limits.table.cold.names),
+    )
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -70,6 +70,8 @@
     :ivar retry_window_s: length of the window in seconds.
     :ivar exposure_share: largest share of a service's requests that a bad
         version may receive during a roll-out.
+    :ivar evacuate_s: seconds after which the endpoints of an evacuated zone get
+        no more requests; without it, evacuations are ignored.
     :ivar cold_overage: factor of the rate at which cold endpoints take requests
         that the fleet may reach in a second; without it and
         ``cold_tolerance``, endpoints are never cold.
@@ -85,6 +87,7 @@
     retry_extra: float = 20.0
     retry_window_s: float = 10.0
     exposure_share: float = 0.1
+    evacuate_s: float | None = None
     cold_overage: float | None = None
     cold_tolerance: float | None = None
 
@@ -125,6 +128,8 @@
         'bounds.entries_life_s': bounds.entries_life_s,
         'bounds.retry_window_s': bounds.retry_window_s,
     }
+    if bounds.evacuate_s is not None:
+        positive['bounds.evacuate_s'] = bounds.evacuate_s
     for path, number in positive.items():
         if not 0 < number < math.inf:
             yield Fault(path=path, expected=EXPECTED_POSITIVE)
--- a/laurelwind/relay_tracking.py
+++ b/laurelwind/relay_tracking.py
@@ -1,6 +1,6 @@
 """Wires what a relay daemon knows of the store and of its peers."""
 
-from attrs import frozen
+from attrs import field, frozen
 
 from laurelwind.coordination.members import (
     FleetMembership,
@@ -16,6 +16,10 @@
 from laurelwind.coordination.topics.peer_store import PeerReadingStore
 from laurelwind.coordination.topics.readers import ReaderHealth
 from laurelwind.coordination.tracker import Tracker, TrackerDependencies
+from laurelwind.coordination.zones.evacuations import (
+    EvacuationDependencies,
+    Evacuations,
+)
 from laurelwind.decisions import DecisionLog
 from laurelwind.protocol.documents import DocumentCodec
 from laurelwind.protocol.exchanges import HeaderCodec
@@ -28,6 +32,7 @@
 from laurelwind.protocol.platform import ListedInstance
 from laurelwind.relay_settings import BoundSettings, RelaySettings
 from laurelwind.state.directory import EndpointDirectory
+from laurelwind.state.evacuated_zones import EvacuatedZones
 from laurelwind.state.leases import FreshnessLease
 
 
@@ -54,11 +59,13 @@
     :ivar lease: freshness lease of the routing table.
     :ivar directory: directory of the endpoints.
     :ivar rollouts: state of the roll-outs.
+    :ivar zones: the evacuated zones.
     """
 
     lease: FreshnessLease
     directory: EndpointDirectory
     rollouts: RolloutRegistry
+    zones: EvacuatedZones = field(factory=EvacuatedZones)
 
 
 @frozen(kw_only=True)
@@ -68,11 +75,13 @@
     :ivar copies: copies of the topics that are served to peers.
     :ivar membership: the live daemons.
     :ivar tracker: readers of the topics.
+    :ivar evacuations: applies the evacuations of zones.
     """
 
     copies: TopicCopies
     membership: FleetMembership
     tracker: Tracker
+    evacuations: Evacuations
 
 
 def build_tracking(
@@ -118,6 +127,14 @@
         ),
         clock=clock,
     )
+    evacuations = Evacuations(
+        dependencies=EvacuationDependencies(
+            zones=state.zones,
+            documents=adapters.documents,
+            directory=state.directory,
+            log=log,
+        )
+    )
     tracker = Tracker(
         local_instance=local_instance,
         dependencies=TrackerDependencies(
@@ -130,10 +147,16 @@
             lease=state.lease,
             directory=state.directory,
             rollouts=state.rollouts,
+            evacuations=evacuations,
             log=log,
         ),
     )
-    return FleetTracking(copies=copies, membership=membership, tracker=tracker)
+    return FleetTracking(
+        copies=copies,
+        membership=membership,
+        tracker=tracker,
+        evacuations=evacuations,
+    )
 
 
 def build_local_member(settings: RelaySettings) -> ListedInstance:
@@ -149,9 +172,22 @@
     )
 
 
+def build_zones(bounds: BoundSettings) -> EvacuatedZones:
+    """Build the evacuated zones; without a bound, none is ever evacuated.
+
+    :param bounds: bounds of the settings.
+    """
+    return EvacuatedZones(is_enabled=bounds.evacuate_s is not None)
+
+
 def build_topic_bounds(bounds: BoundSettings) -> TopicBounds:
     """Build the bounds from which the budgets of the topics are computed.
 
     :param bounds: bounds of the settings.
     """
-    return TopicBounds(apply_s=bounds.apply_s, drain_s=bounds.drain_s)
+    evacuate_s = bounds.evacuate_s or bounds.apply_s
+    return TopicBounds(
+        # Tables and evacuations are records of one topic.
+        apply_s=min(bounds.apply_s, evacuate_s),
+        drain_s=bounds.drain_s,
+    )
--- a/laurelwind/state/directory.py
+++ b/laurelwind/state/directory.py
@@ -119,6 +119,17 @@
             for name, records in self._ready_by_service.items()
         }
 
+    def list_zone(self, zone: str) -> list[EndpointRecord]:
+        """List the endpoints of an availability zone.
+
+        :param zone: the zone.
+        """
+        return [
+            entry.record
+            for entry in self._entries.values()
+            if entry.record.zone == zone
+        ]
+
     def list_names(self) -> set[str]:
         """Return the names of all endpoints in the directory."""
         return set(self._entries)
--- a/tests/emulated_fleet.py
+++ b/tests/emulated_fleet.py
@@ -43,6 +43,7 @@
     build_tracking,
 )
 from laurelwind.state.directory import EndpointDirectory
+from laurelwind.state.evacuated_zones import EvacuatedZones
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.transport.topics import ANSWER_TIMEOUT_S
 from tests.relay_helpers import build_silent_log
@@ -304,6 +305,7 @@
         )
         self.lease = FreshnessLease(duration_s=LEASE_S)
         self.directory = EndpointDirectory()
+        self.zones = EvacuatedZones(is_enabled=True)
         self.rollouts = RolloutRegistry(
             local_daemon=self.member.name, exposure_share=0.1, log=log
         )
@@ -320,6 +322,7 @@
                 lease=self.lease,
                 directory=self.directory,
                 rollouts=self.rollouts,
+                zones=self.zones,
             ),
             budgets=self.budgets,
             log=log,
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -40,6 +40,7 @@
 from laurelwind.protocol.platform import ListedInstance
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.state.directory import EndpointDirectory, EndpointRecord
+from laurelwind.state.evacuated_zones import EvacuatedZones
 from laurelwind.state.leases import FreshnessLease
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.state.routes import (
@@ -324,6 +325,7 @@
             window_s=10,
             count_members=lambda: 1,
         )
+        self.zones = EvacuatedZones()
         self.leaving = []
         self.relay = build_relay(
             dependencies=SenderDependencies(
@@ -341,6 +343,7 @@
                 notify_loss=ignore_hint,
                 notify_leaving=self.record_leaving,
                 log=self.log,
+                zones=self.zones,
             ),
             metrics=RelayMetrics(),
         )
