--- a/laurelwind/state/directory.py
+++ b/laurelwind/state/directory.py
@@ -127,6 +127,17 @@
         entry = self._entries.get(name)
         return None if entry is None else entry.record
 
+    def list_zone(self, zone: str) -> list[EndpointRecord]:
+        """List the endpoints of an availability zone.
+
+        :param zone: the zone.
+        """
+        return [
+            entry.record
+            for entry in self._entries.values()
+            if entry.record.zone == zone
+        ]
+
     def list_names(self) -> set[str]:
         """Return the names of all endpoints in the directory."""
         return set(self._entries)
