--- a/laurelwind/coordination/scheduling/placement.py
+++ b/laurelwind/coordination/scheduling/placement.py
@@ -14,6 +14,7 @@
 from collections.abc import Sequence
 from typing import Final
 
+from laurelwind.coordination.load.forecasts import Forecast, Work
 from laurelwind.coordination.scheduling.candidates import (
     find_by_name,
     limit_candidates,
@@ -87,6 +88,20 @@
         )
         return find_by_name(endpoints, preferred)
 
+    def forecast(
+        self,
+        endpoints: Sequence[EndpointRecord],
+        requirements: PlacementRequirements,
+        work: Work,
+    ) -> Forecast | None:
+        """Forecast a request at the endpoint that would be chosen.
+
+        :param endpoints: endpoints that may serve the request.
+        :param requirements: requirements of the request.
+        :param work: work of the request.
+        :returns: the forecast, or ``None`` while nothing is known.
+        """
+
     def estimate_wait(
         self,
         endpoints: Sequence[EndpointRecord],
