--- /dev/null
+++ b/laurelwind/coordination/shedding/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions to send, delay or reject requests by load."""
