Apply load decisions in the relay

Cause: the relay sent every request to the cheapest endpoint, held requests for permits that came too late, and named 0.5 to 1.1 s to callers during outages, so that their one repeat fell into the same outage. Change: the selector reviews a request before each attempt and the chooser while it waits for a permit; what may have run, or has begun, is never rejected. Delays until the answer correct the forecasts. Log line `shed`, counter laurelwind_load_decisions. A daemon that is not ready names a delay that grows with the outage, up to a third of the deadline that the caller states.

--- a/laurelwind/coordination/admission.py
+++ b/laurelwind/coordination/admission.py
@@ -1,6 +1,7 @@
 """Admits requests by the routing table in force."""
 
 import math
+import random
 from typing import Final
 
 import anyio
@@ -9,6 +10,7 @@
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.relay_jobs import Job
 from laurelwind.coordination.retries import draw_retry_after
+from laurelwind.coordination.shedding.return_times import compute_outage_delay
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import CallerError, CapacityError, ErrorKind
@@ -46,6 +48,7 @@
 
     def __init__(self, *, dependencies: AdmissionDependencies) -> None:
         self._dependencies = dependencies
+        self._started_at = read_monotonic_clock()
 
     async def admit(self, request: RelayRequest, arrived_at: float) -> Job:
         """Build the job of a request that the routing table allows.
@@ -64,7 +67,7 @@
                 raise CapacityError(
                     ErrorKind.NOT_READY,
                     'the routing table could not be confirmed as the newest',
-                    retry_after_s=draw_retry_after(),
+                    retry_after_s=self._draw_return_delay(request),
                 )
             match = self._resolve_route(request)
         if isinstance(match, ErrorKind):
@@ -111,14 +114,14 @@
             raise CapacityError(
                 ErrorKind.NOT_READY,
                 'no routing table has been loaded yet',
-                retry_after_s=draw_retry_after(),
+                retry_after_s=self._draw_return_delay(request),
             )
         if not self._dependencies.lease.is_valid:
             age = round(self._dependencies.lease.age_s, 1)
             raise CapacityError(
                 ErrorKind.NOT_READY,
                 f'the routing table was last confirmed {age} s ago',
-                retry_after_s=draw_retry_after(),
+                retry_after_s=self._draw_return_delay(request),
             )
         route = table.find_route(request.host, request.path)
         if route is None:
@@ -130,6 +133,14 @@
             return ErrorKind.KEY_UNKNOWN
         return route, workspace
 
+    def _draw_return_delay(self, request: RelayRequest) -> float:
+        uptime_s = read_monotonic_clock() - self._started_at
+        return compute_outage_delay(
+            min(self._dependencies.lease.age_s, uptime_s),
+            request.deadline_s,
+            random.random(),
+        )
+
     def _build_job(
         self,
         request: RelayRequest,
--- a/laurelwind/coordination/choosing.py
+++ b/laurelwind/coordination/choosing.py
@@ -25,6 +25,9 @@
 MAX_PERMIT_WAIT_SHARE: Final = 0.5
 # Asks for permits of one request before it is rejected or sent elsewhere.
 MAX_ASKS: Final = 3
+# Interval at which the load decision about a waiting request is reviewed: short
+# compared with latency goals.
+REVIEW_INTERVAL_S: Final = 0.25
 _PRIORITIES: Final = 10
 
 
@@ -135,15 +138,20 @@
             )
             if permit is None:
                 continue
-            await self._wait_until_due(permit)
+            await self._wait_until_due(job, permit)
             if self._selector.placement.is_ready(job, endpoint):
                 return Choice(endpoint=endpoint, permit=permit)
             self._permits.give_back(permit)
         return None
 
-    async def _wait_until_due(self, permit: Permit) -> None:
+    async def _wait_until_due(self, job: Job, permit: Permit) -> None:
+        """Wait for a permit; more urgent requests may rule the wait out."""
         try:
-            await anyio.sleep(max(permit.due_at - read_monotonic_clock(), 0))
+            left_s = permit.due_at - read_monotonic_clock()
+            while left_s > 0:
+                self._selector.load.review(job, left_s)
+                await anyio.sleep(min(left_s, REVIEW_INTERVAL_S))
+                left_s = permit.due_at - read_monotonic_clock()
         except BaseException:
             self._permits.give_back(permit)
             raise
--- a/laurelwind/coordination/endpoint_notices.py
+++ b/laurelwind/coordination/endpoint_notices.py
@@ -19,6 +19,10 @@
 MAX_PAUSE_S: Final = 60.0
 
 
+def _ignore_answer(attempt: Attempt) -> None:
+    """Record nothing."""
+
+
 @frozen(kw_only=True)
 class EndpointNotices:
     """Applies the load, pauses, departures and limits that endpoints state.
@@ -29,6 +33,7 @@
     :param notify_leaving: notifies other daemons of the name of an endpoint
         that is about to stop, and the start time of its process.
     :param log: decision log.
+    :param record_answer: called with each attempt whose answer begins.
     """
 
     placement: Placement
@@ -36,6 +41,7 @@
     directory: EndpointDirectory
     notify_leaving: Callable[[str, int], None]
     log: DecisionLog
+    record_answer: Callable[[Attempt], None] = _ignore_answer
 
     def apply(self, attempt: Attempt, head: AnswerHead) -> None:
         """Apply what the head of an answer states about its endpoint.
@@ -43,6 +49,7 @@
         :param attempt: the attempt that is answered.
         :param head: head of any answer, also of a refusal.
         """
+        self.record_answer(attempt)
         endpoint = attempt.endpoint
         if head.status != HTTPStatus.MISDIRECTED_REQUEST:
             # Another endpoint may have answered at this address.
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -18,7 +18,6 @@
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.relay_attempts import Attempt
 from laurelwind.coordination.relay_jobs import Job
-from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import Sender, SenderDependencies
 from laurelwind.coordination.silence_monitor import SilenceMonitor
 from laurelwind.coordination.suspects.reporting import CrashReporter
@@ -45,7 +44,6 @@
     """Collaborators of a :class:`Relay`.
 
     :ivar admission: checks requests against the routing table.
-    :ivar placement: tracks the state of endpoints.
     :ivar screen: learns what crashes endpoints.
     :ivar reporter: reports attempts without a complete answer.
     :ivar sender: sends requests to endpoints.
@@ -54,7 +52,6 @@
     """
 
     admission: Admission
-    placement: Placement
     screen: SuspectScreen
     reporter: CrashReporter
     sender: Sender
@@ -83,6 +80,7 @@
                 directory=dependencies.directory,
                 notify_leaving=dependencies.notify_leaving,
                 log=dependencies.log,
+                record_answer=sender.load.record_answer,
             ),
             rollouts=dependencies.rollouts,
             screen=dependencies.screen,
@@ -101,7 +99,6 @@
                     log=dependencies.log,
                 )
             ),
-            placement=dependencies.placement,
             screen=dependencies.screen,
             reporter=CrashReporter(
                 screen=dependencies.screen, placement=dependencies.placement
@@ -197,7 +194,7 @@
                 job.may_have_run = True
                 job.model_index += 1
             finally:
-                self._dependencies.placement.record_ended(attempt.endpoint)
+                self._dependencies.sender.record_ended(attempt)
                 with anyio.CancelScope(shield=True):
                     await attempt.exchange.close()
 
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -1,11 +1,13 @@
 """State of a relayed request."""
 
 import functools
+import random
 from collections.abc import Sequence
 from typing import Final
 
 from attrs import define, field, frozen
 
+from laurelwind.coordination.load.forecasts import Forecast, Work
 from laurelwind.coordination.scheduling.requirements import SchedulingClass
 from laurelwind.coordination.suspects.keys import (
     build_part_keys,
@@ -74,6 +76,9 @@
     :ivar first_event_at: moment of the first delivered event.
     :ivar last_event_at: moment of the last delivered event.
     :ivar longest_gap_s: longest gap between two delivered events, in seconds.
+    :ivar load_draw: random number in [0, 1) of all its load decisions.
+    :ivar is_load_reviewed: whether a load decision was made about it.
+    :ivar forecast: forecast of the last load decision, or ``None``.
     """
 
     request: RelayRequest
@@ -99,6 +104,9 @@
     first_event_at: float = 0
     last_event_at: float = 0
     longest_gap_s: float = 0
+    load_draw: float = field(factory=random.random)
+    is_load_reviewed: bool = False
+    forecast: Forecast | None = None
 
     @property
     def remaining_s(self) -> float:
@@ -191,6 +199,16 @@
         """Estimated prefill time of the prompt, in seconds."""
         return self.estimate_prefill(self.request.prompt_tokens)
 
+    @property
+    def work(self) -> Work:
+        """Work that the request causes at an endpoint."""
+        return Work(
+            prompt_tokens=self.request.prompt_tokens,
+            output_tokens=self.request.output_tokens,
+            prefill_s=self.prefill_s,
+            priority=self.priority,
+        )
+
     @property
     def scheduling_class(self) -> SchedulingClass | None:
         """Scheduling class, or ``None`` with fewer than two models."""
--- a/laurelwind/coordination/request_placement.py
+++ b/laurelwind/coordination/request_placement.py
@@ -6,6 +6,7 @@
 
 from laurelwind.coordination.job_requirements import build_requirements
 from laurelwind.coordination.limits.permit_refusals import PermitRefusals
+from laurelwind.coordination.load.forecasts import Forecast, Work
 from laurelwind.coordination.relay_jobs import Job
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling.placement import Placement
@@ -143,6 +144,18 @@
             ),
         )
 
+    def forecast(self, job: Job, work: Work) -> Forecast | None:
+        """Forecast work at the endpoint that the request would be sent to.
+
+        :param job: the request.
+        :param work: work of the request, or of another one in its place.
+        """
+        ready = self._list_ready(job)
+        excluded = job.fallback_endpoints | self.refusals.list_refusing(ready)
+        return self.placement.forecast(
+            ready, build_requirements(job, excluded=excluded), work
+        )
+
     def estimate_return(self, job: Job) -> float:
         """Return the seconds until the first endpoint accepts requests.
 
--- a/laurelwind/coordination/selection.py
+++ b/laurelwind/coordination/selection.py
@@ -16,6 +16,7 @@
     build_stale_error,
     build_stopping_error,
 )
+from laurelwind.coordination.shedding.load_gate import LoadGate
 from laurelwind.errors import (
     CapacityError,
     EndpointError,
@@ -30,15 +31,22 @@
 
     :param limits: limits on retries.
     :param placement: places requests among endpoints.
+    :param load: rejects requests that the load does not allow to be served.
     :ivar limits: limits on retries.
     :ivar placement: places requests among endpoints.
+    :ivar load: rejects requests that the load does not allow to be served.
     """
 
     def __init__(
-        self, *, limits: RetryLimits, placement: RequestPlacement
+        self,
+        *,
+        limits: RetryLimits,
+        placement: RequestPlacement,
+        load: LoadGate,
     ) -> None:
         self.limits = limits
         self.placement = placement
+        self.load = load
 
     def choose(
         self, job: Job, *, avoids_backoff: bool = False
@@ -52,8 +60,9 @@
         :param avoids_backoff: whether endpoints in backoff are ruled out,
             rather than used when there is no other.
         :raises LaurelwindError: if every queue is longer than the time to the
-            deadline, the table is too old, the request crashes endpoints, or
-            the daemon stops before a request that may not be repeated is due.
+            deadline, the load does not allow the request to be served, the
+            table is too old, the request crashes endpoints, or the daemon
+            stops before a request that may not be repeated is due.
         """
         self._ensure_may_send(job)
         if job.events and self.limits.find_limit(job) is not None:
@@ -65,6 +74,7 @@
             endpoint = self.placement.choose_fallback(job)
         if endpoint is not None:
             self._ensure_start_before_deadline(job, endpoint)
+            self.load.review(job)
         return endpoint
 
     def choose_queued(self, job: Job) -> EndpointRecord | None:
--- a/laurelwind/coordination/selection_errors.py
+++ b/laurelwind/coordination/selection_errors.py
@@ -4,6 +4,7 @@
 
 from laurelwind.coordination.relay_jobs import Job
 from laurelwind.coordination.retries import draw_retry_after
+from laurelwind.coordination.shedding.decisions import LoadDecision
 from laurelwind.errors import (
     CallerError,
     CapacityError,
@@ -97,3 +98,15 @@
         f'the shortest queue takes {delay_s:.1f} s, past the deadline',
         retry_after_s=delay_s + draw_retry_after(),
     )
+
+
+def build_shed_error(decision: LoadDecision) -> CapacityError:
+    """Build the error of a request that is rejected because of load.
+
+    :param decision: the decision.
+    """
+    return CapacityError(
+        ErrorKind.OVERLOADED,
+        f'the service is overloaded ({decision.reason}); not run',
+        retry_after_s=decision.retry_after_s,
+    )
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from attrs import frozen
+from attrs import field, frozen
 
 from laurelwind.coordination.choosing import Choice, EndpointChooser
 from laurelwind.coordination.limits.endpoint_permits import EndpointPermits
@@ -17,6 +17,9 @@
 )
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.selection import EndpointSelector
+from laurelwind.coordination.shedding.load_decisions import LoadDecisions
+from laurelwind.coordination.shedding.load_gate import LoadGate
+from laurelwind.coordination.shedding.urgent_classes import UrgentClasses
 from laurelwind.coordination.suspects.screen import SuspectScreen
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
@@ -34,6 +37,10 @@
 _MS_PER_S: Final = 1000
 
 
+def _ignore_decision(outcome: str, reason: str) -> None:
+    """Count nothing."""
+
+
 @frozen(kw_only=True)
 class SenderDependencies:
     """Collaborators of a :class:`Sender`.
@@ -55,6 +62,9 @@
     :ivar notify_leaving: notifies other daemons that the named endpoint is
         about to stop, with the start time of its process.
     :ivar log: decision log.
+    :ivar decisions: makes load decisions.
+    :ivar count_decision: called with the outcome and the reason of each load
+        decision.
     """
 
     tracker: Tracker
@@ -71,6 +81,8 @@
     notify_loss: Callable[[str, float], None]
     notify_leaving: Callable[[str, int], None]
     log: DecisionLog
+    decisions: LoadDecisions = field(factory=LoadDecisions)
+    count_decision: Callable[[str, str], None] = _ignore_decision
 
 
 class Sender:
@@ -78,10 +90,24 @@
 
     :param dependencies: collaborators of the sender.
     :ivar selector: selects the endpoints.
+    :ivar load: rejects requests that the load does not allow to be served.
     """
 
     def __init__(self, *, dependencies: SenderDependencies) -> None:
         self._dependencies = dependencies
+        placement = RequestPlacement(
+            directory=dependencies.directory,
+            rollouts=dependencies.rollouts,
+            placement=dependencies.placement,
+            refusals=dependencies.permits.refusals,
+        )
+        self.load = LoadGate(
+            decisions=dependencies.decisions,
+            placement=placement,
+            urgent=UrgentClasses(read_table=lambda: dependencies.tracker.table),
+            count=dependencies.count_decision,
+            log=dependencies.log,
+        )
         self.selector = EndpointSelector(
             limits=RetryLimits(
                 lease=dependencies.lease,
@@ -89,12 +115,8 @@
                 screen=dependencies.screen,
                 stop=dependencies.stop,
             ),
-            placement=RequestPlacement(
-                directory=dependencies.directory,
-                rollouts=dependencies.rollouts,
-                placement=dependencies.placement,
-                refusals=dependencies.permits.refusals,
-            ),
+            placement=placement,
+            load=self.load,
         )
         self._chooser = EndpointChooser(
             selector=self.selector,
@@ -134,7 +156,7 @@
         except BaseException:
             dependencies.placement.record_ended(endpoint)
             raise
-        return Attempt(
+        attempt = Attempt(
             endpoint=endpoint,
             exchange=exchange,
             sent_at=sent_at,
@@ -142,6 +164,8 @@
             prefill_s=job.prefill_s,
             expected_delay_s=expected_delay_s,
         )
+        self.load.record_sent(job, attempt)
+        return attempt
 
     def _may_send(self, choice: Choice) -> bool:
         dependencies = self._dependencies
@@ -163,6 +187,14 @@
             endpoint, lost_s, silent_s=silent_s
         )
 
+    def record_ended(self, attempt: Attempt) -> None:
+        """Record the end of an attempt.
+
+        :param attempt: the attempt.
+        """
+        self._dependencies.placement.record_ended(attempt.endpoint)
+        self.load.discard(attempt)
+
     def begin_silence(self, endpoint: EndpointRecord, silent_s: float) -> None:
         """Record that a request waits for an endpoint that is silent.
 
--- /dev/null
+++ b/laurelwind/coordination/shedding/load_gate.py
@@ -0,0 +1,185 @@
+"""Applies load decisions to the requests of a relay."""
+
+from collections.abc import Callable
+from typing import Final
+
+from attrs import field, frozen
+
+from laurelwind.coordination.load.forecasts import Forecast, Work
+from laurelwind.coordination.relay_attempts import Attempt
+from laurelwind.coordination.relay_jobs import Job
+from laurelwind.coordination.request_placement import RequestPlacement
+from laurelwind.coordination.selection_errors import build_shed_error
+from laurelwind.coordination.shedding.decisions import (
+    LoadDecision,
+    LoadRequest,
+)
+from laurelwind.coordination.shedding.load_decisions import LoadDecisions
+from laurelwind.coordination.shedding.pressure import has_room
+from laurelwind.coordination.shedding.rules import is_fresh
+from laurelwind.coordination.shedding.urgent_classes import UrgentClasses
+from laurelwind.decisions import DecisionLog
+from laurelwind.state.load import read_monotonic_clock
+
+_MS_PER_S: Final = 1000
+_LOWEST_PRIORITY: Final = 9
+
+
+@frozen(kw_only=True)
+class LoadGate:
+    """Reviews requests by load before they are sent and while they wait.
+
+    :ivar decisions: makes the decisions.
+    :ivar placement: forecasts requests.
+    :ivar urgent: the most urgent requests of each service.
+    :ivar count: called with the outcome and the reason of each decision.
+    :ivar log: decision log.
+    """
+
+    decisions: LoadDecisions
+    placement: RequestPlacement
+    urgent: UrgentClasses
+    count: Callable[[str, str], None]
+    log: DecisionLog
+    # Service and priority of the attempts without an answer, by their id().
+    _attempts: dict[int, tuple[str, int]] = field(factory=dict, init=False)
+
+    def review(self, job: Job, delay_s: float = 0) -> None:
+        """Reject a request that the load does not allow to be served.
+
+        A request that an endpoint may have run is never rejected.
+
+        :param job: the request.
+        :param delay_s: seconds until it may be sent, as it waits for a permit.
+        :raises CapacityError: if the request is rejected.
+        """
+        if job.may_have_run or job.events:
+            return
+        now = read_monotonic_clock()
+        forecast = self.placement.forecast(job, job.work)
+        job.forecast = forecast
+        request = build_load_request(job, delay_s)
+        if forecast is not None:
+            self._record_urgent(job, forecast, now)
+        is_first = not job.is_load_reviewed
+        decision = self.decisions.review(
+            request, forecast, now, is_first=is_first
+        )
+        job.is_load_reviewed = True
+        if is_first or decision.is_shed:
+            self.count(decision.outcome, decision.reason)
+        if decision.is_shed:
+            self._log_shed(job, request, decision)
+            raise build_shed_error(decision)
+
+    def record_sent(self, job: Job, attempt: Attempt) -> None:
+        """Track an attempt, to compare its delay with the forecast.
+
+        :param job: the request.
+        :param attempt: the attempt.
+        """
+        if job.forecast is None or job.events:
+            return
+        self._attempts[id(attempt)] = (job.service, job.priority)
+        self.decisions.record_sent(
+            str(id(attempt)),
+            build_load_request(job),
+            job.forecast,
+            attempt.sent_at,
+        )
+
+    def record_answer(self, attempt: Attempt) -> None:
+        """Record that the head of an answer has arrived.
+
+        :param attempt: the attempt that is answered.
+        """
+        place = self._attempts.pop(id(attempt), None)
+        if place is not None:
+            self.decisions.record_answer(
+                str(id(attempt)), *place, read_monotonic_clock()
+            )
+
+    def discard(self, attempt: Attempt) -> None:
+        """Record that an attempt has ended.
+
+        :param attempt: the attempt.
+        """
+        place = self._attempts.pop(id(attempt), None)
+        if place is not None:
+            self.decisions.discard(str(id(attempt)), *place)
+
+    def _record_urgent(self, job: Job, forecast: Forecast, now: float) -> None:
+        """Record how long the most urgent requests would wait."""
+        urgent = self.urgent.find(job.service)
+        if urgent is None or urgent.priority >= job.priority:
+            return
+        if not is_fresh(forecast) or has_room(forecast, urgent.goal_s):
+            return
+        work = Work(priority=urgent.priority)
+        urgent_forecast = self.placement.forecast(job, work)
+        if urgent_forecast is not None:
+            self.decisions.record_forecast(
+                LoadRequest(
+                    service=job.service,
+                    kind=urgent.route,
+                    priority=min(max(urgent.priority, 0), _LOWEST_PRIORITY),
+                    work=work,
+                    is_stream=urgent.is_stream,
+                    goal_s=urgent.goal_s,
+                    remaining_s=urgent.goal_s,
+                    draw=0,
+                ),
+                urgent_forecast,
+                now,
+            )
+
+    def _log_shed(
+        self, job: Job, request: LoadRequest, decision: LoadDecision
+    ) -> None:
+        forecast = job.forecast
+        self.log.log_warning(
+            'shed',
+            request=job.request.request_id,
+            route=job.route.name,
+            service=job.service,
+            workspace=request.workspace,
+            session=bool(job.request.session),
+            priority=request.priority,
+            reason=decision.reason,
+            work=request.amount,
+            attempts=job.attempts,
+            start_s=None if forecast is None else round(forecast.start_s, 3),
+            occupancy=(
+                None if forecast is None else round(forecast.occupancy, 3)
+            ),
+            needed_s=round(decision.needed_s, 3),
+            goal_s=request.goal_s,
+            left_ms=round(request.remaining_s * _MS_PER_S),
+            delay_s=round(request.delay_s, 3),
+            shed_share=round(decision.shed_share, 3),
+            floor=round(decision.floor, 3),
+            draw=round(request.draw, 3),
+            evidence_age_s=round(decision.evidence_age_s, 3),
+            retry_after_s=round(decision.retry_after_s, 3),
+        )
+
+
+def build_load_request(job: Job, delay_s: float = 0) -> LoadRequest:
+    """Build the input of a load decision.
+
+    :param job: the request.
+    :param delay_s: seconds until it may be sent.
+    """
+    return LoadRequest(
+        service=job.service,
+        kind=job.route.name,
+        workspace='' if job.workspace is None else job.workspace.name,
+        priority=job.priority,
+        work=job.work,
+        is_stream=job.is_stream,
+        goal_s=job.route.latency_goal_s,
+        elapsed_s=job.elapsed_s,
+        remaining_s=job.remaining_s,
+        delay_s=delay_s,
+        draw=job.load_draw,
+    )
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -16,7 +16,6 @@
 )
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import SenderDependencies
-from laurelwind.coordination.suspects.gossip import CrashGossip
 from laurelwind.coordination.suspects.screen import SuspectScreen
 from laurelwind.coordination.topics.budgets import (
     build_budgets,
@@ -29,6 +28,7 @@
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.relay_permits import build_permits
 from laurelwind.relay_settings import RelaySettings
+from laurelwind.relay_sharing import build_crash_gossip, build_load_decisions
 from laurelwind.relay_tracking import (
     PlatformAdapters,
     TrackedState,
@@ -123,12 +123,7 @@
             log=self.log, count_members=lambda: len(self.membership.members)
         )
         self.stop = StopLimit()
-        self.gossip = CrashGossip(
-            screen=self.screen,
-            channel=self.datagrams,
-            local_address=settings.listen.peers,
-            list_peers=self.list_peers,
-        )
+        self.gossip = build_crash_gossip(self)
         self.hints = WorkHints(
             channel=self.datagrams,
             list_peers=self._list_zone_peers,
@@ -139,6 +134,7 @@
             ),
         )
         self.permits = build_permits(self)
+        self.load_decisions = build_load_decisions(self)
         self._limits = TableLimits(tracker=self.tracker)
         self.relay = self._build_relay()
         self.application = RelayApplication(
@@ -303,6 +299,8 @@
                 notify_loss=self.hints.notify_loss,
                 notify_leaving=self.hints.notify_leaving,
                 log=self.log,
+                decisions=self.load_decisions,
+                count_decision=self.metrics.count_load_decision,
             ),
             metrics=self.metrics,
         )
--- a/laurelwind/relay_metrics.py
+++ b/laurelwind/relay_metrics.py
@@ -65,6 +65,12 @@
             ('outcome',),
             registry=self.registry,
         )
+        self.load_decisions = Counter(
+            'laurelwind_load_decisions',
+            'Requests by outcome and reason of the load decision.',
+            ('outcome', 'reason'),
+            registry=self.registry,
+        )
         self.cut_answers = Counter(
             'laurelwind_cut_answers',
             'Answers that this daemon ended before they were complete.',
@@ -105,6 +111,14 @@
         """
         self._store_calls.labels(call, outcome).inc()
 
+    def count_load_decision(self, outcome: str, reason: str) -> None:
+        """Count a load decision.
+
+        :param outcome: what happens to the request.
+        :param reason: why.
+        """
+        self.load_decisions.labels(outcome, reason).inc()
+
     def add_gauge(
         self, name: str, help_text: str, read_value: Callable[[], float]
     ) -> None:
--- /dev/null
+++ b/tests/test_load_gate.py
@@ -0,0 +1,196 @@
+"""Load decisions in the relay: only what has not run is rejected."""
+
+import anyio
+import pytest
+
+from laurelwind.coordination.choosing import EndpointChooser
+from laurelwind.coordination.limits.endpoint_permits import Permit
+from laurelwind.coordination.load.forecasts import Forecast
+from laurelwind.coordination.relay_jobs import Job
+from laurelwind.errors import CapacityError, EndpointError, ErrorKind
+from laurelwind.protocol.exchanges import AnswerHead
+from laurelwind.state.load import read_monotonic_clock
+from tests.relay_helpers import (
+    EndpointScript,
+    RelayHarness,
+    build_broken_error,
+    build_request,
+    build_routing_table,
+)
+
+pytestmark = pytest.mark.anyio
+
+COMPLETE = EndpointScript(chunks=[b'whole'])
+REFUSED = EndpointScript(head=AnswerHead(status=503, did_not_run=True))
+HOPELESS = Forecast(start_s=9, first_s=9.1, finish_s=10, occupancy=3, age_s=0.1)
+EMPTY = Forecast(start_s=0, first_s=0.1, finish_s=1, occupancy=0.1, age_s=0.1)
+
+
+class RecordedLog:
+    """Collects the names and fields of log lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def log_warning(self, event, /, **fields):
+        self.lines.append((event, fields))
+
+    log_info = log_warning
+
+
+def build_harness(*scripts, forecasts):
+    """Build a relay whose forecasts are given, the last one repeated."""
+    harness = RelayHarness(*scripts)
+    remaining = list(forecasts)
+
+    def forecast(endpoints, requirements, work):
+        return remaining.pop(0) if len(remaining) > 1 else remaining[0]
+
+    harness.placement.forecast = forecast
+    return harness
+
+
+@pytest.mark.parametrize('name', ['book', 'look', 'draft'])
+async def test_hopeless_request_is_rejected_before_it_is_sent(name):
+    """Guards against requests that wait and then fail at their deadline."""
+    harness = build_harness(COMPLETE, forecasts=[HOPELESS])
+    with pytest.raises(CapacityError) as caught:
+        await harness.serve(build_request(name))
+    assert caught.value.kind is ErrorKind.OVERLOADED
+    assert caught.value.status == 429
+    assert 0 < caught.value.retry_after_s <= 2 / 3
+    assert not harness.gateway.sent
+
+
+@pytest.mark.parametrize('forecast', [None, EMPTY])
+async def test_request_is_served_with_room_or_without_knowledge(forecast):
+    """Guards against refusals without evidence of pressure."""
+    harness = build_harness(COMPLETE, forecasts=[forecast])
+    answer = await harness.serve(build_request('book'))
+    assert answer.body == b'whole'
+
+
+async def test_refused_request_is_rejected_between_attempts():
+    """Guards against further attempts that could not be in time."""
+    harness = build_harness(REFUSED, COMPLETE, forecasts=[EMPTY, HOPELESS])
+    with pytest.raises(CapacityError):
+        await harness.serve(build_request('look'))
+    assert len(harness.gateway.sent) == 1
+
+
+async def test_request_that_may_have_run_is_not_rejected():
+    """Guards against a 429 for work that may have been done."""
+    harness = build_harness(
+        EndpointScript(head=build_broken_error()),
+        COMPLETE,
+        forecasts=[EMPTY, HOPELESS],
+    )
+    answer = await harness.serve(build_request('look'))
+    assert answer.body == b'whole'
+
+
+async def test_failed_booking_is_never_called_not_run():
+    """Guards against a 429 where the only attempt may have run."""
+    harness = build_harness(
+        EndpointScript(head=build_broken_error()), forecasts=[EMPTY, HOPELESS]
+    )
+    with pytest.raises(EndpointError) as caught:
+        await harness.serve(build_request('book'))
+    assert caught.value.status == 502
+
+
+async def test_begun_stream_is_not_rejected():
+    """Guards against the loss of a stream that can be resumed."""
+    harness = build_harness(
+        EndpointScript(chunks=[b'id: 1\ndata: x\n\n', build_broken_error()]),
+        EndpointScript(chunks=[b'id: 2\ndata: y\n\n']),
+        forecasts=[EMPTY, HOPELESS],
+    )
+    answer = await harness.serve(build_request('draft'))
+    assert answer.is_whole
+    assert len(harness.gateway.sent) == 2
+
+
+async def test_ended_attempts_leave_no_state():
+    """Guards against growth with each request."""
+    harness = build_harness(COMPLETE, COMPLETE, forecasts=[EMPTY])
+    for _ in range(2):
+        await harness.serve(build_request('look'))
+    gate = harness.relay._dependencies.sender.load
+    assert not gate._attempts
+    assert not gate.decisions.get_service('pool').get_correction(0)._sent
+
+
+async def test_shed_line_tells_inputs_and_outcome():
+    """Guards against rejections that cannot be explained afterwards."""
+    harness = build_harness(forecasts=[HOPELESS])
+    log = RecordedLog()
+    gate = harness.relay._dependencies.sender.load
+    object.__setattr__(gate, 'log', log)
+    with pytest.raises(CapacityError):
+        await harness.serve(build_request('look'))
+    (event, fields), *_ = log.lines
+    assert event == 'shed'
+    assert fields['reason'] == 'deadline'
+    assert fields['workspace'] == 'forms'
+    assert {'occupancy', 'evidence_age_s', 'retry_after_s'} <= fields.keys()
+
+
+class QueueSelector:
+    """A selector whose only endpoint grants a permit later."""
+
+    def __init__(self, harness, endpoint):
+        self.load = harness.relay._dependencies.sender.load
+        self.placement = self
+        self._endpoint = endpoint
+
+    def list_limited(self, job):
+        return {self._endpoint.name}
+
+    def is_rolling_out(self, job):
+        return False
+
+    def choose(self, job, *, avoids_backoff=False):
+        return None
+
+    def choose_queued(self, job):
+        return self._endpoint
+
+
+class QueuePermits:
+    """Grants permits that are due after five seconds."""
+
+    def __init__(self):
+        self.returned = []
+
+    async def acquire(self, request_id, endpoint, max_wait_s=0):
+        due_at = read_monotonic_clock() + 5
+        return Permit(process=('e1', 1), due_at=due_at)
+
+    def give_back(self, permit):
+        self.returned.append(permit)
+
+
+async def test_waiting_request_is_rejected_once_it_is_hopeless():
+    """Guards against a request that is held and then refused all the same."""
+    harness = build_harness(forecasts=[EMPTY, EMPTY, HOPELESS])
+    permits = QueuePermits()
+    chooser = EndpointChooser(
+        selector=QueueSelector(
+            harness, harness.directory.list_ready('pool')[0]
+        ),
+        permits=permits,
+        log=harness.log,
+    )
+    now = read_monotonic_clock()
+    job = Job(
+        request=build_request('look'),
+        route=build_routing_table().routes[1],
+        workspace=None,
+        service='pool',
+        arrived_at=now,
+        deadline_at=now + 8,
+    )
+    with anyio.fail_after(3), pytest.raises(CapacityError):
+        await chooser.choose(job)
+    assert len(permits.returned) == 1
