Share demand of workspaces and pressure between daemons

Cause: a daemon sees 2 to 7 requests per second, too few to tell that one workspace sends six times its usual load. Change: each daemon sends one datagram of at most 1,200 bytes to 4 random peers every 0.5 s with its demand by workspace and its own pressure samples. Work beyond 1.5 times the usual share of its workspace is rejected before other work. Reports expire after 3 s; without any the rule is suspended. Gauges laurelwind_shed_share and laurelwind_load_reports. The target of the shed share is 0.2 instead of 0.1 of the slack, which rejects fewer of the most urgent in the emulation. Result: tests/test_workspace_demand.py and tests/test_load_decisions.py pass.

--- a/laurelwind/coordination/shedding/demand.py
+++ b/laurelwind/coordination/shedding/demand.py
@@ -144,7 +144,12 @@
     def _split(self, priority: int, requiring: int, share: float) -> float:
         prior = PRIOR_SHARE * self._typical_work
         amounts = [amount + prior for amount in self._by_priority]
-        less_urgent = sum(amounts[priority + 1 :]) * (1 - self.floor)
+        less_urgent = float(0)
+        if priority < EXCESS_PRIORITY:
+            less_urgent = sum(amounts[priority + 1 : EXCESS_PRIORITY])
+            # Excess work has no floor: the rest of its workspace has one.
+            less_urgent *= 1 - self.floor
+            less_urgent += amounts[EXCESS_PRIORITY]
         own = amounts[priority]
         if priority < requiring:
             share *= UPWARD_PART
--- a/laurelwind/coordination/shedding/load_decisions.py
+++ b/laurelwind/coordination/shedding/load_decisions.py
@@ -1,6 +1,5 @@
 """Decides whether a request is sent, waits or is rejected because of load."""
 
-from collections.abc import Callable
 from typing import Final
 
 from laurelwind.coordination.load.forecasts import Forecast
@@ -20,33 +19,20 @@
     rank_request,
 )
 from laurelwind.coordination.shedding.service_load import ServiceLoad
+from laurelwind.coordination.shedding.workspace_demand import WorkspaceDemand
 
 # Services whose load is tracked; a routing table has far fewer.
 MAX_SERVICES: Final = 64
 
-# Returns the share of a workspace's demand on a service that is beyond its
-# usual share, given the service, the workspace and the moment.
-ReadExcess = Callable[[str, str, float], float]
-
-
-def assume_no_excess(service: str, workspace: str, now: float) -> float:
-    """Return that no workspace exceeds its usual share.
-
-    :param service: name of the service.
-    :param workspace: name of the workspace.
-    :param now: current moment on the monotonic clock.
-    """
-    return 0
-
 
 class LoadDecisions:
     """Makes load decisions by forecasts and the pressure on each service.
 
-    :param read_excess: returns the excess share of a workspace's demand.
+    :ivar workspaces: demand of workspaces.
     """
 
-    def __init__(self, *, read_excess: ReadExcess = assume_no_excess) -> None:
-        self._read_excess = read_excess
+    def __init__(self) -> None:
+        self.workspaces = WorkspaceDemand()
         self._services: dict[str, ServiceLoad] = {}
 
     def get_service(self, name: str) -> ServiceLoad:
@@ -66,6 +52,19 @@
         """Return the load of each service by name."""
         return self._services
 
+    def compute_largest_share(self, now: float) -> float:
+        """Return the largest share of a service's work to reject.
+
+        :param now: current moment on the monotonic clock.
+        """
+        return max(
+            (
+                max(load.pressure.list_shed_shares(now).values(), default=0)
+                for load in self._services.values()
+            ),
+            default=0,
+        )
+
     def record_forecast(
         self, request: LoadRequest, forecast: Forecast, now: float
     ) -> None:
@@ -152,11 +151,17 @@
         :param is_first: whether this is the first review of the request.
         """
         load = self.get_service(request.service)
-        rank, rank_draw = rank_request(
-            request, self._read_excess(request.service, request.workspace, now)
+        excess = self.workspaces.compute_excess(
+            request.service, request.workspace, now
         )
+        rank, rank_draw = rank_request(request, excess)
         if is_first:
             load.demand.record_arrival(rank, request.kind, request.amount, now)
+        # Demand is shared for services that load decisions apply to.
+        if is_first and forecast is not None:
+            self.workspaces.record_request(
+                request.service, request.workspace, request.amount, now
+            )
         corrected = None
         if forecast is not None and is_fresh(forecast):
             self.record_forecast(request, forecast, now)
--- a/laurelwind/coordination/shedding/pressure.py
+++ b/laurelwind/coordination/shedding/pressure.py
@@ -20,7 +20,7 @@
 MIN_SLACK_SHARE: Final = 0.25
 # Predicted wait, as a share of the slack, at which the shed share is steady.
 # Requests are in time up to 1; the rest covers errors of the forecast.
-TARGET_RATIO: Final = 0.1
+TARGET_RATIO: Final = 0.2
 # Gains of the shed share. The proportional one acts within a report's age, the
 # integral one (per second) finds the share that a lasting overload requires.
 PROPORTIONAL_GAIN: Final = 1.5
@@ -138,11 +138,22 @@
     """Pressure on one service, by priority."""
 
     _classes: dict[int, ClassPressure] = field(factory=dict)
+    _local: dict[int, PressureSample] = field(factory=dict)
     _recent: deque[PressureSample] = field(
         factory=lambda: deque(maxlen=MIN_CONFIRMATIONS)
     )
 
     def record(self, sample: PressureSample, now: float) -> None:
+        """Apply a sample of this daemon, and keep it for the peers.
+
+        :param sample: the sample.
+        :param now: current moment on the monotonic clock.
+        """
+        if 0 <= sample.priority < _PRIORITIES:
+            self._local[sample.priority] = sample
+        self.record_remote(sample, now)
+
+    def record_remote(self, sample: PressureSample, now: float) -> None:
         """Apply a sample; stale ones and unknown priorities are ignored.
 
         :param sample: the sample.
@@ -194,17 +205,15 @@
         )
         return now - newest
 
-    def list_samples(self, now: float) -> list[PressureSample]:
-        """Return the fresh pressures, to be shared with peers.
+    def list_local_samples(self, now: float) -> list[PressureSample]:
+        """Return the fresh samples of this daemon, one for each priority.
+
+        Samples of peers are not passed on, as they would count repeatedly.
 
         :param now: current moment on the monotonic clock.
         """
         return [
-            PressureSample(
-                priority=priority,
-                ratio=pressure.ratio,
-                observed_at=pressure.observed_at,
-            )
-            for priority, pressure in self._classes.items()
-            if now - pressure.observed_at <= EVIDENCE_TTL_S
+            sample
+            for sample in self._local.values()
+            if now - sample.observed_at <= EVIDENCE_TTL_S
         ]
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -28,7 +28,11 @@
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.relay_permits import build_permits
 from laurelwind.relay_settings import RelaySettings
-from laurelwind.relay_sharing import build_crash_gossip, build_load_decisions
+from laurelwind.relay_sharing import (
+    build_crash_gossip,
+    build_load_decisions,
+    build_load_gossip,
+)
 from laurelwind.relay_tracking import (
     PlatformAdapters,
     TrackedState,
@@ -134,7 +138,8 @@
             ),
         )
         self.permits = build_permits(self)
-        self.load_decisions = build_load_decisions(self)
+        self.load_decisions = build_load_decisions()
+        self.load_gossip = build_load_gossip(self)
         self._limits = TableLimits(tracker=self.tracker)
         self.relay = self._build_relay()
         self.application = RelayApplication(
@@ -198,6 +203,7 @@
         await self.datagrams.start(group)
         self.hints.start(group)
         self.gossip.start(group)
+        self.load_gossip.start(group)
         self.permits.start(group)
         applications: dict[str, ASGIApp] = {
             self.settings.listen.callers: self.application,
--- a/laurelwind/relay_gauges.py
+++ b/laurelwind/relay_gauges.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from laurelwind.protocol.keyed_store import Topic
+from laurelwind.state.load import read_monotonic_clock
 
 if TYPE_CHECKING:
     from laurelwind.relay_daemon import RelayDaemon
@@ -15,6 +16,7 @@
     """
     add_gauge = daemon.metrics.add_gauge
     _add_ages(daemon)
+    _add_load(daemon)
     add_gauge(
         'laurelwind_in_flight',
         'Requests from their head to the end of their answer.',
@@ -79,3 +81,21 @@
         'Seconds since the list of daemons was known to be the newest.',
         lambda: daemon.copies[Topic.MEMBERS].age_s,
     )
+
+
+def _add_load(daemon: 'RelayDaemon') -> None:
+    add_gauge = daemon.metrics.add_gauge
+    add_gauge(
+        'laurelwind_shed_share',
+        'Largest share of the work of a service that has to be rejected.',
+        lambda: daemon.load_decisions.compute_largest_share(
+            read_monotonic_clock()
+        ),
+    )
+    add_gauge(
+        'laurelwind_load_reports',
+        'Peers whose reports of load are younger than three seconds.',
+        lambda: daemon.load_decisions.workspaces.count_reports(
+            read_monotonic_clock()
+        ),
+    )
--- a/laurelwind/relay_sharing.py
+++ b/laurelwind/relay_sharing.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from laurelwind.coordination.shedding.load_decisions import LoadDecisions
+from laurelwind.coordination.shedding.load_gossip import LoadGossip
 from laurelwind.coordination.suspects.gossip import CrashGossip
 
 if TYPE_CHECKING:
@@ -22,9 +23,19 @@
     )
 
 
-def build_load_decisions(daemon: 'RelayDaemon') -> LoadDecisions:
-    """Build the load decisions of a daemon.
+def build_load_decisions() -> LoadDecisions:
+    """Build the load decisions of a daemon."""
+    return LoadDecisions()
+
 
-    :param daemon: the daemon; its peers are built.
+def build_load_gossip(daemon: 'RelayDaemon') -> LoadGossip:
+    """Build the exchange of reports of load.
+
+    :param daemon: the daemon; its load decisions and peers are built.
     """
-    return LoadDecisions()
+    return LoadGossip(
+        decisions=daemon.load_decisions,
+        channel=daemon.datagrams,
+        local_address=daemon.settings.listen.peers,
+        list_peers=daemon.list_peers,
+    )
--- a/tests/emulated_load.py
+++ b/tests/emulated_load.py
@@ -4,11 +4,18 @@
 import math
 import random
 
+import orjson
 from attrs import define, field, frozen
 
 from laurelwind.coordination.load.forecasts import Forecast, Work
 from laurelwind.coordination.shedding.decisions import LoadRequest
 from laurelwind.coordination.shedding.load_decisions import LoadDecisions
+from laurelwind.coordination.shedding.load_gossip import (
+    FANOUT,
+    INTERVAL_S,
+    LoadGossip,
+)
+from tests.relay_helpers import SilentChannel
 
 STEP_S = 0.02
 SLOTS = 8
@@ -154,22 +161,31 @@
         engines=12,
         workspaces=8,
         is_deciding=True,
-        read_excess=None,
-        share=None,
+        is_sharing=True,
+        loss=0.1,
     ):
         self.random = random.Random(seed)
         self.now = 0
         self.is_deciding = is_deciding
         self.engines = [Engine(zone='abc'[i % 3]) for i in range(engines)]
-        options = {} if read_excess is None else {'read_excess': read_excess}
-        self.daemons = [LoadDecisions(**options) for _ in range(daemons)]
+        self.daemons = [LoadDecisions() for _ in range(daemons)]
         self.workspaces = {f'w{i}': 1.0 for i in range(workspaces)}
         self.kinds = {kind.name: (kind, kind.share) for kind in KINDS}
         self.calls = []
         self.wrong_refusals = 0
         self.returns = []
         self.repeats_at_once = False
-        self.share = share
+        self.loss = loss
+        self.gossips = [
+            LoadGossip(
+                decisions=daemon,
+                channel=SilentChannel(),
+                local_address=f'd{number}',
+                list_peers=list,
+                clock=lambda: self.now,
+            )
+            for number, daemon in enumerate(self.daemons if is_sharing else ())
+        ]
         self._sent = 0
 
     def run(self, until, load):
@@ -187,8 +203,17 @@
                 self._arrive(self._draw_call())
             while self.returns and self.returns[0][0] <= self.now:
                 self._arrive(heapq.heappop(self.returns)[-1])
-            if self.share is not None:
-                self.share(self)
+            self._exchange_reports()
+
+    def _exchange_reports(self):
+        due = STEP_S / INTERVAL_S
+        for gossip in self.gossips:
+            if self.random.random() >= due:
+                continue
+            datagram = gossip.encode()
+            for peer in self.random.sample(self.gossips, FANOUT):
+                if datagram and self.random.random() >= self.loss:
+                    peer.receive(orjson.loads(datagram))
 
     def _draw_call(self):
         kinds = list(self.kinds.values())
