Use the old version where only the endpoints of a trial are full

Cause: a request that is assigned to the version being rolled out was rejected if the few endpoints of that version were full, although others had room. Change: before it is rejected, a request without a session is forecast at the old version, and is sent there if there is room.

--- a/laurelwind/coordination/selection.py
+++ b/laurelwind/coordination/selection.py
@@ -74,7 +74,10 @@
             endpoint = self.placement.choose_fallback(job)
         if endpoint is not None:
             self._ensure_start_before_deadline(job, endpoint)
-            self.load.review(job)
+            if self.load.review(job):
+                return self.placement.choose_untried(
+                    job, avoids_backoff=avoids_backoff
+                )
         return endpoint
 
     def choose_queued(self, job: Job) -> EndpointRecord | None:
--- a/laurelwind/coordination/shedding/load_gate.py
+++ b/laurelwind/coordination/shedding/load_gate.py
@@ -44,17 +44,19 @@
     # Service and priority of the attempts without an answer, by their id().
     _attempts: dict[int, tuple[str, int]] = field(factory=dict, init=False)
 
-    def review(self, job: Job, delay_s: float = 0) -> None:
+    def review(self, job: Job, delay_s: float = 0) -> bool:
         """Reject a request that the load does not allow to be served.
 
         A request that an endpoint may have run is never rejected.
 
         :param job: the request.
         :param delay_s: seconds until it may be sent, as it waits for a permit.
+        :returns: whether the request now avoids the version that is being
+            rolled out, so that its endpoint has to be chosen anew.
         :raises CapacityError: if the request is rejected.
         """
         if job.may_have_run or job.events:
-            return
+            return False
         now = read_monotonic_clock()
         forecast = self.placement.forecast(job, job.work)
         job.forecast = forecast
@@ -66,11 +68,14 @@
             request, forecast, now, is_first=is_first
         )
         job.is_load_reviewed = True
+        if decision.is_shed and self._avoid_target_version(job):
+            return True
         if is_first or decision.is_shed:
             self.count(decision.outcome, decision.reason)
         if decision.is_shed:
             self._log_shed(job, request, decision)
             raise build_shed_error(decision)
+        return False
 
     def record_sent(self, job: Job, attempt: Attempt) -> None:
         """Track an attempt, to compare its delay with the forecast.
@@ -108,6 +113,23 @@
         if place is not None:
             self.decisions.discard(str(id(attempt)), *place)
 
+    def _avoid_target_version(self, job: Job) -> bool:
+        """Let a request use the old version where only that one has room."""
+        if job.request.session or job.avoids_target_version:
+            return False
+        if not self.placement.is_rolling_out(job):
+            return False
+        job.avoids_target_version = True
+        forecast = self.placement.forecast(job, job.work)
+        goal_s = job.route.latency_goal_s
+        if forecast is None or not is_fresh(forecast):
+            job.avoids_target_version = False
+        elif has_room(forecast, goal_s):
+            job.forecast = forecast
+        else:
+            job.avoids_target_version = False
+        return job.avoids_target_version
+
     def _record_urgent(self, job: Job, forecast: Forecast, now: float) -> None:
         """Record how long the most urgent requests would wait."""
         urgent = self.urgent.find(job.service)
--- a/tests/test_load_gate.py
+++ b/tests/test_load_gate.py
@@ -70,6 +70,14 @@
     assert answer.body == b'whole'
 
 
+async def test_old_version_with_room_is_used_during_a_rollout():
+    """Guards against refusals as only the few endpoints of a trial are full."""
+    harness = build_harness(COMPLETE, forecasts=[HOPELESS, EMPTY])
+    harness.rollouts.is_rolling_out = lambda service: True
+    answer = await harness.serve(build_request('look'))
+    assert answer.body == b'whole'
+
+
 async def test_refused_request_is_rejected_between_attempts():
     """Guards against further attempts that could not be in time."""
     harness = build_harness(REFUSED, COMPLETE, forecasts=[EMPTY, HOPELESS])
