--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -18,7 +18,6 @@
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.relay_attempts import Attempt
 from laurelwind.coordination.relay_jobs import Job
-from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import Sender, SenderDependencies
 from laurelwind.coordination.silence_monitor import SilenceMonitor
 from laurelwind.coordination.stream_progress import (
@@ -51,7 +50,6 @@
     """Collaborators of a :class:`Relay`.
 
     :ivar admission: checks requests against the routing table.
-    :ivar placement: tracks the state of endpoints.
     :ivar screen: learns what crashes endpoints.
     :ivar reporter: reports attempts without a complete answer.
     :ivar sender: sends requests to endpoints.
@@ -60,7 +58,6 @@
     """
 
     admission: Admission
-    placement: Placement
     screen: SuspectScreen
     reporter: CrashReporter
     sender: Sender
@@ -94,6 +91,7 @@
                 directory=dependencies.directory,
                 notify_leaving=dependencies.notify_leaving,
                 log=dependencies.log,
+                record_answer=sender.load.record_answer,
             ),
             rollouts=dependencies.rollouts,
             screen=dependencies.screen,
@@ -110,9 +108,9 @@
                     lease=dependencies.lease,
                     planner=planner,
                     log=dependencies.log,
+                    decisions=dependencies.decisions,
                 )
             ),
-            placement=dependencies.placement,
             screen=dependencies.screen,
             reporter=CrashReporter(
                 screen=dependencies.screen, placement=dependencies.placement
@@ -212,9 +210,7 @@
                 # The endpoint is slow and sound, so nothing counts against it.
                 job.fallback_endpoints.add(attempt.endpoint.name)
             finally:
-                self._dependencies.placement.record_attempt_end(
-                    attempt.endpoint, attempt.reservation
-                )
+                self._dependencies.sender.record_ended(attempt)
                 with anyio.CancelScope(shield=True):
                     await attempt.exchange.close()
 
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -21,6 +21,9 @@
 from laurelwind.coordination.scheduling.reservations import SentDelay
 from laurelwind.coordination.second_runs import ensure_may_run
 from laurelwind.coordination.selection import EndpointSelector
+from laurelwind.coordination.shedding.load_decisions import LoadDecisions
+from laurelwind.coordination.shedding.load_gate import LoadGate
+from laurelwind.coordination.shedding.urgent_classes import UrgentClasses
 from laurelwind.coordination.suspects.screen import SuspectScreen
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
@@ -39,6 +42,10 @@
 _MS_PER_S: Final = 1000
 
 
+def _ignore_decision(outcome: str, reason: str) -> None:
+    """Count nothing."""
+
+
 @frozen(kw_only=True)
 class SenderDependencies:
     """Collaborators of a :class:`Sender`.
@@ -61,6 +68,9 @@
         about to stop, with the start time of its process.
     :ivar log: decision log.
     :ivar zones: the evacuated zones.
+    :ivar decisions: makes load decisions.
+    :ivar count_decision: called with the outcome and the reason of each load
+        decision.
     """
 
     tracker: Tracker
@@ -78,6 +88,8 @@
     notify_leaving: Callable[[str, int], None]
     log: DecisionLog
     zones: EvacuatedZones = field(factory=EvacuatedZones)
+    decisions: LoadDecisions = field(factory=LoadDecisions)
+    count_decision: Callable[[str, str], None] = _ignore_decision
 
 
 class Sender:
@@ -85,10 +97,25 @@
 
     :param dependencies: collaborators of the sender.
     :ivar selector: selects the endpoints.
+    :ivar load: rejects requests that the load does not allow to be served.
     """
 
     def __init__(self, *, dependencies: SenderDependencies) -> None:
         self._dependencies = dependencies
+        placement = RequestPlacement(
+            directory=dependencies.directory,
+            rollouts=dependencies.rollouts,
+            placement=dependencies.placement,
+            refusals=dependencies.permits.refusals,
+            zones=dependencies.zones,
+        )
+        self.load = LoadGate(
+            decisions=dependencies.decisions,
+            placement=placement,
+            urgent=UrgentClasses(read_table=lambda: dependencies.tracker.table),
+            count=dependencies.count_decision,
+            log=dependencies.log,
+        )
         self.selector = EndpointSelector(
             limits=RetryLimits(
                 lease=dependencies.lease,
@@ -96,13 +123,8 @@
                 screen=dependencies.screen,
                 stop=dependencies.stop,
             ),
-            placement=RequestPlacement(
-                directory=dependencies.directory,
-                rollouts=dependencies.rollouts,
-                placement=dependencies.placement,
-                refusals=dependencies.permits.refusals,
-                zones=dependencies.zones,
-            ),
+            placement=placement,
+            load=self.load,
         )
         self._chooser = EndpointChooser(
             selector=self.selector,
@@ -147,7 +169,7 @@
                 endpoint, delay.reservation
             )
             raise
-        return Attempt(
+        attempt = Attempt(
             endpoint=endpoint,
             exchange=exchange,
             sent_at=sent_at,
@@ -156,6 +178,8 @@
             expected_delay_s=delay.expected_s,
             reservation=delay.reservation,
         )
+        self.load.record_sent(job, attempt)
+        return attempt
 
     def _may_send(self, choice: Choice) -> bool:
         dependencies = self._dependencies
@@ -194,6 +218,16 @@
         if cold is not None:
             cold.record_failure(endpoint, broke_at)
 
+    def record_ended(self, attempt: Attempt) -> None:
+        """Record the end of an attempt.
+
+        :param attempt: the attempt.
+        """
+        self._dependencies.placement.record_attempt_end(
+            attempt.endpoint, attempt.reservation
+        )
+        self.load.discard(attempt)
+
     def begin_silence(self, endpoint: EndpointRecord, silent_s: float) -> None:
         """Record that a request waits for an endpoint that is silent.
 
--- /dev/null
+++ b/laurelwind/coordination/shedding/load_decisions.py
@@ -0,0 +1,191 @@
+"""Decides whether a request is sent, waits or is rejected because of load."""
+
+from typing import Final
+
+from laurelwind.coordination.load.forecasts import Forecast
+from laurelwind.coordination.shedding.corrections import SentRequest
+from laurelwind.coordination.shedding.decisions import (
+    LoadDecision,
+    LoadRequest,
+)
+from laurelwind.coordination.shedding.pressure import (
+    PressureSample,
+    compute_ratio,
+)
+from laurelwind.coordination.shedding.rules import (
+    Review,
+    decide,
+    is_fresh,
+    rank_request,
+)
+from laurelwind.coordination.shedding.service_load import ServiceLoad
+from laurelwind.coordination.shedding.workspace_demand import WorkspaceDemand
+
+# Services whose load is tracked; a routing table has far fewer.
+MAX_SERVICES: Final = 64
+
+
+class LoadDecisions:
+    """Makes load decisions by forecasts and the pressure on each service.
+
+    :ivar workspaces: demand of workspaces.
+    :ivar is_active: whether the endpoints of any service have reported their
+        pace, without which no decision is made.
+    """
+
+    def __init__(self) -> None:
+        self.is_active = False
+        self.workspaces = WorkspaceDemand()
+        self._services: dict[str, ServiceLoad] = {}
+
+    def get_service(self, name: str) -> ServiceLoad:
+        """Return the load of a service.
+
+        :param name: name of the service.
+        """
+        load = self._services.get(name)
+        if load is None:
+            if len(self._services) >= MAX_SERVICES:
+                self._services.pop(next(iter(self._services)))
+            load = ServiceLoad()
+            self._services[name] = load
+        return load
+
+    def list_services(self) -> dict[str, ServiceLoad]:
+        """Return the load of each service by name."""
+        return self._services
+
+    def compute_largest_share(self, now: float) -> float:
+        """Return the largest share of a service's work to reject.
+
+        :param now: current moment on the monotonic clock.
+        """
+        return max(
+            (
+                max(load.pressure.list_shed_shares(now).values(), default=0)
+                for load in self._services.values()
+            ),
+            default=0,
+        )
+
+    def record_forecast(
+        self, request: LoadRequest, forecast: Forecast, now: float
+    ) -> None:
+        """Record a forecast as evidence of load, unless it is too old.
+
+        :param request: the request that the forecast is for.
+        :param forecast: the forecast.
+        :param now: current moment on the monotonic clock.
+        """
+        load = self.get_service(request.service)
+        load.pressure.record(
+            PressureSample(
+                priority=request.priority,
+                ratio=compute_ratio(
+                    load.correct(forecast, request.priority, now),
+                    request.goal_s,
+                    is_stream=request.is_stream,
+                ),
+                observed_at=now - forecast.age_s,
+            ),
+            now,
+        )
+
+    def record_sent(
+        self, key: str, request: LoadRequest, forecast: Forecast, now: float
+    ) -> None:
+        """Track a request that is sent, to compare its delay to the forecast.
+
+        :param key: identifier of the request.
+        :param request: the request.
+        :param forecast: the forecast, as placement made it.
+        :param now: current moment on the monotonic clock.
+        """
+        load = self.get_service(request.service)
+        factor = load.demand.get_delay_factor(request.priority)
+        load.get_correction(request.priority).record_sent(
+            key,
+            SentRequest(
+                sent_at=now,
+                predicted_s=forecast.start_s * factor,
+                own_s=request.get_needed_time(forecast)
+                - request.delay_s
+                - forecast.start_s,
+                goal_s=request.goal_s,
+            ),
+        )
+
+    def record_answer(
+        self, key: str, service: str, priority: int, now: float
+    ) -> None:
+        """Record that the answer to a request has begun.
+
+        :param key: identifier of the request.
+        :param service: name of its service.
+        :param priority: its priority.
+        :param now: current moment on the monotonic clock.
+        """
+        load = self.get_service(service)
+        load.get_correction(priority).record_answer(key, now)
+
+    def discard(self, key: str, service: str, priority: int) -> None:
+        """Record that an attempt ended.
+
+        :param key: identifier of the request.
+        :param service: name of its service.
+        :param priority: its priority.
+        """
+        self.get_service(service).get_correction(priority).discard(key)
+
+    def review(
+        self,
+        request: LoadRequest,
+        forecast: Forecast | None,
+        now: float,
+        *,
+        is_first: bool = True,
+    ) -> LoadDecision:
+        """Decide about a request that no endpoint may have run.
+
+        :param request: the request.
+        :param forecast: forecast at the best endpoint, or ``None`` if nothing
+            is known.
+        :param now: current moment on the monotonic clock.
+        :param is_first: whether this is the first review of the request.
+        """
+        self.is_active = self.is_active or forecast is not None
+        load = self.get_service(request.service)
+        excess = self.workspaces.compute_excess(
+            request.service, request.workspace, now
+        )
+        rank, rank_draw = rank_request(request, excess)
+        if is_first:
+            load.demand.record_arrival(rank, request.kind, request.amount, now)
+        # Demand is shared for services that load decisions apply to.
+        if is_first and forecast is not None:
+            self.workspaces.record_request(
+                request.service, request.workspace, request.amount, now
+            )
+        corrected = None
+        if forecast is not None and is_fresh(forecast):
+            self.record_forecast(request, forecast, now)
+            corrected = load.correct(forecast, request.priority, now)
+        decision = decide(
+            Review(
+                load=load,
+                request=request,
+                rank=rank,
+                rank_draw=rank_draw,
+                forecast=None if corrected is None else forecast,
+                corrected=corrected,
+                now=now,
+            )
+        )
+        if is_first or decision.is_shed:
+            load.demand.record_outcome(
+                request.priority,
+                request.amount,
+                now,
+                is_admitted=not decision.is_shed,
+            )
+        return decision
