Keep requests and entries in the regions that tables allow

`allowed_regions` of a route, a workspace or both now bound the endpoints of a request; the settings `[regions]` give the region of each zone. While a table has the field, callers are told of daemons of their region where there are any.

A store that is restored from an older copy lists daemons that left before. They are no longer named to callers until their memberships have either been renewed or expired, 5 s after the restore.

The emulated store encodes the era in the generation of the group, as the store's adapter does.

--- a/laurelwind/coordination/members.py
+++ b/laurelwind/coordination/members.py
@@ -18,6 +18,7 @@
 from laurelwind.coordination.topics.copies import TopicCopy
 from laurelwind.coordination.topics.peer_store import PeerReadingStore
 from laurelwind.coordination.topics.readers import Backoff, ReaderHealth
+from laurelwind.coordination.zones.departures import MemberDepartures
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ErrorKind, PlatformError
 from laurelwind.protocol.keyed_store import (
@@ -71,6 +72,7 @@
     :ivar ordered: the members while the local membership was last renewed, by
         which the zones are ordered: those whose memberships have lapsed may
         still read topics.
+    :ivar departures: members that only a restored store lists.
     :ivar first_read: set once the list was read.
     """
 
@@ -84,6 +86,7 @@
         self.members: tuple[ListedInstance, ...] = (local_instance,)
         self.listed: tuple[ListedInstance, ...] = (local_instance,)
         self.ordered: tuple[ListedInstance, ...] = (local_instance,)
+        self.departures = MemberDepartures(clock=clock)
         self.first_read = anyio.Event()
         self._local_instance = local_instance
         self._dependencies = dependencies
@@ -200,6 +203,10 @@
             return None
 
     def _apply_members(self, instances: Sequence[ListedInstance]) -> None:
+        self.departures.record(
+            {member.name for member in instances},
+            era=decode_position(self._listed_generation).era,
+        )
         previous = self.members
         self.listed = _sort_by_name(instances)
         self.members = _sort_by_name({*instances, self._local_instance})
--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -185,6 +185,16 @@
             priority = self.workspace.priority
         return min(max(priority, 0), _LOWEST_PRIORITY)
 
+    @property
+    def allowed_regions(self) -> frozenset[str] | None:
+        """Regions that its route and its workspace allow; ``None`` for all."""
+        route_regions = self.route.allowed_regions
+        if self.workspace is None or self.workspace.allowed_regions is None:
+            return route_regions
+        if route_regions is None:
+            return self.workspace.allowed_regions
+        return route_regions & self.workspace.allowed_regions
+
     @property
     def is_stream(self) -> bool:
         """Whether the answer is an event stream."""
--- a/laurelwind/coordination/request_placement.py
+++ b/laurelwind/coordination/request_placement.py
@@ -9,6 +9,7 @@
 from laurelwind.coordination.relay_jobs import Job
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling.placement import Placement
+from laurelwind.coordination.zones.regions import ZoneRegions
 from laurelwind.state.directory import EndpointDirectory, EndpointRecord
 from laurelwind.state.evacuated_zones import EvacuatedZones
 from laurelwind.state.rate_limits import get_process
@@ -23,6 +24,7 @@
     :ivar placement: selects endpoints.
     :ivar refusals: finds endpoints with a rate limit that have no permit.
     :ivar zones: the evacuated zones.
+    :ivar regions: regions of the zones.
     """
 
     directory: EndpointDirectory
@@ -30,6 +32,7 @@
     placement: Placement
     refusals: PermitRefusals
     zones: EvacuatedZones
+    regions: ZoneRegions
 
     def choose_untried(
         self,
@@ -174,6 +177,6 @@
         return self.rollouts.filter_endpoints(
             job.service,
             job.sticky_key,
-            ready,
+            self.regions.select_endpoints(ready, job.allowed_regions),
             allows_target=not job.avoids_target_version,
         )
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -19,6 +19,7 @@
 from laurelwind.coordination.selection import EndpointSelector
 from laurelwind.coordination.suspects.screen import SuspectScreen
 from laurelwind.coordination.tracker import Tracker
+from laurelwind.coordination.zones.regions import ZoneRegions
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
     EndpointError,
@@ -57,6 +58,7 @@
         about to stop, with the start time of its process.
     :ivar log: decision log.
     :ivar zones: the evacuated zones.
+    :ivar regions: regions of the zones.
     """
 
     tracker: Tracker
@@ -74,6 +76,7 @@
     notify_leaving: Callable[[str, int], None]
     log: DecisionLog
     zones: EvacuatedZones = field(factory=EvacuatedZones)
+    regions: ZoneRegions = field(factory=ZoneRegions)
 
 
 class Sender:
@@ -98,6 +101,7 @@
                 placement=dependencies.placement,
                 refusals=dependencies.permits.refusals,
                 zones=dependencies.zones,
+                regions=dependencies.regions,
             ),
         )
         self._chooser = EndpointChooser(
--- a/laurelwind/platform/tables.py
+++ b/laurelwind/platform/tables.py
@@ -65,6 +65,7 @@
         workspace = Workspace(
             name=parse_text(tenant['name']),
             priority=None if priority is None else int(priority),
+            allowed_regions=_parse_regions(tenant),
         )
         for key in parse_list(tenant.get('api_keys') or []):
             workspaces[parse_text(key)] = workspace
@@ -100,6 +101,7 @@
         max_attempts=max(int(row.get('max_attempts', 1)), 1),
         is_public=bool(row.get('public', False)),
         is_resumable=bool(row.get('resumable', False)),
+        allowed_regions=_parse_regions(row),
         # ``sizes`` lists model names; the engine of a service sets their costs.
         models=[
             RouteModel(name=parse_text(name), cost=costs.get(name, 0))
@@ -108,6 +110,14 @@
     )
 
 
+def _parse_regions(row: Mapping[str, Any]) -> frozenset[str] | None:
+    """Return the allowed regions, none for an empty list."""
+    names = row.get('allowed_regions')
+    if names is None:
+        return None
+    return frozenset(parse_text(name) for name in parse_list(names))
+
+
 def _build_shares(row: Mapping[str, Any]) -> Sequence[WeightedService]:
     backends = row.get('backends')
     if not backends:
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -7,7 +7,6 @@
 from attrs import asdict, evolve
 from starlette.types import ASGIApp
 
-from laurelwind.coordination.entry_lists import choose_entries
 from laurelwind.coordination.loop_lag import LoopLag
 from laurelwind.coordination.relay import Relay, build_relay
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
@@ -24,6 +23,7 @@
 )
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ConfigurationError
+from laurelwind.relay_entries import build_entries
 from laurelwind.relay_gauges import register_gauges
 from laurelwind.relay_limits import TableLimits
 from laurelwind.relay_metrics import RelayMetrics
@@ -116,6 +116,7 @@
         self.membership = tracking.membership
         self.tracker = tracking.tracker
         self.evacuations = tracking.evacuations
+        self._entries = build_entries(settings, tracking)
         self._apply_absence_age(bounds.apply_s)
         self.placement = Placement(zone=settings.daemon.zone)
         self.tracker.add_listener(self._discard_removed_endpoints)
@@ -167,12 +168,11 @@
         :param limit: largest number of addresses.
         """
         local_address = self.settings.listen.callers
-        accepting = [
-            member
-            for member in self.membership.members
-            if self.is_ready or member.caller_address != local_address
-        ]
-        return choose_entries(accepting, zone, limit)
+        return self._entries.choose(
+            zone,
+            limit,
+            excluded_address='' if self.is_ready else local_address,
+        )
 
     def list_peers(self) -> list[str]:
         """List the addresses of all other daemons."""
@@ -294,6 +294,7 @@
                 rollouts=self.rollouts,
                 placement=self.placement,
                 zones=self.zones,
+                regions=self._entries.regions,
                 permits=self.permits,
                 screen=self.screen,
                 stop=self.stop,
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -100,12 +100,14 @@
     :ivar listen: listen addresses.
     :ivar store: ``host:port`` of the store.
     :ivar bounds: service-level bounds of the fleet.
+    :ivar regions: region of each availability zone.
     """
 
     daemon: RelayIdentity
     listen: ListenSettings
     store: str
     bounds: BoundSettings = field(factory=BoundSettings)
+    regions: dict[str, str] = field(factory=dict)
 
 
 def load_relay_settings(path: Path) -> RelaySettings:
--- a/laurelwind/state/routes.py
+++ b/laurelwind/state/routes.py
@@ -2,7 +2,8 @@
 
 import enum
 import hashlib
-from collections.abc import Mapping, Sequence
+import itertools
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 from attrs import field, frozen
@@ -63,6 +64,8 @@
     :ivar models: models to choose from, smallest first; empty if the caller
         names the model.
     :ivar shares: the services behind the route.
+    :ivar allowed_regions: regions whose endpoints may get the requests, or
+        ``None`` for all.
     """
 
     name: str
@@ -78,6 +81,7 @@
     is_public: bool = False
     is_resumable: bool = False
     models: Sequence[RouteModel] = ()
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -108,10 +112,13 @@
 
     :ivar name: name of the workspace.
     :ivar priority: overrides the priority of the route, unless ``None``.
+    :ivar allowed_regions: regions whose endpoints may get the requests, or
+        ``None`` for all.
     """
 
     name: str
     priority: int | None = None
+    allowed_regions: frozenset[str] | None = None
 
 
 @frozen(kw_only=True)
@@ -182,6 +189,14 @@
         for host, host_lengths in lengths.items():
             self._prefix_lengths[host] = sorted(host_lengths, reverse=True)
 
+    @property
+    def has_regions(self) -> bool:
+        """Whether any route or workspace is bound to regions."""
+        owners: Iterable[Route | Workspace] = itertools.chain(
+            self.routes, self.workspaces.values()
+        )
+        return any(owner.allowed_regions is not None for owner in owners)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Find the route with the longest matching path prefix.
 
--- a/tests/emulated_fleet.py
+++ b/tests/emulated_fleet.py
@@ -179,7 +179,7 @@
             self.generation += 1
         now = asyncio.get_running_loop().time()
         self._member_expiry[member] = now + MEMBER_TTL_MS / 1000
-        return self.generation
+        return self.encode_offset(self.generation)
 
     def leave(self, member):
         if self._member_expiry.pop(member, None) is not None:
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -21,6 +21,7 @@
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import SenderDependencies
 from laurelwind.coordination.suspects.screen import SuspectScreen
+from laurelwind.coordination.zones.regions import ZoneRegions
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
     EndpointBrokenError,
@@ -299,6 +300,7 @@
         screen=None,
         permits=None,
         zone='a',
+        regions=None,
     ):
         self.log = build_silent_log()
         self.lease = FreshnessLease(duration_s=4.5)
@@ -344,6 +346,7 @@
                 notify_leaving=self.record_leaving,
                 log=self.log,
                 zones=self.zones,
+                regions=regions or ZoneRegions(),
             ),
             metrics=RelayMetrics(),
         )
