--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -26,6 +26,7 @@
 from laurelwind.coordination.shedding.urgent_classes import UrgentClasses
 from laurelwind.coordination.suspects.screen import SuspectScreen
 from laurelwind.coordination.tracker import Tracker
+from laurelwind.coordination.zones.regions import ZoneRegions
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
     EndpointError,
@@ -71,6 +72,7 @@
     :ivar decisions: makes load decisions.
     :ivar count_decision: called with the outcome and the reason of each load
         decision.
+    :ivar regions: regions of the zones.
     """
 
     tracker: Tracker
@@ -90,6 +92,7 @@
     zones: EvacuatedZones = field(factory=EvacuatedZones)
     decisions: LoadDecisions = field(factory=LoadDecisions)
     count_decision: Callable[[str, str], None] = _ignore_decision
+    regions: ZoneRegions = field(factory=ZoneRegions)
 
 
 class Sender:
@@ -108,6 +111,7 @@
             placement=dependencies.placement,
             refusals=dependencies.permits.refusals,
             zones=dependencies.zones,
+            regions=dependencies.regions,
         )
         self.load = LoadGate(
             decisions=dependencies.decisions,
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -28,6 +28,7 @@
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import SenderDependencies
 from laurelwind.coordination.suspects.screen import SuspectScreen
+from laurelwind.coordination.zones.regions import ZoneRegions
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
     EndpointBrokenError,
@@ -313,6 +314,7 @@
         screen=None,
         permits=None,
         zone='a',
+        regions=None,
     ):
         self.log = build_silent_log()
         self.lease = FreshnessLease(duration_s=4.5)
@@ -358,6 +360,7 @@
                 notify_leaving=self.record_leaving,
                 log=self.log,
                 zones=self.zones,
+                regions=regions or ZoneRegions(),
             ),
             metrics=RelayMetrics(),
         )
