Let an endpoint's report overrule the queue estimated from hints

Cause: a request was still rejected if the queue that hints and observed delays suggest outlasts its deadline, although the endpoint reports room. Change: that check applies only where no forecast is known.

--- a/laurelwind/coordination/selection.py
+++ b/laurelwind/coordination/selection.py
@@ -73,11 +73,11 @@
         if endpoint is None and not avoids_backoff:
             endpoint = self.placement.choose_fallback(job)
         if endpoint is not None:
-            self._ensure_start_before_deadline(job, endpoint)
             if self.load.review(job):
                 return self.placement.choose_untried(
                     job, avoids_backoff=avoids_backoff
                 )
+            self._ensure_start_before_deadline(job, endpoint)
         return endpoint
 
     def choose_queued(self, job: Job) -> EndpointRecord | None:
@@ -205,8 +205,14 @@
     def _ensure_start_before_deadline(
         self, job: Job, endpoint: EndpointRecord
     ) -> None:
-        """Reject a request that would wait in a queue past its deadline."""
-        placement = self.placement
-        if job.may_have_run or not placement.is_queue_too_long(job, endpoint):
+        """Reject a request that would wait in a queue past its deadline.
+
+        Where there is a forecast, the load decision has checked that already,
+        by the endpoint's own report.
+        """
+        if job.may_have_run or job.forecast is not None:
             return
-        raise build_queue_error(placement.estimate_queue_delay(endpoint))
+        if self.placement.is_queue_too_long(job, endpoint):
+            raise build_queue_error(
+                self.placement.estimate_queue_delay(endpoint)
+            )
--- a/tests/test_load_gate.py
+++ b/tests/test_load_gate.py
@@ -70,6 +70,15 @@
     assert answer.body == b'whole'
 
 
+async def test_room_by_report_overrules_a_queue_of_hints():
+    """Guards against refusals by hints where the endpoint reports room."""
+    harness = build_harness(COMPLETE, forecasts=[EMPTY])
+    for name in ('e1', 'e2', 'e3'):
+        harness.placement.record_remote_work(name, 60)
+    answer = await harness.serve(build_request('look'))
+    assert answer.body == b'whole'
+
+
 async def test_old_version_with_room_is_used_during_a_rollout():
     """Guards against refusals as only the few endpoints of a trial are full."""
     harness = build_harness(COMPLETE, forecasts=[HOPELESS, EMPTY])
