--- a/laurelwind/coordination/limits/endpoint_permits.py
+++ b/laurelwind/coordination/limits/endpoint_permits.py
@@ -161,7 +161,7 @@
         """
         self.limits.table.retain(names)
         self.refusals.retain(names)
-        self._asks.held.retain(names)
+        self._asks.retain(names)
         if self.limits.cold is not None:
             self.limits.cold.retain(names)
         if self._cold is not None:
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -10,9 +10,6 @@
 from laurelwind.coordination.loop_lag import LoopLag
 from laurelwind.coordination.relay import Relay, build_relay
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
-from laurelwind.coordination.scheduling.fleet_retry_budget import (
-    FleetRetryBudget,
-)
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import SenderDependencies
 from laurelwind.coordination.suspects.screen import SuspectScreen
@@ -22,9 +19,10 @@
 )
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ConfigurationError
+from laurelwind.relay_departures import build_departures
 from laurelwind.relay_entries import build_entries
 from laurelwind.relay_gauges import register_gauges
-from laurelwind.relay_limits import TableLimits
+from laurelwind.relay_limits import TableLimits, build_retry_budget
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.relay_permits import build_permits, build_report_gossip
 from laurelwind.relay_settings import RelaySettings
@@ -123,7 +121,6 @@
         self._entries = build_entries(settings, tracking)
         self._apply_absence_age(bounds.apply_s)
         self.placement = Placement(zone=settings.daemon.zone)
-        self.tracker.add_listener(self._discard_removed_endpoints)
         self.gateway = HttpGateway(codec=adapters.headers)
         self.datagrams = PeerDatagrams(
             address=settings.listen.peers, log=self.log
@@ -147,7 +144,9 @@
         self.load_decisions = build_load_decisions()
         self.load_gossip = build_load_gossip(self)
         self._limits = TableLimits(tracker=self.tracker)
+        self.retry_budget = build_retry_budget(bounds, self.membership)
         self.relay = self._build_relay()
+        self.departures = build_departures(self)
         self.application = RelayApplication(
             relay=self.relay,
             codec=adapters.headers,
@@ -206,14 +205,16 @@
         self.loop_lag.start(group)
         self.tracker.start(group)
         await self.datagrams.start(group)
-        for exchange in (
+        for component in (
             self.hints,
             self.gossip,
             self.load_gossip,
             self.permits,
             self.reports,
+            self.gateway,
+            self.departures,
         ):
-            exchange.start(group)
+            component.start(group)
         applications: dict[str, ASGIApp] = {
             self.settings.listen.callers: self.application,
             self.settings.listen.peers: TopicApplication(copies=self.copies),
@@ -292,7 +293,6 @@
         self.tracker.max_absence_age_s = apply_s * MAX_ABSENCE_AGE_SHARE
 
     def _build_relay(self) -> Relay:
-        bounds = self.settings.bounds
         return build_relay(
             dependencies=SenderDependencies(
                 tracker=self.tracker,
@@ -305,12 +305,7 @@
                 permits=self.permits,
                 screen=self.screen,
                 stop=self.stop,
-                retry_budget=FleetRetryBudget(
-                    retry_ratio=bounds.retry_share,
-                    extra_retries=bounds.retry_extra,
-                    window_s=bounds.retry_window_s,
-                    count_members=self.membership.count_known,
-                ),
+                retry_budget=self.retry_budget,
                 gateway=self.gateway,
                 notify_work=self.hints.notify_work,
                 notify_loss=self.hints.notify_loss,
@@ -324,8 +319,3 @@
 
     def _log_timeout(self, kind: TimeoutKind) -> None:
         self.log.log_info('connection_timed_out', kind=kind)
-
-    def _discard_removed_endpoints(self) -> None:
-        names = self.directory.list_names()
-        self.placement.retain_endpoints(names)
-        self.permits.retain(names)
--- a/laurelwind/relay_gauges.py
+++ b/laurelwind/relay_gauges.py
@@ -38,6 +38,11 @@
         'Daemons that are alive.',
         lambda: len(daemon.membership.members),
     )
+    add_gauge(
+        'laurelwind_idle_connections',
+        'Idle connections to endpoints.',
+        lambda: daemon.gateway.idle.count,
+    )
     add_gauge(
         'laurelwind_blocked_parts',
         'Groups of prompt parts whose requests are rejected.',
