Bound what connections of callers hold, parse and take in descriptors

Cause: uvicorn's protocol queued pipelined requests without a bound, its parser kept heads, blank lines and trailers of any size, whole bodies were kept for callers that stopped short of their end, and nothing bounded the connections.

Change: `transport/limits/` feeds the parser piece by piece. Parsing stops behind a complete request until its answer has been sent; the rest is held and reading stops. Heads over `max_header_bytes` get 431 (65,536 where a table has none), more than 1,024 bytes of blank lines end the connection, and so do more than 65,536 bytes + 32 for each chunk that frame a body (413). At most 1,000 headers and chunks, and a slice of 4,096 bytes, are parsed in one turn. One account counts heads, bodies, unread answers and held bytes on all listeners. Its limit is 3/8 of `limits.memory_mb`, and connections may take half of `limits.max_fds`. Beyond, the connection that has waited longest for its caller is ended, for memory weighted by what it holds, with 503 if its request is incomplete and so has not run. An answer of which nothing is read for 60 s is cut. A body is joined once, not at each piece.

--- a/laurelwind/platform/tables.py
+++ b/laurelwind/platform/tables.py
@@ -51,6 +51,9 @@
     default = CallerLimits()
     return CallerLimits(
         body_bytes=int(limits.get('max_body_bytes', default.body_bytes)),
+        header_bytes=int(
+            limits.get('max_header_bytes') or default.header_bytes
+        ),
         header_timeout_s=parse_number(limits.get('header_timeout_ms') or 0)
         / _MS_PER_S,
         idle_timeout_s=parse_number(limits.get('idle_timeout_ms') or 0)
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -25,7 +25,7 @@
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ConfigurationError
 from laurelwind.relay_gauges import register_gauges
-from laurelwind.relay_limits import TableLimits
+from laurelwind.relay_limits import TableLimits, build_caller_account
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.relay_permits import build_permits
 from laurelwind.relay_settings import RelaySettings
@@ -140,6 +140,7 @@
         )
         self.permits = build_permits(self)
         self._limits = TableLimits(tracker=self.tracker)
+        self.callers = build_caller_account(self)
         self.relay = self._build_relay()
         self.application = RelayApplication(
             relay=self.relay,
@@ -211,6 +212,7 @@
         policy = ConnectionPolicy(
             read_limits=self._limits.read_connection_limits,
             record_timeout=self._log_timeout,
+            account=self.callers,
         )
         for address, application in applications.items():
             server = HttpServer(address=address, policy=policy)
--- a/laurelwind/relay_gauges.py
+++ b/laurelwind/relay_gauges.py
@@ -15,6 +15,7 @@
     """
     add_gauge = daemon.metrics.add_gauge
     _add_ages(daemon)
+    _add_caller_gauges(daemon)
     add_gauge(
         'laurelwind_in_flight',
         'Requests from their head to the end of their answer.',
@@ -79,3 +80,28 @@
         'Seconds since the list of daemons was known to be the newest.',
         lambda: daemon.copies[Topic.MEMBERS].age_s,
     )
+
+
+def _add_caller_gauges(daemon: 'RelayDaemon') -> None:
+    add_gauge = daemon.metrics.add_gauge
+    account = daemon.callers
+    add_gauge(
+        'laurelwind_held_bytes',
+        'Bytes held for callers.',
+        lambda: account.total_bytes,
+    )
+    add_gauge(
+        'laurelwind_held_bytes_limit',
+        'Most bytes held for callers, from the memory of the machine.',
+        lambda: account.limits.held_bytes,
+    )
+    add_gauge(
+        'laurelwind_caller_connections',
+        'Connections of callers on all listeners.',
+        lambda: account.connection_count,
+    )
+    add_gauge(
+        'laurelwind_caller_connections_limit',
+        'Most connections of callers, from the file descriptors.',
+        lambda: account.limits.connections,
+    )
--- a/laurelwind/relay_limits.py
+++ b/laurelwind/relay_limits.py
@@ -1,13 +1,20 @@
-"""Limits on callers, from the routing table in force."""
+"""Limits on callers, from the routing table in force and the machine."""
+
+from typing import TYPE_CHECKING, Any
 
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.state.routes import CallerLimits
+from laurelwind.transport.limits.account import CallerAccount, EndReason
+from laurelwind.transport.limits.machine import derive_limits
 from laurelwind.transport.timed_protocol import (
     HEADER_TIMEOUT_S,
     IDLE_TIMEOUT_S,
     ConnectionLimits,
 )
 
+if TYPE_CHECKING:
+    from laurelwind.relay_daemon import RelayDaemon
+
 
 class TableLimits:
     """Reads the limits on callers from the routing table in force.
@@ -23,12 +30,13 @@
         return self._limits.body_bytes
 
     def read_connection_limits(self) -> ConnectionLimits:
-        """Return how long callers may take.
+        """Return how long callers may take, and the maximum size of a head.
 
-        The defaults are the least, since a caller may still go by the limits of
-        an earlier table.
+        Of times the defaults are the least, since a caller may still go by the
+        limits of an earlier table.
         """
         return ConnectionLimits(
+            header_bytes=self._limits.header_bytes,
             header_timeout_s=max(
                 self._limits.header_timeout_s, HEADER_TIMEOUT_S
             ),
@@ -39,3 +47,21 @@
     def _limits(self) -> CallerLimits:
         table = self._tracker.table
         return CallerLimits() if table is None else table.limits
+
+
+def build_caller_account(daemon: 'RelayDaemon') -> CallerAccount:
+    """Build the account of all connections of callers.
+
+    :param daemon: the daemon; its log and metrics record the connections that
+        are ended.
+    """
+    limits = daemon.settings.limits
+
+    def record_end(reason: EndReason, details: dict[str, Any]) -> None:
+        daemon.metrics.ended_connections.labels(reason).inc()
+        daemon.log.log_info('connection_ended', reason=reason, **details)
+
+    return CallerAccount(
+        limits=derive_limits(limits.memory_mb, limits.max_fds),
+        record_end=record_end,
+    )
--- a/laurelwind/relay_metrics.py
+++ b/laurelwind/relay_metrics.py
@@ -71,6 +71,12 @@
             ('reason',),
             registry=self.registry,
         )
+        self.ended_connections = Counter(
+            'laurelwind_ended_connections',
+            'Connections of callers ended at a limit, by limit.',
+            ('reason',),
+            registry=self.registry,
+        )
         self.answer_seconds = Histogram(
             'laurelwind_answer_seconds',
             'Seconds until the whole answer was passed on, by route.',
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -83,6 +83,19 @@
     exposure_share: float = 0.1
 
 
+@frozen(kw_only=True)
+class InstanceLimits:
+    """Limits of the machine that a daemon runs on.
+
+    :ivar memory_mb: its memory in MB; zero for the process's own limit, or 128
+        MB if it has none.
+    :ivar max_fds: most file descriptors; zero for the process's own limit.
+    """
+
+    memory_mb: float = 0
+    max_fds: int = 0
+
+
 @frozen(kw_only=True)
 class RelaySettings:
     """Settings of a relay daemon.
@@ -91,12 +104,14 @@
     :ivar listen: listen addresses.
     :ivar store: ``host:port`` of the store.
     :ivar bounds: service-level bounds of the fleet.
+    :ivar limits: limits of the machine.
     """
 
     daemon: RelayIdentity
     listen: ListenSettings
     store: str
     bounds: BoundSettings = field(factory=BoundSettings)
+    limits: InstanceLimits = field(factory=InstanceLimits)
 
 
 def load_relay_settings(path: Path) -> RelaySettings:
@@ -126,6 +141,8 @@
         'bounds.retry_share': bounds.retry_share,
         'bounds.retry_extra': bounds.retry_extra,
         'bounds.exposure_share': bounds.exposure_share,
+        'limits.memory_mb': settings.limits.memory_mb,
+        'limits.max_fds': settings.limits.max_fds,
     }
     for path, number in shares.items():
         if not 0 <= number < math.inf:
--- a/laurelwind/state/routes.py
+++ b/laurelwind/state/routes.py
@@ -131,12 +131,14 @@
     """Limits on requests of callers.
 
     :ivar body_bytes: maximum size of a request body, in bytes.
+    :ivar header_bytes: maximum size of a request's head, in bytes.
     :ivar header_timeout_s: maximum time for the head of a request, in seconds.
     :ivar idle_timeout_s: maximum time between requests on a connection, in
         seconds.
     """
 
     body_bytes: int = 4_194_304
+    header_bytes: int = 65_536
     header_timeout_s: float = 0
     idle_timeout_s: float = 0
 
--- a/laurelwind/transport/caller_exchange.py
+++ b/laurelwind/transport/caller_exchange.py
@@ -257,7 +257,8 @@
                 self.has_body = not message.get('more_body', False)
 
     async def _collect_body(self, limit: int) -> bytes:
-        body = b''
+        chunks = []
+        size = 0
         while True:
             message = await self._receive()
             if message['type'] == 'http.disconnect':
@@ -266,12 +267,13 @@
                     ErrorKind.BODY_MALFORMED, 'the request body was cut off'
                 )
             chunk: bytes = message.get('body', b'')
-            body += chunk
-            if len(body) > limit:
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > limit:
                 raise _build_size_error(limit)
             if not message.get('more_body', False):
                 self.has_body = True
-                return body
+                return b''.join(chunks)
 
     async def send_error(self, error: LaurelwindError) -> None:
         """Send an error answer, or end a begun answer with an error event.
--- /dev/null
+++ b/laurelwind/transport/limits/machine.py
@@ -0,0 +1,64 @@
+"""What the machine grants a process: memory and file descriptors."""
+
+import resource
+from typing import Final
+
+from attrs import frozen
+
+BYTES_PER_MB: Final = 1_048_576
+# Size of the smallest instance, used where the size is unknown.
+DEFAULT_MEMORY_MB: Final = 128
+# Share of the memory for what callers make the process hold. The rest is for
+# the process itself, about 45 MB, and for what its fleet's tables take.
+HELD_SHARE: Final = 0.375
+# Share of the descriptors for connections of callers. The rest is for
+# endpoints, the store, other daemons and listeners.
+CONNECTION_SHARE: Final = 0.5
+_MIN_CONNECTIONS: Final = 16
+_MAX_CONNECTIONS: Final = 16_384
+
+
+@frozen(kw_only=True)
+class MachineLimits:
+    """Limits on what all callers together take.
+
+    :ivar held_bytes: most bytes held for callers.
+    :ivar connections: most connections of callers.
+    """
+
+    held_bytes: int
+    connections: int
+
+
+def derive_limits(memory_mb: float = 0, max_fds: int = 0) -> MachineLimits:
+    """Derive the limits from the size of an instance.
+
+    :param memory_mb: its memory in MB of 2**20 bytes; zero if unknown, and the
+        process's own limit counts if it has one.
+    :param max_fds: most descriptors; zero for the process's own limit.
+    """
+    memory_mb = memory_mb or _read_memory_mb()
+    max_fds = max_fds or _read_max_fds()
+    connections = int(max_fds * CONNECTION_SHARE)
+    return MachineLimits(
+        held_bytes=int(memory_mb * HELD_SHARE * BYTES_PER_MB),
+        connections=min(max(connections, _MIN_CONNECTIONS), _MAX_CONNECTIONS),
+    )
+
+
+def _read_memory_mb() -> float:
+    limits = [
+        limit
+        for kind in (resource.RLIMIT_AS, resource.RLIMIT_DATA)
+        if (limit := resource.getrlimit(kind)[0]) != resource.RLIM_INFINITY
+    ]
+    if not limits:
+        return DEFAULT_MEMORY_MB
+    return min(limits) / BYTES_PER_MB
+
+
+def _read_max_fds() -> int:
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if limit == resource.RLIM_INFINITY:
+        return 2 * _MAX_CONNECTIONS
+    return limit
--- a/laurelwind/transport/server.py
+++ b/laurelwind/transport/server.py
@@ -23,6 +23,8 @@
 )
 
 _BACKLOG: Final = 2048
+# Connections that one turn of the event loop accepts.
+_ACCEPTED_PER_TURN: Final = 64
 _START_POLL_S: Final = 0.01
 
 
@@ -91,6 +93,8 @@
         group.start_soon(self._run, server)
         while not server.started:
             await anyio.sleep(_START_POLL_S)
+        # asyncio accepts as many connections at once as its backlog holds.
+        self._socket.listen(_BACKLOG)
 
     async def close(self) -> None:
         """Stop accepting connections and wait until all answers are sent."""
@@ -151,7 +155,7 @@
             access_log=False,
             log_config=None,
             log_level='critical',
-            backlog=_BACKLOG,
+            backlog=_ACCEPTED_PER_TURN,
             timeout_keep_alive=IDLE_TIMEOUT_S,
             server_header=False,
             proxy_headers=False,
--- a/laurelwind/transport/timed_protocol.py
+++ b/laurelwind/transport/timed_protocol.py
@@ -5,9 +5,12 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from attrs import frozen
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from attrs import field, frozen
 
+from laurelwind.transport.limits.account import CallerAccount
+from laurelwind.transport.limits.bounded_protocol import BoundedProtocol
+
+HEADER_BYTES: Final = 65_536
 HEADER_TIMEOUT_S: Final = 10.0
 IDLE_TIMEOUT_S: Final = 60
 _LATE_HEAD_ANSWER: Final = (
@@ -27,13 +30,15 @@
 
 @frozen(kw_only=True)
 class ConnectionLimits:
-    """How long callers may take.
+    """How long callers may take, and how large a request's head may be.
 
+    :ivar header_bytes: maximum size of a head in bytes.
     :ivar header_timeout_s: seconds between the first byte of a request and the
         end of its head.
     :ivar idle_timeout_s: seconds that a connection may stay without a request.
     """
 
+    header_bytes: int = HEADER_BYTES
     header_timeout_s: float = HEADER_TIMEOUT_S
     idle_timeout_s: float = IDLE_TIMEOUT_S
 
@@ -45,10 +50,12 @@
     :ivar read_limits: returns the limits in force.
     :ivar record_timeout: called when a time-out closes a connection, or
         ``None``.
+    :ivar account: bounds what all connections of the process take together.
     """
 
     read_limits: Callable[[], ConnectionLimits] = ConnectionLimits
     record_timeout: Callable[[TimeoutKind], None] | None = None
+    account: CallerAccount = field(factory=CallerAccount)
 
 
 def limit_head_times(header_timeout_s: float) -> ConnectionPolicy:
@@ -60,7 +67,7 @@
     return ConnectionPolicy(read_limits=lambda: limits)
 
 
-class TimedProtocol(HttpToolsProtocol):
+class TimedProtocol(BoundedProtocol):
     """Limits the time of a request's head, and of a connection without one.
 
     A limit that is raised holds for waits that have begun already. One that is
@@ -75,6 +82,15 @@
         self._waits_since: float = 0
         super().__init__(*args, **kwargs)
 
+    @property
+    def account(self) -> CallerAccount:
+        """Account of all connections; see :class:`BoundedProtocol`."""
+        return self.policy.account
+
+    def read_head_limit(self) -> int:
+        """Return the maximum size of a head; see :class:`BoundedProtocol`."""
+        return self.policy.read_limits().header_bytes
+
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Wait for the first request."""
         super().connection_made(transport)
