Tell a broken connection from a restart of its endpoint

Each break counted as a restart, so that endpoints of which a few answers break off were cold most of the time, and their callers refused. A break now counts only if a later attempt fails too, or no request that began within 0.5 s of it is answered. An attempt that fails to connect counts at once, as before.

Zero switches the bounds off, like their absence, so that a deployment that states zero still starts.

--- a/laurelwind/coordination/cold/endpoints.py
+++ b/laurelwind/coordination/cold/endpoints.py
@@ -24,6 +24,10 @@
 # Seconds after a failure from which an answer to an earlier request proves that
 # the process goes on: what it sent before a crash has been read by then.
 PROOF_DELAY_S: Final = 0.25
+# Shortest time, in seconds, in which a process can crash and serve again. A
+# request that begins within it and is answered proves that the process goes on,
+# if no other attempt failed.
+MIN_RESTART_S: Final = 0.5
 # Largest possible age of an entry, in seconds, whose cold time is passed on to
 # other daemons: an entry that was there before may be much older.
 MAX_SHARED_AGE_S: Final = 5.0
@@ -101,20 +105,27 @@
         )
 
     def record_failure(
-        self, endpoint: EndpointRecord, failed_at: float
+        self,
+        endpoint: EndpointRecord,
+        failed_at: float,
+        *,
+        sent_at: float | None = None,
     ) -> None:
         """Record that an endpoint may have restarted.
 
         :param endpoint: the endpoint.
         :param failed_at: moment at which a connection broke, or from which none
             could be opened.
+        :param sent_at: moment at which the request was sent, or ``None`` if no
+            connection could be opened.
         """
         rates = self.find_rates(endpoint.service)
-        if rates is None or endpoint.name in self._announced:
-            return
         known = self.table.find_newest(endpoint.name)
         if known is not None and failed_at < known.reached_at:
             # The outage is known, or the failure is of the time before it.
+            self._confirm(endpoint.name, known, sent_at)
+            return
+        if rates is None or endpoint.name in self._announced:
             return
         self._announced.add(endpoint.name)
         self.apply(
@@ -123,6 +134,7 @@
                 started_ms=endpoint.started_ms,
                 rate=rates.permits_per_s,
                 since=failed_at,
+                is_confirmed=sent_at is None,
             ),
         )
 
@@ -140,12 +152,15 @@
         if rates is None:
             return
         now = self._dependencies.clock()
-        if sent_at >= known.since:
+        is_earlier = sent_at < known.since
+        if not is_earlier and (
+            known.is_confirmed or sent_at > known.since + MIN_RESTART_S
+        ):
             self.apply(
                 endpoint.name,
                 evolve(known, reached_at=now, until=now + rates.cold_start_s),
             )
-        elif now >= known.since + PROOF_DELAY_S:
+        elif not is_earlier or now >= known.since + PROOF_DELAY_S:
             self._lift(endpoint.name, known)
 
     def record_entry(self, entry: EndpointEntry) -> None:
@@ -239,6 +254,15 @@
             if name not in names:
                 self._cold_since.pop(name)
 
+    def _confirm(
+        self, name: str, known: ColdStatement, sent_at: float | None
+    ) -> None:
+        """Record that an endpoint fails whatever it is sent."""
+        if known.is_reached or known.is_confirmed:
+            return
+        if sent_at is None or sent_at >= known.since:
+            self.apply(name, evolve(known, is_confirmed=True))
+
     def _lift(
         self, name: str, known: ColdStatement, sequence: int | None = None
     ) -> None:
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -36,7 +36,6 @@
 )
 from laurelwind.protocol.exchanges import CallerAnswer, RelayRequest
 from laurelwind.relay_metrics import RelayMetrics
-from laurelwind.state.load import read_monotonic_clock
 
 # Parts of a prompt in one log line.
 MAX_LOGGED_PARTS: Final = 8
@@ -238,9 +237,7 @@
                 attempt.silent_s if is_silent else 0,
             )
             if isinstance(error, EndpointBrokenError):
-                dependencies.sender.record_break(
-                    attempt.endpoint, read_monotonic_clock()
-                )
+                dependencies.sender.record_break(attempt)
             # Silence indicates load or a network fault, not a fault of the
             # version.
             if not is_silent:
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -178,16 +178,18 @@
             endpoint, lost_s, silent_s=silent_s
         )
 
-    def record_break(self, endpoint: EndpointRecord, broke_at: float) -> None:
-        """Record that an endpoint may have restarted.
+    def record_break(self, attempt: Attempt) -> None:
+        """Record that an endpoint whose connection broke may have restarted.
 
-        :param endpoint: the endpoint.
-        :param broke_at: moment at which its connection broke, or from which
-            none could be opened.
+        :param attempt: the attempt that broke.
         """
         cold = self._dependencies.permits.limits.cold
         if cold is not None:
-            cold.record_failure(endpoint, broke_at)
+            cold.record_failure(
+                attempt.endpoint,
+                read_monotonic_clock(),
+                sent_at=attempt.sent_at,
+            )
 
     def begin_silence(self, endpoint: EndpointRecord, silent_s: float) -> None:
         """Record that a request waits for an endpoint that is silent.
@@ -219,7 +221,9 @@
         # An endpoint with a pause or a limit may take the request later.
         if not isinstance(error, EndpointPausedError):
             backoff_s = self.record_failure(endpoint, 0)
-            self.record_break(endpoint, started_at)
+            cold = self._dependencies.permits.limits.cold
+            if cold is not None:
+                cold.record_failure(endpoint, started_at)
             job.excluded_endpoints.add(endpoint.name)
             job.avoids_cold = True
         self._dependencies.log.log_warning(
--- a/laurelwind/protocol/cold.py
+++ b/laurelwind/protocol/cold.py
@@ -69,19 +69,12 @@
     :param statement: the statement.
     :param now: the current moment, on the monotonic clock.
     """
-    return [
-        statement.started_ms,
-        statement.sequence,
-        statement.rate,
-        *(
-            None if moment == math.inf else round((moment - now) * _MS_PER_S)
-            for moment in (
-                statement.since,
-                statement.reached_at,
-                statement.until,
-            )
-        ),
+    times = [
+        None if moment == math.inf else round((moment - now) * _MS_PER_S)
+        for moment in (statement.since, statement.reached_at, statement.until)
     ]
+    process = statement.progress
+    return [process, statement.rate, times, statement.is_confirmed]
 
 
 def decode_statement(fields: Any, now: float) -> ColdStatement:
@@ -92,16 +85,25 @@
     :raises ValueError: if it is malformed; also ``TypeError`` and
         ``OverflowError``.
     """
-    started_ms, sequence, rate, *times = fields
+    process, rate, times, is_confirmed = fields
+    started_ms, sequence = process
     since, reached_at, until = (_decode_moment(time, now) for time in times)
-    statement = ColdStatement(
-        started_ms=int(started_ms),
-        sequence=int(sequence),
-        rate=float(rate),
-        since=since,
-        reached_at=reached_at,
-        until=until,
+    return _check(
+        ColdStatement(
+            started_ms=int(started_ms),
+            sequence=int(sequence),
+            rate=float(rate),
+            since=since,
+            reached_at=reached_at,
+            until=until,
+            is_confirmed=bool(is_confirmed),
+        ),
+        now,
     )
+
+
+def _check(statement: ColdStatement, now: float) -> ColdStatement:
+    """Return a statement if its fields are in range and in order."""
     if not 0 <= statement.rate < math.inf or not _is_ordered(statement, now):
         raise ValueError
     return statement
--- a/laurelwind/relay_cold.py
+++ b/laurelwind/relay_cold.py
@@ -74,7 +74,7 @@
 
     :param bounds: bounds of the settings.
     """
-    if bounds.cold_overage is None:
+    if not bounds.cold_overage:
         return None
     return ColdBounds(
         overage=bounds.cold_overage, tolerance=bounds.cold_tolerance or 0
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -71,10 +71,10 @@
     :ivar exposure_share: largest share of a service's requests that a bad
         version may receive during a roll-out.
     :ivar evacuate_s: seconds after which the endpoints of an evacuated zone get
-        no more requests; without it, evacuations are ignored.
+        no more requests; without it or at zero, evacuations are ignored.
     :ivar cold_overage: factor of the rate at which cold endpoints take requests
-        that the fleet may reach in a second; without it and
-        ``cold_tolerance``, endpoints are never cold.
+        that the fleet may reach in a second; without it or at zero, endpoints
+        are never cold.
     :ivar cold_tolerance: requests of a second on top of that.
     """
 
@@ -130,8 +130,6 @@
         'bounds.entries_life_s': bounds.entries_life_s,
         'bounds.retry_window_s': bounds.retry_window_s,
     }
-    if bounds.evacuate_s is not None:
-        positive['bounds.evacuate_s'] = bounds.evacuate_s
     for path, number in positive.items():
         if not 0 < number < math.inf:
             yield Fault(path=path, expected=EXPECTED_POSITIVE)
@@ -139,6 +137,7 @@
         'bounds.retry_share': bounds.retry_share,
         'bounds.retry_extra': bounds.retry_extra,
         'bounds.exposure_share': bounds.exposure_share,
+        'bounds.evacuate_s': bounds.evacuate_s or 0,
         'bounds.cold_overage': bounds.cold_overage or 0,
         'bounds.cold_tolerance': bounds.cold_tolerance or 0,
     }
--- a/laurelwind/relay_tracking.py
+++ b/laurelwind/relay_tracking.py
@@ -177,7 +177,7 @@
 
     :param bounds: bounds of the settings.
     """
-    return EvacuatedZones(is_enabled=bounds.evacuate_s is not None)
+    return EvacuatedZones(is_enabled=bool(bounds.evacuate_s))
 
 
 def build_topic_bounds(bounds: BoundSettings) -> TopicBounds:
--- a/laurelwind/state/cold_endpoints.py
+++ b/laurelwind/state/cold_endpoints.py
@@ -31,6 +31,9 @@
     :ivar since: moment of the failure, or at which the entry was read.
     :ivar reached_at: moment at which it answered again, infinite before.
     :ivar until: end of the cold time, infinite before it answers.
+    :ivar is_confirmed: whether an attempt that began after the failure failed
+        as well, or none could be connected. A single connection may break at an
+        endpoint that goes on.
     :ivar is_private: whether it is not passed on to other daemons.
     """
 
@@ -40,6 +43,7 @@
     since: float
     reached_at: float = math.inf
     until: float = math.inf
+    is_confirmed: bool = False
     is_private: bool = False
 
     @property
@@ -122,6 +126,8 @@
     def _is_change(
         self, known: ColdStatement | None, merged: ColdStatement
     ) -> bool:
+        if known is not None and merged.is_confirmed > known.is_confirmed:
+            return True
         now = self._clock()
         before = now if known is None else max(known.until, now)
         after = max(merged.until, now)
@@ -143,6 +149,7 @@
         since=min(known.since, statement.since),
         reached_at=min(known.reached_at, statement.reached_at),
         until=min(known.until, statement.until),
+        is_confirmed=known.is_confirmed or statement.is_confirmed,
         is_private=known.is_private and statement.is_private,
     )
 
--- a/tests/emulated_cold.py
+++ b/tests/emulated_cold.py
@@ -67,6 +67,8 @@
     cold_s: float
     is_up: bool = True
     in_flight: int = 0
+    # Share of the answers that break off while the process goes on.
+    broken_share: float = 0
     arrivals: list = field(factory=list)
     ended: anyio.Event = field(factory=anyio.Event)
 
@@ -89,6 +91,9 @@
         self._is_read = False
 
     async def read_head(self):
+        if random.random() < self._process.broken_share:
+            await anyio.sleep(ANSWER_S / 4)
+            raise build_broken_error()
         with anyio.move_on_after(random.uniform(0.5, 1.5) * ANSWER_S):
             await self._process.ended.wait()
             raise build_broken_error()
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -143,3 +143,18 @@
         assert restarted.find_peak() <= ALLOWED
 
     play(monkeypatch, check, size, endpoints=6)
+
+
+def test_endpoints_that_break_some_answers_keep_their_capacity(monkeypatch):
+    """Guards against a version with faults that counts as restarted always."""
+
+    async def check(fleet, group):
+        for process in fleet.list_processes():
+            process.broken_share = 0.05
+        await anyio.sleep(7)
+        outcomes = fleet.count()
+        assert not outcomes[429]
+        assert not outcomes[503]
+        assert outcomes[502] <= 0.01 * outcomes[200]
+
+    play(monkeypatch, check, 85, endpoints=16)
