Run no task for cold endpoints where none can be cold

Without the bound in the settings, three tasks of each daemon woke up to five times a second for nothing. They are no longer started.

--- a/laurelwind/coordination/cold/endpoints.py
+++ b/laurelwind/coordination/cold/endpoints.py
@@ -88,6 +88,11 @@
         # keep it cold for all others.
         self._announced: set[str] = set()
 
+    @property
+    def is_enabled(self) -> bool:
+        """Whether any endpoint can be cold."""
+        return self._dependencies.bounds is not None
+
     def add_listener(self, listener: Callable[[ColdEvent], None]) -> None:
         """Register a callback for changes that other daemons need to know.
 
@@ -219,7 +224,7 @@
         :param name: name of the endpoint.
         :param statement: the statement.
         """
-        if self._dependencies.bounds is None:
+        if not self.is_enabled:
             return
         is_change = self.table.apply(name, statement)
         merged = self.table.find_newest(name)
--- a/laurelwind/coordination/cold/gossip.py
+++ b/laurelwind/coordination/cold/gossip.py
@@ -56,10 +56,12 @@
         channel.add_listener(self._receive)
 
     def start(self, group: TaskGroup) -> None:
-        """Start to spread changes and to review the cold endpoints.
+        """Start to spread changes and to review the cold endpoints, if any.
 
         :param group: task group of the daemon.
         """
+        if not self._endpoints.is_enabled:
+            return
         group.start_soon(self._spread)
         group.start_soon(self._review)
         group.start_soon(self._repeat)
