--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 STAMP := .venv/.installed
 
-.PHONY: releases partial-outages gossip-cost logging-cost fault-soak platform-day capacity overhead model-check soak demo test lint format clean
+.PHONY: releases trials partial-outages gossip-cost logging-cost fault-soak platform-day capacity overhead model-check soak demo test lint format clean
 
 $(STAMP): pyproject.toml constraints.txt
 	python3 -m venv .venv
@@ -38,6 +38,11 @@
 logging-cost: $(STAMP)
 	PYTHONPATH=. $(PY) -m benchmarks.logging_cost
 
+# How often trials of versions end wrongly, by kind of version and fleet: about
+# ten minutes on a busy machine.
+trials: $(STAMP)
+	PYTHONPATH=. $(PY) -m benchmarks.trials --seeds 20
+
 # What notices of crashes cost each daemon of a large fleet.
 gossip-cost: $(STAMP)
 	PYTHONPATH=. $(PY) -m benchmarks.crash_gossip
