--- a/laurelwind/coordination/load/report_gossip.py
+++ b/laurelwind/coordination/load/report_gossip.py
@@ -14,7 +14,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from laurelwind.coordination.load.step_classes import Shares, StepClass
+from laurelwind.coordination.load.step_classes import Shares
 from laurelwind.coordination.scheduling.load_observations import (
     LoadObservations,
 )
@@ -74,14 +74,14 @@
         reports = self._observations.take_updates(MAX_REPORTS)
         if not reports:
             return None
-        demand = {}
-        for service, load in self._observations.list_paced():
-            shares = load.demand.measure()
-            if shares:
-                demand[service] = [
-                    shares.get(step_class, 0) for step_class in StepClass
-                ]
-        return encode_reports(reports, demand)
+        return encode_reports(
+            reports,
+            {
+                service: load.measure_classes()
+                for service, load in self._observations.list_paced()
+                if load.demand.measure()
+            },
+        )
 
     def receive(self, document: Any) -> None:
         """Apply the datagram of another daemon.
@@ -94,14 +94,11 @@
                 self._observations.record_remote_report(
                     endpoint, shared.report, shared.age_s
                 )
-        for service, shares in decode_demand(document).items():
+        now = read_monotonic_clock()
+        for service, classes in decode_demand(document).items():
             if self._observations.is_paced(service):
-                self._observations.get_service_load(
-                    service
-                ).demand.record_remote(
-                    dict(zip(StepClass, shares, strict=False)),
-                    read_monotonic_clock(),
-                )
+                load = self._observations.get_service_load(service)
+                load.record_remote_classes(classes, now)
 
     async def _spread(self) -> None:
         while True:
--- a/laurelwind/coordination/load/service_loads.py
+++ b/laurelwind/coordination/load/service_loads.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import deque
+from collections.abc import Sequence
 from typing import Final
 
 from attrs import define, field
@@ -10,6 +11,8 @@
 from laurelwind.coordination.load.batches import BatchStatistics
 from laurelwind.coordination.load.event_times import EventTimes
 from laurelwind.coordination.load.step_classes import ClassDemand, StepClass
+from laurelwind.coordination.load.token_statistics import TokenMoments
+from laurelwind.protocol.load_reports import SharedClass
 
 # Time after the last report of a pace for which a service counts as one whose
 # endpoints report it.
@@ -81,6 +84,40 @@
             max(ratio, MIN_PREFILL_RATIO), MAX_PREFILL_RATIO
         )
 
+    def measure_classes(self) -> Sequence[SharedClass]:
+        """Return what this daemon measured, for other daemons."""
+        shares = self.demand.measure()
+        moments = {
+            step_class: self.batches[step_class].tokens.measure()
+            for step_class in StepClass
+        }
+        return [
+            SharedClass(
+                share=shares.get(step_class, 0),
+                tokens=moments[step_class].mean,
+                deviation=moments[step_class].deviation,
+            )
+            for step_class in StepClass
+        ]
+
+    def record_remote_classes(
+        self, classes: Sequence[SharedClass], now: float
+    ) -> None:
+        """Apply what another daemon measured.
+
+        :param classes: its measurements, most costly class first.
+        :param now: the current moment.
+        """
+        by_class = dict(zip(StepClass, classes, strict=False))
+        self.demand.record_remote(
+            {step_class: one.share for step_class, one in by_class.items()},
+            now,
+        )
+        for step_class, one in by_class.items():
+            self.batches[step_class].tokens.record_remote(
+                TokenMoments(mean=one.tokens, deviation=one.deviation), now
+            )
+
     def estimate_event(
         self, step_classes: tuple[StepClass | None, ...], running: float
     ) -> float:
--- a/laurelwind/coordination/scheduling/endpoint_states.py
+++ b/laurelwind/coordination/scheduling/endpoint_states.py
@@ -105,6 +105,11 @@
         is_expired = now - self.reported_at > REPORT_TTL_S
         return None if is_expired else self.report
 
+    def get_remaining_share(self, now: float) -> float:
+        """Return how much of the last report still counts, 0 to 1."""
+        overdue_s = max(now - self.reported_at - REPORT_TTL_S, 0)
+        return max(1 - overdue_s / OVERDUE_REPORT_S, 0)
+
     def estimate_requests(self, now: float) -> float:
         """Estimate the requests there, with those sent since the report.
 
@@ -113,14 +118,13 @@
         """
         if self.report is None:
             return self.in_flight
-        overdue_s = max(now - self.reported_at - REPORT_TTL_S, 0)
-        remaining = max(1 - overdue_s / OVERDUE_REPORT_S, 0)
         reported = self.report.running + self.report.waiting
-        others = max(reported - self.in_flight_at_report, 0) * remaining
+        others = max(reported - self.in_flight_at_report, 0)
+        remaining = self.get_remaining_share(now)
         sent_since, _ = self.arrivals.count_remote(
             max(self.reported_at, now - ARRIVAL_TTL_S)
         )
-        return others + sent_since + self.in_flight
+        return others * remaining + sent_since + self.in_flight
 
     def get_expected_loss(self, now: float) -> float:
         """Return the expected loss in seconds, decayed linearly with age."""
--- a/laurelwind/coordination/scheduling/paced_placement.py
+++ b/laurelwind/coordination/scheduling/paced_placement.py
@@ -8,11 +8,13 @@
 import math
 import random
 from collections.abc import Sequence
-from typing import Final
 
 from attrs import frozen
 
-from laurelwind.coordination.load.batches import BatchStatistics
+from laurelwind.coordination.load.batches import (
+    OVERDUE_RATIO,
+    BatchStatistics,
+)
 from laurelwind.coordination.load.forecasts import Forecast, Work
 from laurelwind.coordination.load.predictions import EndpointFigures, predict
 from laurelwind.coordination.load.service_loads import ServiceLoad
@@ -35,9 +37,6 @@
 )
 from laurelwind.coordination.scheduling.sampling import Candidate, draw_sample
 
-# Multiple of the usual age from which a report counts as overdue.
-OVERDUE_RATIO: Final = 1.5
-
 
 @frozen(kw_only=True)
 class Option:
--- a/laurelwind/coordination/scheduling/report_observations.py
+++ b/laurelwind/coordination/scheduling/report_observations.py
@@ -62,6 +62,7 @@
         self, endpoint: EndpointRecord, report: LoadReport
     ) -> None:
         """Record the load reported by an endpoint; see the base class."""
+        self._record_surplus(endpoint, report)
         super().record_report(endpoint, report)
         if report.slowdown is not None:
             self._apply_pace(endpoint, report, read_monotonic_clock())
@@ -82,6 +83,7 @@
             state.report is not None and reported_at <= state.reported_at
         ):
             return False
+        self._record_surplus(endpoint, report)
         state.report = report
         state.reported_at = reported_at
         sent_since = state.arrivals.count_local(reported_at)
@@ -154,6 +156,21 @@
         :param endpoint: the endpoint.
         """
 
+    def _record_surplus(
+        self, endpoint: EndpointRecord, report: LoadReport
+    ) -> None:
+        """Compare a report with what was estimated before it."""
+        now = read_monotonic_clock()
+        state = self._get_state(endpoint)
+        if report.slowdown is None or state.get_report(now) is None:
+            return
+        step_class = self.get_class(endpoint)
+        if step_class is not None:
+            load = self.get_service_load(endpoint.service)
+            load.batches[step_class].record_surplus(
+                report.running + report.waiting - state.estimate_requests(now)
+            )
+
     def _apply_pace(
         self, endpoint: EndpointRecord, report: LoadReport, reported_at: float
     ) -> None:
--- a/laurelwind/coordination/scheduling/sampling.py
+++ b/laurelwind/coordination/scheduling/sampling.py
@@ -19,9 +19,9 @@
 
 # Random endpoints that are compared: of the request's class in the local zone,
 # of its class in other zones, and of other classes.
-LOCAL_CHOICES: Final = 3
-REMOTE_CHOICES: Final = 2
-OTHER_CHOICES: Final = 2
+LOCAL_CHOICES: Final = 2
+REMOTE_CHOICES: Final = 1
+OTHER_CHOICES: Final = 1
 # Endpoints that are compared besides, as they probably have the prompt's prefix
 # in their cache.
 AFFINITY_CHOICES: Final = 2
--- a/laurelwind/protocol/load_reports.py
+++ b/laurelwind/protocol/load_reports.py
@@ -24,6 +24,8 @@
 # Fields of a report, and the first one behind the counts.
 _REPORT_FIELDS: Final = 6
 _PACE_FIELD: Final = 4
+_CLASS_FIELDS: Final = 3
+_MAX_TOKENS: Final = 1_000_000_000
 _MS_PER_S: Final = 1000
 _PERCENT: Final = 100
 
@@ -42,18 +44,36 @@
     age_s: float
 
 
-Demand = Mapping[str, Sequence[float]]
+@frozen(kw_only=True)
+class SharedClass:
+    """What a daemon measured of one class of requests of a service.
+
+    :ivar share: share of the class in the daemon's demand.
+    :ivar tokens: mean of the tokens that a request may hold, or zero.
+    :ivar deviation: standard deviation of these tokens.
+    """
+
+    share: float = 0
+    tokens: float = 0
+    deviation: float = 0
+
+
+# Classes of a service, most costly first, by service.
+Demand = Mapping[str, Sequence[SharedClass]]
 
 
 def encode_reports(reports: Sequence[SharedReport], demand: Demand) -> bytes:
     """Encode a datagram, with as many reports as it has room for.
 
     :param reports: at most ``MAX_REPORTS`` reports, the most important first.
-    :param demand: shares of the classes, most costly first, by service.
+    :param demand: what was measured of the classes.
     """
     rounded = {
-        service: [round(share, 3) for share in shares]
-        for service, shares in tuple(demand.items())[:MAX_SERVICES]
+        service: [
+            (round(one.share, 3), round(one.tokens), round(one.deviation))
+            for one in classes
+        ]
+        for service, classes in tuple(demand.items())[:MAX_SERVICES]
     }
     rows = [_encode_report(shared) for shared in reports]
     datagram = orjson.dumps({_KIND: [rows, rounded]})
@@ -85,8 +105,8 @@
             )
 
 
-def decode_demand(document: Any) -> dict[str, Sequence[float]]:
-    """Decode the demand of a datagram; malformed shares are left out.
+def decode_demand(document: Any) -> dict[str, Sequence[SharedClass]]:
+    """Decode the demand of a datagram; malformed services are left out.
 
     :param document: the parsed datagram of any kind.
     """
@@ -94,10 +114,12 @@
     if not isinstance(demand, dict):
         return {}
     return {
-        service: shares
-        for service, shares in tuple(demand.items())[:MAX_SERVICES]
-        if isinstance(shares, list)
-        and all(_is_number(share, 1) for share in shares)
+        service: [
+            SharedClass(share=row[0], tokens=row[1], deviation=row[2])
+            for row in rows
+        ]
+        for service, rows in tuple(demand.items())[:MAX_SERVICES]
+        if isinstance(rows, list) and all(map(_is_class, rows))
     }
 
 
@@ -121,6 +143,14 @@
     ]
 
 
+def _is_class(row: Any) -> bool:
+    if not isinstance(row, list) or len(row) != _CLASS_FIELDS:
+        return False
+    return _is_number(row[0], 1) and all(
+        _is_number(field, _MAX_TOKENS) for field in row[1:]
+    )
+
+
 def _is_report(row: Any) -> bool:
     if not isinstance(row, list) or len(row) != _REPORT_FIELDS:
         return False
