Bound buffered answers, and test slow endpoints and unread answers

Cause: plain answers are buffered up to 1 MB each before they begin. 80 callers that ask for 4 MB and read nothing took the process to 129 to 138 MB with the limits on callers in force, since what is buffered was in no account.

Change: all buffered answers together have 16 MB; beyond, an answer begins with what was read of it, as one over 1 MB does. Answers with a server error are still read whole. Pieces are joined once. An unread answer counts twice, for what the application sends and what the transport keeps. The account has at least 16 MB, so that one body of the default maximum size always fits.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -14,8 +14,7 @@
 from laurelwind.coordination.endpoint_notices import EndpointNotices
 from laurelwind.coordination.model_planning import ModelPlanner
 from laurelwind.coordination.plain_answers import (
-    MAX_BUFFERED_BYTES,
-    read_buffered,
+    AnswerBuffers,
     relay_remaining,
 )
 from laurelwind.coordination.relay_attempts import Attempt
@@ -86,6 +85,7 @@
 
     def __init__(self, *, dependencies: DeliveryDependencies) -> None:
         self._dependencies = dependencies
+        self._buffers = AnswerBuffers()
         self._timings = AttemptTimings(rollouts=dependencies.rollouts)
         self._heads = HeadReader(
             placement=dependencies.placement, monitor=dependencies.monitor
@@ -151,10 +151,12 @@
         head: AnswerHead,
         answer: CallerAnswer,
     ) -> bool:
-        body = await read_buffered(attempt)
-        if len(body) < MAX_BUFFERED_BYTES:
-            self._record_complete(job, attempt)
         is_server_error = head.status >= _SERVER_ERROR
+        body, is_whole = await self._buffers.read(
+            attempt, needs_whole=is_server_error
+        )
+        if is_whole:
+            self._record_complete(job, attempt)
         self.record_answer(job, attempt, failed=is_server_error)
         if is_server_error:
             self._dependencies.placement.record_server_error(attempt.endpoint)
@@ -164,7 +166,7 @@
             if self._dependencies.selector.reserve_retry(job):
                 job.saved_failure = BufferedAnswer(head=head, body=body)
                 return False
-        if len(body) < MAX_BUFFERED_BYTES:
+        if is_whole:
             await answer.begin(head.status, head.headers, len(body))
             await answer.finish(body)
         else:
--- a/laurelwind/coordination/plain_answers.py
+++ b/laurelwind/coordination/plain_answers.py
@@ -8,20 +8,48 @@
 # Answers up to this size are buffered completely before delivery begins, so
 # that a request whose answer breaks off can be retried.
 MAX_BUFFERED_BYTES: Final = 1_048_576
+# Most bytes of all answers that are buffered at once. 60 answers of 1 MB took
+# a daemon to 138 MB, beyond the smallest instance of 128 MB.
+MAX_ALL_BUFFERED_BYTES: Final = 16_777_216
 
 
-async def read_buffered(attempt: Attempt) -> bytes:
-    """Read a plain answer, up to the size that is buffered.
+class AnswerBuffers:
+    """Buffers plain answers before they begin, within a total.
 
-    :param attempt: the attempt that is answered.
+    Beyond the total an answer begins with what was read of it, as one does
+    that is too long to be buffered.
+
+    :param max_bytes: most bytes of all buffered answers together.
     """
-    body = b''
-    while len(body) < MAX_BUFFERED_BYTES:
-        chunk = await attempt.exchange.read_chunk()
-        if not chunk:
-            break
-        body += chunk
-    return body
+
+    def __init__(self, *, max_bytes: int = MAX_ALL_BUFFERED_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self._held_bytes = 0
+
+    async def read(
+        self, attempt: Attempt, *, needs_whole: bool
+    ) -> tuple[bytes, bool]:
+        """Read a plain answer, up to the size that is buffered.
+
+        :param attempt: the attempt that is answered.
+        :param needs_whole: whether the total may be exceeded.
+        :returns: what was read, and whether that is the whole answer.
+        """
+        chunks = []
+        size = 0
+        try:
+            while size < MAX_BUFFERED_BYTES:
+                chunk = await attempt.exchange.read_chunk()
+                if not chunk:
+                    return b''.join(chunks), True
+                chunks.append(chunk)
+                size += len(chunk)
+                self._held_bytes += len(chunk)
+                if self._held_bytes > self._max_bytes and not needs_whole:
+                    break
+        finally:
+            self._held_bytes -= size
+        return b''.join(chunks), False
 
 
 async def relay_remaining(
--- a/laurelwind/transport/limits/accounted_protocol.py
+++ b/laurelwind/transport/limits/accounted_protocol.py
@@ -17,6 +17,9 @@
 
 # Bytes that one read takes from a socket; asyncio's default is 262,144.
 READ_BYTES: Final = 65_536
+# Copies of an unread answer: what the application sends, and what the
+# transport keeps of it.
+UNSENT_COPIES: Final = 2
 # Seconds in which a caller reads nothing of an answer, after which it is cut.
 UNREAD_TIMEOUT_S: Final = 60.0
 
@@ -145,7 +148,7 @@
 
     def count_held_bytes(self) -> int:
         """Count what is held now; see :class:`HeldConnection`."""
-        held_bytes = self._unsent_bytes + len(self.unparsed)
+        held_bytes = UNSENT_COPIES * self._unsent_bytes + len(self.unparsed)
         incoming = self.incoming
         if incoming.phase is Phase.HEAD:
             return held_bytes + incoming.held_bytes
--- a/laurelwind/transport/limits/machine.py
+++ b/laurelwind/transport/limits/machine.py
@@ -13,6 +13,8 @@
 # Share of the memory for what callers make the process hold. The rest is for
 # the process itself, about 45 MB, and for what its fleet's tables take.
 HELD_SHARE: Final = 0.375
+# A body of the default maximum size, as it is counted, and its connection.
+MIN_HELD_BYTES: Final = 16_777_216
 # Share of the descriptors for connections of callers. The rest is for
 # endpoints, the store, other daemons and listeners.
 CONNECTION_SHARE: Final = 0.5
@@ -44,7 +46,7 @@
     """
     memory_mb = memory_mb or _read_memory_mb()
     max_fds = max_fds or _read_max_fds()
-    held_bytes = int(memory_mb * HELD_SHARE * BYTES_PER_MB)
+    held_bytes = max(int(memory_mb * HELD_SHARE * BYTES_PER_MB), MIN_HELD_BYTES)
     connections = min(
         int(max_fds * CONNECTION_SHARE), held_bytes // CONNECTION_BYTES
     )
--- a/tests/hostile_helpers.py
+++ b/tests/hostile_helpers.py
@@ -86,7 +86,11 @@
         await server.start(group, self.store)
         await self.endpoint.start(group)
         self.store.put('keyed.op', 'config', build_table())
-        self.store.put('keyed.servers', 'e1', self._build_entry())
+        self._register('e1', 'pool', self.endpoint.address)
+        # It accepts connections, and reads nothing.
+        self._unread = socket.create_server(('127.0.0.1', 0))
+        port = self._unread.getsockname()[1]
+        self._register('s1', 'slow', f'127.0.0.1:{port}')
         text = _SETTINGS.format(store=server.address, **self.addresses)
         if 'limits' in attrs.fields_dict(RelaySettings):
             text += _LIMITS
@@ -145,6 +149,7 @@
         if self.process is not None:
             self.process.send_signal(signal.SIGKILL)
             self.process.wait()
+        self._unread.close()
 
     async def send_ordinary_request(self):
         """Return the status of a request, which is repeated if refused."""
@@ -205,10 +210,10 @@
                     return
             await anyio.sleep(0.05)
 
-    def _build_entry(self):
-        return {
-            'service': 'pool',
-            'address': self.endpoint.address,
+    def _register(self, name, service, address):
+        entry = {
+            'service': service,
+            'address': address,
             'zone': 'a',
             'version': 'v1',
             'slots': 64,
@@ -217,6 +222,7 @@
             'sequence': 1,
             'born': 1,
         }
+        self.store.put('keyed.servers', name, entry)
 
 
 _FAILURES = (
@@ -232,17 +238,18 @@
         'version': 1,
         'routes': [
             {
-                'name': 'book',
+                'name': name,
                 'host': HOST,
-                'path_prefix': '/book/',
+                'path_prefix': f'/{name}/',
                 'kind': 'non_idempotent',
                 'timeout_ms': 3000,
                 'target_latency_ms': 1000,
                 'max_attempts': 2,
-                'service': 'pool',
+                'service': service,
             }
+            for name, service in (('book', 'pool'), ('slow', 'slow'))
         ],
-        'services': [{'name': 'pool'}],
+        'services': [{'name': 'pool'}, {'name': 'slow'}],
         'tenants': [{'name': 'forms', 'api_keys': [KEY]}],
         'limits': {
             'max_body_bytes': MAX_BODY_BYTES,
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -2,9 +2,12 @@
 
 import contextlib
 
+from types import SimpleNamespace
+
 import anyio
 import pytest
 
+from laurelwind.coordination.plain_answers import AnswerBuffers
 from laurelwind.transport.limits import machine, memory_size
 from laurelwind.transport.limits.account import CallerAccount, EndReason
 from laurelwind.transport.limits.bounded_protocol import (
@@ -18,6 +21,7 @@
     ConnectionPolicy,
 )
 from tests.helpers import wait_until
+from tests.relay_helpers import EndpointScript, FakeExchange
 
 pytestmark = pytest.mark.anyio
 HEADER_BYTES = 2000
@@ -322,6 +326,23 @@
         assert served.ends == [EndReason.MEMORY]
 
 
+async def test_answers_beyond_the_total_begin_early_and_lose_nothing():
+    """Many answers of 1 MB at once were buffered without a bound."""
+    buffers = AnswerBuffers(max_bytes=10)
+    script = EndpointScript(chunks=[b'a' * 8, b'b' * 8, b'c' * 8])
+    for needs_whole in (False, True, False):
+        exchange = FakeExchange(script)
+        attempt = SimpleNamespace(exchange=exchange)
+        body, is_whole = await buffers.read(attempt, needs_whole=needs_whole)
+        assert is_whole is needs_whole
+        assert body == (b'a' * 8 + b'b' * 8 + b'c' * 8 * needs_whole)
+        assert await exchange.read_chunk() == b'c' * 8 * (not needs_whole)
+    small = SimpleNamespace(
+        exchange=FakeExchange(EndpointScript(chunks=[b'a' * 8]))
+    )
+    assert await buffers.read(small, needs_whole=False) == (b'a' * 8, True)
+
+
 def test_the_limits_follow_from_the_size_of_the_instance(monkeypatch):
     """The process has to stay within the memory of its machine."""
     limits = derive_limits(128, 1024)
--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -115,6 +115,25 @@
         await daemon.check()
 
 
+async def test_bodies_for_an_endpoint_that_reads_nothing_fit_into_memory(
+    tmp_path,
+):
+    """Each body was kept three times while the endpoint did not read it."""
+    head = build_head('/slow/1/10', **{'Content-Length': MAX_BODY_BYTES})
+    async with run_daemon(tmp_path) as (daemon, crowd):
+        body = bytes(MAX_BODY_BYTES)
+        await crowd.send('callers', COUNT, [head, *cut(body)])
+        await daemon.check()
+
+
+async def test_large_answers_that_nobody_reads_fit_into_memory(tmp_path):
+    """Answers were kept for callers that do not read, without a time limit."""
+    request = build_head('/book/1/4000000', **{'Content-Length': 0})
+    async with run_daemon(tmp_path) as (daemon, crowd):
+        await crowd.send('callers', 2 * COUNT, [request])
+        await daemon.check()
+
+
 async def test_chunks_of_one_byte_leave_time_for_others(tmp_path):
     """The process parsed chunks beyond the limit, and answered nobody.
 
