--- a/tests/hostile_helpers.py
+++ b/tests/hostile_helpers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import random
 import signal
@@ -225,6 +226,58 @@
         self.store.put('keyed.servers', name, entry)
 
 
+class ChatDaemonProcess(DaemonProcess):
+    """A daemon of the chat program, with the stand-ins that it needs."""
+
+    def __init__(self, folder):
+        self.folder = Path(folder)
+        self.process = None
+        self.last_peak_mb = 0
+        self._standins = None
+
+    async def start(self, group):
+        scripts = Path(sys.executable).parent
+        self._standins = self._spawn(
+            scripts / 'laurelwind-standins', 'standins', self.folder
+        )
+        await self._read_json('standins.json')
+        settings = self.folder / 'a0.toml'
+        ready = self.folder / 'ready.json'
+        self.process = self._spawn(
+            scripts / 'laurelwindd', settings, '--ready-file', ready
+        )
+        running = await self._read_json('ready.json')
+        self.addresses = {
+            'callers': running['caller_address'],
+            'admin': running['admin_address'],
+        }
+
+    def kill(self):
+        for process in (self.process, self._standins):
+            if process is not None:
+                process.kill()
+                process.wait()
+
+    async def _send_once(self, number):
+        with anyio.fail_after(10):
+            async with httpcore.AsyncConnectionPool() as pool:
+                answer = await pool.request(
+                    'GET', f'http://{self.addresses["callers"]}/v1/entries'
+                )
+        return answer.status
+
+    async def _read_json(self, name):
+        path = self.folder / name
+        with anyio.fail_after(60):
+            while not path.exists() or not path.stat().st_size:
+                await anyio.sleep(0.05)
+        return json.loads(path.read_bytes())
+
+    def _spawn(self, *command):
+        with (self.folder / 'd0.log').open('ab') as log:
+            return subprocess.Popen(command, stdout=log, stderr=log)
+
+
 _FAILURES = (
     TimeoutError,
     httpcore.NetworkError,
@@ -322,8 +375,8 @@
 
 
 @contextlib.asynccontextmanager
-async def run_daemon(folder):
-    daemon = DaemonProcess(folder)
+async def run_daemon(folder, program=DaemonProcess):
+    daemon = program(folder)
     crowd = Crowd(daemon)
     async with anyio.create_task_group() as group:
         try:
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -1,7 +1,6 @@
 """Limits on what one connection of a caller takes, and all of them together."""
 
 import contextlib
-
 from types import SimpleNamespace
 
 import anyio
--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -14,6 +14,7 @@
     HOST,
     MAX_BODY_BYTES,
     MAX_FDS,
+    ChatDaemonProcess,
     build_head,
     run_daemon,
 )
@@ -200,3 +201,22 @@
         await crowd.send(listener, IDLE_COUNT, [])
         await daemon.check()
         assert daemon.open_descriptors <= MAX_FDS
+
+
+@pytest.mark.parametrize(
+    ('listener', 'target'), [('callers', '/v1/entries'), ('admin', '/metrics')]
+)
+async def test_the_chat_daemon_bounds_its_callers_as_well(
+    tmp_path, listener, target
+):
+    """Its listeners are of the same server, and had no bounds either."""
+    request = build_head(target, 'GET')
+    program = ChatDaemonProcess
+    async with run_daemon(tmp_path, program) as (daemon, crowd):
+        await crowd.send(
+            listener, COUNT, [BEGUN_HEAD, *repeat(b'a: b\r\n', HEAD_BYTES)]
+        )
+        await crowd.send(
+            listener, COUNT, list(repeat(request, PIPELINED_BYTES))
+        )
+        await daemon.check()
