Test that a daemon stops beside callers that misuse it

A reload and a stop while bodies stop short of their end and pipelined requests are held: the process ends with status 0.

--- a/laurelwind/coordination/plain_answers.py
+++ b/laurelwind/coordination/plain_answers.py
@@ -35,7 +35,7 @@
         :param needs_whole: whether the total may be exceeded.
         :returns: what was read, and whether that is the whole answer.
         """
-        chunks = []
+        chunks: list[bytes] = []
         size = 0
         try:
             while size < MAX_BUFFERED_BYTES:
--- a/laurelwind/transport/caller_exchange.py
+++ b/laurelwind/transport/caller_exchange.py
@@ -257,7 +257,7 @@
                 self.has_body = not message.get('more_body', False)
 
     async def _collect_body(self, limit: int) -> bytes:
-        chunks = []
+        chunks: list[bytes] = []
         size = 0
         while True:
             message = await self._receive()
--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import signal
 
 import anyio
 import pytest
@@ -220,3 +221,20 @@
             listener, COUNT, list(repeat(request, PIPELINED_BYTES))
         )
         await daemon.check()
+
+
+async def test_a_stop_beside_such_callers_ends_the_process(tmp_path):
+    """Connections with held bytes must not keep a stop from its end."""
+    head = build_head(**{'Content-Length': MAX_BODY_BYTES})
+    request = build_head('/readiness', 'GET')
+    async with run_daemon(tmp_path) as (daemon, crowd):
+        await crowd.send('callers', 10, [head, bytes(PIECE_BYTES)])
+        await crowd.send(
+            'readiness', 10, list(repeat(request, PIPELINED_BYTES // 16))
+        )
+        daemon.process.send_signal(signal.SIGHUP)
+        await daemon.check()
+        daemon.process.send_signal(signal.SIGTERM)
+        while daemon.is_running:
+            await anyio.sleep(0.05)
+        assert daemon.process.returncode == 0
