--- a/tests/hostile_helpers.py
+++ b/tests/hostile_helpers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import random
 import signal
@@ -86,7 +87,11 @@
         await server.start(group, self.store)
         await self.endpoint.start(group)
         self.store.put('keyed.op', 'config', build_table())
-        self.store.put('keyed.servers', 'e1', self._build_entry())
+        self._register('e1', 'pool', self.endpoint.address)
+        # It accepts connections, and reads nothing.
+        self._unread = socket.create_server(('127.0.0.1', 0))
+        port = self._unread.getsockname()[1]
+        self._register('s1', 'slow', f'127.0.0.1:{port}')
         text = _SETTINGS.format(store=server.address, **self.addresses)
         if 'limits' in attrs.fields_dict(RelaySettings):
             text += _LIMITS
@@ -145,6 +150,7 @@
         if self.process is not None:
             self.process.send_signal(signal.SIGKILL)
             self.process.wait()
+        self._unread.close()
 
     async def send_ordinary_request(self):
         """Return the status of a request, which is repeated if refused."""
@@ -205,10 +211,10 @@
                     return
             await anyio.sleep(0.05)
 
-    def _build_entry(self):
-        return {
-            'service': 'pool',
-            'address': self.endpoint.address,
+    def _register(self, name, service, address):
+        entry = {
+            'service': service,
+            'address': address,
             'zone': 'a',
             'version': 'v1',
             'slots': 64,
@@ -217,6 +223,59 @@
             'sequence': 1,
             'born': 1,
         }
+        self.store.put('keyed.servers', name, entry)
+
+
+class ChatDaemonProcess(DaemonProcess):
+    """A daemon of the chat program, with the stand-ins that it needs."""
+
+    def __init__(self, folder):
+        self.folder = Path(folder)
+        self.process = None
+        self.last_peak_mb = 0
+        self._standins = None
+
+    async def start(self, group):
+        scripts = Path(sys.executable).parent
+        self._standins = self._spawn(
+            scripts / 'laurelwind-standins', 'standins', self.folder
+        )
+        await self._read_json('standins.json')
+        settings = self.folder / 'a0.toml'
+        ready = self.folder / 'ready.json'
+        self.process = self._spawn(
+            scripts / 'laurelwindd', settings, '--ready-file', ready
+        )
+        running = await self._read_json('ready.json')
+        self.addresses = {
+            'callers': running['caller_address'],
+            'admin': running['admin_address'],
+        }
+
+    def kill(self):
+        for process in (self.process, self._standins):
+            if process is not None:
+                process.kill()
+                process.wait()
+
+    async def _send_once(self, number):
+        with anyio.fail_after(10):
+            async with httpcore.AsyncConnectionPool() as pool:
+                answer = await pool.request(
+                    'GET', f'http://{self.addresses["callers"]}/v1/entries'
+                )
+        return answer.status
+
+    async def _read_json(self, name):
+        path = self.folder / name
+        with anyio.fail_after(60):
+            while not path.exists() or not path.stat().st_size:
+                await anyio.sleep(0.05)
+        return json.loads(path.read_bytes())
+
+    def _spawn(self, *command):
+        with (self.folder / 'd0.log').open('ab') as log:
+            return subprocess.Popen(command, stdout=log, stderr=log)
 
 
 _FAILURES = (
@@ -232,17 +291,18 @@
         'version': 1,
         'routes': [
             {
-                'name': 'book',
+                'name': name,
                 'host': HOST,
-                'path_prefix': '/book/',
+                'path_prefix': f'/{name}/',
                 'kind': 'non_idempotent',
                 'timeout_ms': 3000,
                 'target_latency_ms': 1000,
                 'max_attempts': 2,
-                'service': 'pool',
+                'service': service,
             }
+            for name, service in (('book', 'pool'), ('slow', 'slow'))
         ],
-        'services': [{'name': 'pool'}],
+        'services': [{'name': 'pool'}, {'name': 'slow'}],
         'tenants': [{'name': 'forms', 'api_keys': [KEY]}],
         'limits': {
             'max_body_bytes': MAX_BODY_BYTES,
@@ -315,8 +375,8 @@
 
 
 @contextlib.asynccontextmanager
-async def run_daemon(folder):
-    daemon = DaemonProcess(folder)
+async def run_daemon(folder, program=DaemonProcess):
+    daemon = program(folder)
     crowd = Crowd(daemon)
     async with anyio.create_task_group() as group:
         try:
--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import signal
 
 import anyio
 import pytest
@@ -14,6 +15,7 @@
     HOST,
     MAX_BODY_BYTES,
     MAX_FDS,
+    ChatDaemonProcess,
     build_head,
     run_daemon,
 )
@@ -115,6 +117,25 @@
         await daemon.check()
 
 
+async def test_bodies_for_an_endpoint_that_reads_nothing_fit_into_memory(
+    tmp_path,
+):
+    """Each body was kept three times while the endpoint did not read it."""
+    head = build_head('/slow/1/10', **{'Content-Length': MAX_BODY_BYTES})
+    async with run_daemon(tmp_path) as (daemon, crowd):
+        body = bytes(MAX_BODY_BYTES)
+        await crowd.send('callers', COUNT, [head, *cut(body)])
+        await daemon.check()
+
+
+async def test_large_answers_that_nobody_reads_fit_into_memory(tmp_path):
+    """Answers were kept for callers that do not read, without a time limit."""
+    request = build_head('/book/1/4000000', **{'Content-Length': 0})
+    async with run_daemon(tmp_path) as (daemon, crowd):
+        await crowd.send('callers', 2 * COUNT, [request])
+        await daemon.check()
+
+
 async def test_chunks_of_one_byte_leave_time_for_others(tmp_path):
     """The process parsed chunks beyond the limit, and answered nobody.
 
@@ -181,3 +202,39 @@
         await crowd.send(listener, IDLE_COUNT, [])
         await daemon.check()
         assert daemon.open_descriptors <= MAX_FDS
+
+
+@pytest.mark.parametrize(
+    ('listener', 'target'), [('callers', '/v1/entries'), ('admin', '/metrics')]
+)
+async def test_the_chat_daemon_bounds_its_callers_as_well(
+    tmp_path, listener, target
+):
+    """Its listeners are of the same server, and had no bounds either."""
+    request = build_head(target, 'GET')
+    program = ChatDaemonProcess
+    async with run_daemon(tmp_path, program) as (daemon, crowd):
+        await crowd.send(
+            listener, COUNT, [BEGUN_HEAD, *repeat(b'a: b\r\n', HEAD_BYTES)]
+        )
+        await crowd.send(
+            listener, COUNT, list(repeat(request, PIPELINED_BYTES))
+        )
+        await daemon.check()
+
+
+async def test_a_stop_beside_such_callers_ends_the_process(tmp_path):
+    """Connections with held bytes must not keep a stop from its end."""
+    head = build_head(**{'Content-Length': MAX_BODY_BYTES})
+    request = build_head('/readiness', 'GET')
+    async with run_daemon(tmp_path) as (daemon, crowd):
+        await crowd.send('callers', 10, [head, bytes(PIECE_BYTES)])
+        await crowd.send(
+            'readiness', 10, list(repeat(request, PIPELINED_BYTES // 16))
+        )
+        daemon.process.send_signal(signal.SIGHUP)
+        await daemon.check()
+        daemon.process.send_signal(signal.SIGTERM)
+        while daemon.is_running:
+            await anyio.sleep(0.05)
+        assert daemon.process.returncode == 0
