--- a/laurelwind/protocol/headers.py
+++ b/laurelwind/protocol/headers.py
@@ -1,6 +1,5 @@
 """Codec of the HTTP headers, with configurable header names."""
 
-import math
 from collections.abc import Mapping, Sequence
 from http import HTTPStatus
 from typing import Final
@@ -12,10 +11,14 @@
     Dispatch,
     HeaderCodec,
     HeaderPairs,
-    LoadReport,
     PromptPart,
     RelayRequest,
 )
+from laurelwind.protocol.header_numbers import (
+    is_count,
+    parse_load,
+    parse_number,
+)
 
 _HOP_BY_HOP_HEADERS: Final = frozenset(
     (
@@ -36,14 +39,7 @@
 _BODY_END_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _MS_PER_S: Final = 1000
-# Longer numbers count as malformed: they fit no integer of 64 bits.
-_MAX_DIGITS: Final = 18
 _IS_LEAVING: Final = '1'
-_LOAD_COUNTS: Final = 3
-_PERCENT: Final = 100
-# A larger fourth figure of a load report counts as malformed: at a hundredth of
-# the usual speed an endpoint serves no request within its deadline.
-MAX_PACE_PERCENT: Final = 10_000
 
 
 @frozen(kw_only=True)
@@ -192,8 +188,8 @@
             did_not_run=names.did_not_run in headers_by_name,
             media_type=_get_media_type(headers_by_name),
             length=_parse_length(headers_by_name.get(b'content-length')),
-            load=_parse_load(headers_by_name.get(names.load)),
-            confidence=_parse_number(headers_by_name.get(names.confidence)),
+            load=parse_load(headers_by_name.get(names.load)),
+            confidence=parse_number(headers_by_name.get(names.confidence)),
             has_body=status not in _BODILESS_STATUSES,
             is_framed=not _BODY_END_HEADERS.isdisjoint(headers_by_name),
             is_leaving=_get_text(headers_by_name, names.leaving) == _IS_LEAVING,
@@ -247,16 +243,8 @@
     return text[len(_BEARER_PREFIX) :].strip()
 
 
-def _parse_number(text: bytes | None) -> float | None:
-    try:
-        number = float(text or b'')
-    except ValueError:
-        return None
-    return number if math.isfinite(number) else None
-
-
 def _parse_ms(text: bytes | None) -> float | None:
-    number = _parse_number(text)
+    number = parse_number(text)
     if number is None or number < 0:
         return None
     return number / _MS_PER_S
@@ -268,16 +256,12 @@
 
 def _parse_length(text: bytes | None) -> int | None:
     digits = (text or b'').decode('latin-1')
-    return int(digits) if _is_count(digits) else None
-
-
-def _is_count(text: str) -> bool:
-    return text.isdecimal() and len(text) <= _MAX_DIGITS
+    return int(digits) if is_count(digits) else None
 
 
 def _parse_count(text: str) -> int:
     stripped = text.strip()
-    return int(stripped) if _is_count(stripped) else 0
+    return int(stripped) if is_count(stripped) else 0
 
 
 def _parse_tokens(text: bytes | None) -> tuple[int, int]:
@@ -294,28 +278,3 @@
                 PromptPart(name=name, tokens=_parse_count(tokens))
             )
     return tuple(prompt_parts)
-
-
-def _parse_load(text: bytes | None) -> LoadReport | None:
-    """Parse a load report; figures behind the fourth are ignored."""
-    figures = (text or b'').decode('latin-1').split(',')
-    counts = figures[:_LOAD_COUNTS]
-    if len(counts) < _LOAD_COUNTS or not all(
-        _is_count(count.strip()) for count in counts
-    ):
-        return None
-    running, waiting, slots = (int(count) for count in counts)
-    return LoadReport(
-        running=running,
-        waiting=waiting,
-        slots=slots,
-        slowdown=_parse_slowdown(figures[_LOAD_COUNTS:]),
-    )
-
-
-def _parse_slowdown(figures: Sequence[str]) -> float | None:
-    """Return the reported slowdown, or ``None`` if it cannot be used."""
-    percent = _parse_number(figures[0].encode('latin-1')) if figures else None
-    if percent is None or not 0 < percent <= MAX_PACE_PERCENT:
-        return None
-    return percent / _PERCENT
