--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -75,7 +75,7 @@
         entries = fact if isinstance(fact, dict) else {'': fact}
         return ''.join(
             match[2]
-            .replace('{{@|json}}', json.dumps(key))
+            .replace('{{@}}', str(key))
             .replace('{{.|json}}', json.dumps(entry))
             .replace('{{.}}', str(entry))
             for key, entry in entries.items()
