Let the pace of endpoints count only where the settings say so

Change: load.uses_pace and load.places_by_forecast, both off by default. Without the first, reports with a pace are dropped as before, so that neither forecasts nor load decisions apply. Endpoints without the memory for a request are left out in either placement. Result: pytest tests/test_placement.py tests/test_uneven_endpoints.py tests/test_settings.py tests/test_relay_path.py tests/test_load_gate.py: passed.

--- a/laurelwind/coordination/scheduling/forecast_placement.py
+++ b/laurelwind/coordination/scheduling/forecast_placement.py
@@ -124,6 +124,23 @@
     def _has_pace(self, endpoints: Sequence[EndpointRecord]) -> bool:
         return bool(endpoints) and self.is_paced(endpoints[0].service)
 
+    def _list_with_memory(
+        self,
+        endpoints: Sequence[EndpointRecord],
+        requirements: PlacementRequirements,
+    ) -> Sequence[EndpointRecord]:
+        """Return the endpoints that have the memory for a request."""
+        if not requirements.traits.memory_limit:
+            return endpoints
+        request = self._build_request(endpoints[0].service, requirements, None)
+        with_memory = [
+            endpoint
+            for endpoint in endpoints
+            if request.fits(self._build_candidate(endpoint))
+        ]
+        self.choices_without_memory += not with_memory
+        return with_memory
+
     def _build_candidate(self, endpoint: EndpointRecord) -> Candidate:
         return Candidate(
             endpoint=endpoint,
--- a/laurelwind/coordination/scheduling/placement.py
+++ b/laurelwind/coordination/scheduling/placement.py
@@ -39,6 +39,7 @@
     compute_baseline_latency,
     compute_slow_penalty,
 )
+from laurelwind.protocol.exchanges import LoadReport
 from laurelwind.state.directory import EndpointRecord
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.state.rendezvous import compute_rendezvous_hash
@@ -53,12 +54,39 @@
 
     :param zone: availability zone of the local instance.
     :param rng: random source, or ``None`` for one of its own.
+    :param uses_pace: whether reports of endpoints that state their pace count.
+    :param by_forecast: whether endpoints that report their pace are selected
+        by the predicted finish, rather than by the cost of all endpoints.
     """
 
-    def __init__(self, *, zone: str, rng: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        zone: str,
+        rng: random.Random | None = None,
+        uses_pace: bool = True,
+        by_forecast: bool = False,
+    ) -> None:
         super().__init__(zone=zone, rng=rng)
+        self._uses_pace = uses_pace
+        self._by_forecast = by_forecast
         self._classes = ClassAssignments()
 
+    def record_report(
+        self, endpoint: EndpointRecord, report: LoadReport
+    ) -> None:
+        """Record the load reported by an endpoint; see the base class."""
+        if self._uses_pace or report.slowdown is None:
+            super().record_report(endpoint, report)
+
+    def record_remote_report(
+        self, endpoint: EndpointRecord, report: LoadReport, age_s: float
+    ) -> bool:
+        """Record a report of another daemon; see the base class."""
+        return self._uses_pace and super().record_remote_report(
+            endpoint, report, age_s
+        )
+
     def choose(
         self,
         endpoints: Sequence[EndpointRecord],
@@ -70,8 +98,17 @@
         :param requirements: requirements of the request.
         """
         if self._has_pace(endpoints):
-            option = self._choose_option(endpoints, requirements)
-            return None if option is None else option.candidate.endpoint
+            if self._by_forecast:
+                option = self._choose_option(endpoints, requirements)
+                return None if option is None else option.candidate.endpoint
+            endpoints = self._list_with_memory(endpoints, requirements)
+        return self._choose_by_cost(endpoints, requirements)
+
+    def _choose_by_cost(
+        self,
+        endpoints: Sequence[EndpointRecord],
+        requirements: PlacementRequirements,
+    ) -> EndpointRecord | None:
         costs = self._compute_costs(endpoints, requirements)
         if not costs:
             return None
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -124,7 +124,11 @@
         self.evacuations = tracking.evacuations
         self._entries = build_entries(settings, tracking)
         self._apply_absence_age(bounds.apply_s)
-        self.placement = Placement(zone=settings.daemon.zone)
+        self.placement = Placement(
+            zone=settings.daemon.zone,
+            uses_pace=settings.load.uses_pace,
+            by_forecast=settings.load.places_by_forecast,
+        )
         self.gateway = HttpGateway(codec=adapters.headers)
         self.datagrams = PeerDatagrams(
             address=settings.listen.peers, log=self.log
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -105,6 +105,20 @@
     max_fds: int = 0
 
 
+@frozen(kw_only=True)
+class LoadSettings:
+    """What is decided by the pace that endpoints report.
+
+    :ivar uses_pace: whether the pace counts at all: for forecasts, load
+        decisions, time-outs and the memory of endpoints.
+    :ivar places_by_forecast: whether endpoints that report it are selected by
+        the predicted finish of a request.
+    """
+
+    uses_pace: bool = False
+    places_by_forecast: bool = False
+
+
 @frozen(kw_only=True)
 class RelaySettings:
     """Settings of a relay daemon.
@@ -115,6 +129,7 @@
     :ivar bounds: service-level bounds of the fleet.
     :ivar regions: region of each availability zone.
     :ivar limits: limits of the machine.
+    :ivar load: what is decided by the pace that endpoints report.
     """
 
     daemon: RelayIdentity
@@ -123,6 +138,7 @@
     bounds: BoundSettings = field(factory=BoundSettings)
     regions: dict[str, str] = field(factory=dict)
     limits: InstanceLimits = field(factory=InstanceLimits)
+    load: LoadSettings = field(factory=LoadSettings)
 
 
 def load_relay_settings(path: Path) -> RelaySettings:
--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -248,7 +248,11 @@
         self.daemons = []
         for number in range(daemons):
             zone = 'abc'[number % 3]
-            placer = Placement(zone=zone, rng=random.Random(seed + number))
+            placer = Placement(
+                zone=zone,
+                rng=random.Random(seed + number),
+                by_forecast=True,
+            )
             daemon = Daemon(zone=zone, placement=placer)
             daemon.gossip = ReportGossip(
                 observations=placer,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,6 +6,9 @@
 
 import random
 
+import pytest
+
+from laurelwind.coordination.load.forecasts import Work
 from laurelwind.coordination.scheduling import endpoint_states, observations
 from laurelwind.coordination.scheduling.candidates import MAX_CANDIDATES
 from laurelwind.coordination.scheduling.placement import Placement
@@ -228,3 +231,16 @@
     considered = placers[0]._compute_costs(endpoints, PlacementRequirements())
     assert len(considered) == MAX_CANDIDATES
     assert choose(placers[0], endpoints).zone == 'a'
+
+
+@pytest.mark.parametrize('uses_pace', [True, False])
+def test_a_pace_counts_only_where_the_settings_say_so(uses_pace):
+    """A deployment without the setting is placed without load reports."""
+    placer = Placement(zone='a', uses_pace=uses_pace)
+    endpoint = build_endpoint_record('e0', slots=64)
+    report = LoadReport(running=9, waiting=0, slots=64, slowdown=1.5)
+    placer.record_report(endpoint, report)
+    assert placer.record_remote_report(endpoint, report, -1) is uses_pace
+    assert placer.is_paced(endpoint.service) is uses_pace
+    forecast = placer.forecast([endpoint], PlacementRequirements(), Work())
+    assert (forecast is not None) is uses_pace
--- a/tests/test_uneven_endpoints.py
+++ b/tests/test_uneven_endpoints.py
@@ -151,7 +151,7 @@
 
 
 def test_an_endpoint_that_slows_down_is_avoided_and_used_again(clock):
-    placer = Placement(zone='a', rng=random.Random(1))
+    placer = Placement(zone='a', rng=random.Random(1), by_forecast=True)
     teach(placer, clock)
     requirements = PlacementRequirements(traits=build_traits())
     for _ in range(8):
@@ -171,7 +171,7 @@
 
 
 def test_a_forecast_follows_pace_queue_and_length(clock):
-    placer = Placement(zone='a')
+    placer = Placement(zone='a', by_forecast=True)
     work = placer.estimate_work('pool', build_traits())
     requirements = PlacementRequirements(traits=build_traits())
     assert placer.forecast(ENDPOINTS, requirements, work) is None
@@ -190,7 +190,7 @@
 
 
 def test_a_stale_pace_returns_to_the_usual_one(clock):
-    placer = Placement(zone='a')
+    placer = Placement(zone='a', by_forecast=True)
     teach(placer, clock)
     for _ in range(5):
         clock.now += 0.2
@@ -206,7 +206,7 @@
 
 
 def test_a_hint_sets_the_length_once_tokens_per_event_are_known(clock):
-    placer = Placement(zone='a')
+    placer = Placement(zone='a', by_forecast=True)
     teach(placer, clock)
     hinted = build_traits(length_hint=900)
     assert placer.estimate_work('pool', hinted).output_tokens == 20
@@ -221,7 +221,7 @@
 
 def test_endpoints_without_memory_get_no_request(clock):
     """Engines crash when their requests exceed their memory."""
-    placer = Placement(zone='a')
+    placer = Placement(zone='a', by_forecast=True)
     teach(placer, clock, endpoints=ENDPOINTS[:2])
     traits = build_traits(
         prompt_tokens=6000, output_limit=1000, memory_limit=20000
@@ -240,7 +240,7 @@
 
 
 def test_requests_of_others_count_by_report_and_hint(clock):
-    placer = Placement(zone='a')
+    placer = Placement(zone='a', by_forecast=True)
     teach(placer, clock, endpoints=ENDPOINTS[:1])
     traits = build_traits(
         prompt_tokens=6000, output_limit=1000, memory_limit=120000
@@ -266,7 +266,7 @@
 
 def test_services_without_a_pace_are_placed_as_before(clock):
     """Reports of three figures must not enable forecasts or memory limits."""
-    placer = Placement(zone='a')
+    placer = Placement(zone='a', by_forecast=True)
     traits = build_traits(prompt_tokens=900, memory_limit=100)
     placer.record_report(
         ENDPOINTS[0], LoadReport(running=3, waiting=0, slots=64)
@@ -286,7 +286,7 @@
     ]
     spent_s = []
     for count in (128, 760):
-        placer = Placement(zone='a', rng=random.Random(1))
+        placer = Placement(zone='a', rng=random.Random(1), by_forecast=True)
         teach(placer, clock, endpoints=endpoints[:count])
         requirements = PlacementRequirements(traits=build_traits())
         placer.choose(endpoints[:count], requirements)
