Fill the settings of a test deployment without optional sections

Cause: the test deployment fills the template's placeholders itself and knew no sections, which the template has for optional values since. Change: it leaves them out, as a platform without these values does.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -31,6 +31,8 @@
 MAX_DAEMONS = 3
 PORTS = (8227, 8220, 8224, 7355, 9464)
 _PLACEHOLDER = re.compile(r'{{([\w.]+)(\|json)?}}')
+# Sections for values that a platform may lack, as this one does.
+_SECTION = re.compile(r'{{#([\w.]+)}}.*?{{/\1}}', re.DOTALL)
 _BOUNDS = {
     'revoke_ms': 5000,
     'config_apply_ms': 2000,
@@ -82,7 +84,8 @@
         """Write the settings by the template, and start the process."""
         template = (ROOT / 'deploy' / 'settings.toml').read_text()
         settings = folder / f'{self.name}.toml'
-        settings.write_text(_PLACEHOLDER.sub(self._fill, template))
+        required = _SECTION.sub('', template)
+        settings.write_text(_PLACEHOLDER.sub(self._fill, required))
         with (folder / f'{self.name}.log').open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
