Do no work for the pace of endpoints where it is not used

Cause: each request was reviewed by the load decisions, and two exchanges woke several times a second, in deployments without a pace; with one, the memory of every endpoint of the service was compared for a request, which grows with the fleet. Change: the review ends where no endpoint has reported a pace, the exchanges start with load.uses_pace only, and the memory of the bounded candidates is compared. Result: pytest tests/test_load_gate.py tests/test_uneven_endpoints.py tests/test_placement.py tests/test_workspace_demand.py tests/test_report_gossip.py: passed; make lint passes.

--- a/laurelwind/coordination/scheduling/forecast_placement.py
+++ b/laurelwind/coordination/scheduling/forecast_placement.py
@@ -135,7 +135,9 @@
         request = self._build_request(endpoints[0].service, requirements, None)
         with_memory = [
             endpoint
-            for endpoint in endpoints
+            for endpoint in limit_candidates(
+                endpoints, requirements.affinity_key
+            )
             if request.fits(self._build_candidate(endpoint))
         ]
         self.choices_without_memory += not with_memory
--- a/laurelwind/coordination/scheduling/memory.py
+++ b/laurelwind/coordination/scheduling/memory.py
@@ -22,7 +22,7 @@
 MAX_UNREPORTED: Final = 2
 
 
-def has_room(
+def has_memory(
     candidate: Candidate, load: ServiceLoad, traits: RequestTraits, now: float
 ) -> bool:
     """Return whether an endpoint has the memory for a request.
--- a/laurelwind/coordination/scheduling/paced_placement.py
+++ b/laurelwind/coordination/scheduling/paced_placement.py
@@ -24,7 +24,7 @@
 )
 from laurelwind.coordination.scheduling.memory import (
     estimate_held_tokens,
-    has_room,
+    has_memory,
 )
 from laurelwind.coordination.scheduling.penalties import (
     CLASS_MISMATCH_PENALTY_S,
@@ -87,7 +87,7 @@
 
         :param candidate: the endpoint.
         """
-        return has_room(candidate, self.load, self.traits, self.now)
+        return has_memory(candidate, self.load, self.traits, self.now)
 
     @property
     def events(self) -> float:
--- a/laurelwind/coordination/shedding/load_gate.py
+++ b/laurelwind/coordination/shedding/load_gate.py
@@ -60,6 +60,8 @@
         now = read_monotonic_clock()
         forecast = self.placement.forecast(job, job.work)
         job.forecast = forecast
+        if forecast is None and not self.decisions.is_active:
+            return False
         request = build_load_request(job, delay_s)
         if forecast is not None:
             self._record_urgent(job, forecast, now)
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -218,13 +218,14 @@
         for component in (
             self.hints,
             self.gossip,
-            self.load_gossip,
             self.permits,
-            self.reports,
             self.gateway,
             self.departures,
         ):
             component.start(group)
+        if self.settings.load.uses_pace:
+            self.load_gossip.start(group)
+            self.reports.start(group)
         applications: dict[str, ASGIApp] = {
             self.settings.listen.callers: self.application,
             self.settings.listen.peers: TopicApplication(copies=self.copies),
