End a head whose limit was lowered while it arrived

Cause: the bytes that a head may still have were the limit less what had arrived. A table that lowers the limit, as the first one after a start does, made that negative, and the event loop never returned from the next bytes of such a caller. A limit of zero or less in a table did the same for every request. Change: at least one byte is parsed, after which the limit is checked. Result: pytest tests/test_caller_limits.py -k lowered did not return within 12 s before; all tests of the file pass now.

--- a/laurelwind/transport/limits/bounded_protocol.py
+++ b/laurelwind/transport/limits/bounded_protocol.py
@@ -142,11 +142,12 @@
                 remaining = incoming.declared_bytes - incoming.body_bytes
                 return position + max(remaining, 1)
             case Phase.HEAD:
-                limit = self.read_head_limit() - incoming.head_bytes
+                # A new table may have lowered the limit below what has arrived.
+                limit = max(self.read_head_limit() - incoming.head_bytes, 1)
             case Phase.START | Phase.COMPLETE:
                 if received[position] in _LINE_BYTES:
                     return position
-                limit = self.read_head_limit()
+                limit = max(self.read_head_limit(), 1)
         end = received.find(_HEAD_END, position, position + limit)
         if end < 0:
             return position + limit
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -65,6 +65,7 @@
         values = {'held_bytes': 1_000_000, 'connections': 20, **limits}
         self.application = EchoApplication()
         self.ends = []
+        self.header_bytes = HEADER_BYTES
         self.account = CallerAccount(
             limits=MachineLimits(**values),
             record_end=lambda reason, details: self.ends.append(reason),
@@ -72,7 +73,9 @@
         self.server = HttpServer(
             address='127.0.0.1:0',
             policy=ConnectionPolicy(
-                read_limits=lambda: ConnectionLimits(header_bytes=HEADER_BYTES),
+                read_limits=lambda: ConnectionLimits(
+                    header_bytes=self.header_bytes
+                ),
                 account=self.account,
             ),
         )
@@ -200,6 +203,18 @@
         assert served.ends == [EndReason.HEAD]
 
 
+@pytest.mark.parametrize('limit', [HEADER_BYTES // 2, 0, -1])
+async def test_a_limit_that_is_lowered_during_a_head_ends_it(limit):
+    """The event loop turned for ever, as no byte was left to parse."""
+    async with serve() as served, await served.connect() as stream:
+        await stream.send(LINE % 1 + b'N: ' + b'a' * (HEADER_BYTES // 2))
+        await wait_until(lambda: served.account.total_bytes)
+        served.header_bytes = limit
+        await stream.send(b'aaa')
+        assert (await read_all(stream)).startswith(b'HTTP/1.1 431 ')
+        assert served.ends == [EndReason.HEAD]
+
+
 async def test_what_frames_a_body_is_bounded():
     """Extensions of chunks and trailers went on without an end."""
     head = LINE % 1 + b'Transfer-Encoding: chunked\r\n\r\n'
