Give one name to one thing in load decisions and members

Cause: ServiceLoad named two classes, and the module on members that only a restored store lists stood in the folder of zones under the name of another module. Change: ServiceEvidence, and topics/restored_members.py with RestoredMembers. Result: make lint; pytest tests/test_load_gate.py tests/test_regions.py tests/test_members.py tests/test_workspace_demand.py: passed.

--- a/laurelwind/coordination/members.py
+++ b/laurelwind/coordination/members.py
@@ -18,7 +18,7 @@
 from laurelwind.coordination.topics.copies import TopicCopy
 from laurelwind.coordination.topics.peer_store import PeerReadingStore
 from laurelwind.coordination.topics.readers import Backoff, ReaderHealth
-from laurelwind.coordination.zones.departures import MemberDepartures
+from laurelwind.coordination.topics.restored_members import RestoredMembers
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ErrorKind, PlatformError
 from laurelwind.protocol.keyed_store import (
@@ -86,7 +86,7 @@
         self.members: tuple[ListedInstance, ...] = (local_instance,)
         self.listed: tuple[ListedInstance, ...] = (local_instance,)
         self.ordered: tuple[ListedInstance, ...] = (local_instance,)
-        self.departures = MemberDepartures(clock=clock)
+        self.departures = RestoredMembers(clock=clock)
         self.first_read = anyio.Event()
         self._local_instance = local_instance
         self._dependencies = dependencies
--- a/laurelwind/coordination/shedding/load_decisions.py
+++ b/laurelwind/coordination/shedding/load_decisions.py
@@ -18,7 +18,7 @@
     is_fresh,
     rank_request,
 )
-from laurelwind.coordination.shedding.service_load import ServiceLoad
+from laurelwind.coordination.shedding.service_evidence import ServiceEvidence
 from laurelwind.coordination.shedding.workspace_demand import WorkspaceDemand
 
 # Services whose load is tracked; a routing table has far fewer.
@@ -36,9 +36,9 @@
     def __init__(self) -> None:
         self.is_active = False
         self.workspaces = WorkspaceDemand()
-        self._services: dict[str, ServiceLoad] = {}
+        self._services: dict[str, ServiceEvidence] = {}
 
-    def get_service(self, name: str) -> ServiceLoad:
+    def get_service(self, name: str) -> ServiceEvidence:
         """Return the load of a service.
 
         :param name: name of the service.
@@ -47,11 +47,11 @@
         if load is None:
             if len(self._services) >= MAX_SERVICES:
                 self._services.pop(next(iter(self._services)))
-            load = ServiceLoad()
+            load = ServiceEvidence()
             self._services[name] = load
         return load
 
-    def list_services(self) -> dict[str, ServiceLoad]:
+    def list_services(self) -> dict[str, ServiceEvidence]:
         """Return the load of each service by name."""
         return self._services
 
--- a/laurelwind/coordination/shedding/rules.py
+++ b/laurelwind/coordination/shedding/rules.py
@@ -19,7 +19,7 @@
     has_room,
 )
 from laurelwind.coordination.shedding.return_times import compute_return_delay
-from laurelwind.coordination.shedding.service_load import ServiceLoad
+from laurelwind.coordination.shedding.service_evidence import ServiceEvidence
 
 # How many times as probable the rejection of a late request is: at a low shed
 # share not every late request has to go.
@@ -42,7 +42,7 @@
     :ivar now: current moment on the monotonic clock.
     """
 
-    load: ServiceLoad
+    load: ServiceEvidence
     request: LoadRequest
     rank: int
     rank_draw: float
--- a/laurelwind/coordination/shedding/service_load.py
+++ b/laurelwind/coordination/shedding/service_evidence.py
@@ -9,7 +9,7 @@
 
 
 @define(kw_only=True)
-class ServiceLoad:
+class ServiceEvidence:
     """What a daemon knows of the load of one service.
 
     :ivar pressure: pressure by priority.
--- a/laurelwind/coordination/zones/departures.py
+++ b/laurelwind/coordination/topics/restored_members.py
@@ -12,7 +12,7 @@
 MAX_DEPARTED: Final = 1024
 
 
-class MemberDepartures:
+class RestoredMembers:
     """Members that left, as an older copy of the store lists them again.
 
     Those that are alive renew their memberships, and the others expire.
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -8,7 +8,10 @@
 import orjson
 import pytest
 
-from laurelwind.coordination.zones.departures import HIDE_S, MemberDepartures
+from laurelwind.coordination.topics.restored_members import (
+    HIDE_S,
+    RestoredMembers,
+)
 from laurelwind.coordination.zones.regions import ZoneRegions
 from laurelwind.errors import CapacityError, ConfigurationError
 from laurelwind.platform.documents import PlatformDocuments
@@ -203,7 +206,7 @@
 
 
 def test_a_member_that_returns_after_a_restore_is_named_later(clock):
-    departures = MemberDepartures(clock=clock)
+    departures = RestoredMembers(clock=clock)
     departures.record({'d1', 'd2'}, era=0)
     departures.record({'d1'}, era=0)
     departures.record({'d1', 'd2', 'd3'}, era=1)
