Bound the connections to endpoints

Connections to endpoints now have a bound of their own, and an eighth of the descriptors stays for the rest. At the bound idle connections are closed, then the answer that was unread for longest; a request waits 0.6 s and is refused as not run. Ruled out: fewer connections of callers, as most of them are idle.

--- a/laurelwind/coordination/selection_errors.py
+++ b/laurelwind/coordination/selection_errors.py
@@ -88,6 +88,23 @@
     )
 
 
+def build_connection_error(job: Job) -> LaurelwindError:
+    """Build the error of a request that got no connection to an endpoint.
+
+    :param job: the request.
+    """
+    if job.may_have_run:
+        return EndpointError(
+            ErrorKind.ENDPOINT_FAILED,
+            'the attempt failed and no connection is left for a retry',
+        )
+    return CapacityError(
+        ErrorKind.NO_ENDPOINT,
+        'no connection to an endpoint is left on this daemon; not run',
+        retry_after_s=draw_retry_after(),
+    )
+
+
 def build_queue_error(delay_s: float) -> CapacityError:
     """Build the error of a request whose deadline every queue exceeds.
 
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -21,6 +21,7 @@
 from laurelwind.coordination.scheduling.reservations import SentDelay
 from laurelwind.coordination.second_runs import ensure_may_run
 from laurelwind.coordination.selection import EndpointSelector
+from laurelwind.coordination.selection_errors import build_connection_error
 from laurelwind.coordination.shedding.load_decisions import LoadDecisions
 from laurelwind.coordination.shedding.load_gate import LoadGate
 from laurelwind.coordination.shedding.urgent_classes import UrgentClasses
@@ -29,6 +30,7 @@
 from laurelwind.coordination.zones.regions import ZoneRegions
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import (
+    ConnectionLimitError,
     EndpointError,
     EndpointPausedError,
     RunState,
@@ -278,8 +280,9 @@
         if error.run is RunState.NOT_RUN:
             self._dependencies.permits.give_back(choice.permit)
         backoff_s: float = 0
-        # An endpoint with a pause or a limit may take the request later.
-        if not isinstance(error, EndpointPausedError):
+        # An endpoint with a pause or a limit may take the request later, and a
+        # limit of this daemon says nothing about the endpoint.
+        if not isinstance(error, EndpointPausedError | ConnectionLimitError):
             backoff_s = self.record_failure(endpoint, 0)
             cold = self._dependencies.permits.limits.cold
             if cold is not None:
@@ -302,6 +305,8 @@
             )
             if is_retry:
                 self.selector.limits.hold_retry(job)
+            if isinstance(error, ConnectionLimitError):
+                raise build_connection_error(job) from error
             return
         self.selector.ensure_retry_allowed(job, error)
 
--- a/laurelwind/errors.py
+++ b/laurelwind/errors.py
@@ -142,8 +142,7 @@
             status=HTTPStatus.SERVICE_UNAVAILABLE, retry_after_s=LONG_RETRY_S
         ),
         ErrorKind.PEER_UNAVAILABLE: AnswerDefaults(
-            status=HTTPStatus.SERVICE_UNAVAILABLE,
-            retry_after_s=SHORT_RETRY_S,
+            status=HTTPStatus.SERVICE_UNAVAILABLE, retry_after_s=SHORT_RETRY_S
         ),
         ErrorKind.NOT_READY: AnswerDefaults(
             status=HTTPStatus.SERVICE_UNAVAILABLE, retry_after_s=SHORT_RETRY_S
@@ -277,6 +276,10 @@
     """An endpoint stopped accepting requests before this one was sent."""
 
 
+class ConnectionLimitError(EndpointError):
+    """This daemon has no descriptor left for a connection to an endpoint."""
+
+
 class BlockedPromptError(LaurelwindError):
     """An attempt was ended, as its prompt crashes endpoints."""
 
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -129,7 +129,12 @@
             uses_pace=settings.load.uses_pace,
             by_forecast=settings.load.places_by_forecast,
         )
-        self.gateway = HttpGateway(codec=adapters.headers)
+        self.callers = build_caller_account(self)
+        self.gateway = HttpGateway(
+            codec=adapters.headers,
+            limit=self.callers.limits.endpoint_connections,
+            end_unread=self.callers.end_unread,
+        )
         self.datagrams = PeerDatagrams(
             address=settings.listen.peers, log=self.log
         )
@@ -153,7 +158,6 @@
         self.load_gossip = build_load_gossip(self)
         self._limits = TableLimits(tracker=self.tracker)
         self.retry_budget = build_retry_budget(bounds, self.membership)
-        self.callers = build_caller_account(self)
         self.relay = self._build_relay()
         self.departures = build_departures(self)
         self.application = RelayApplication(
--- a/laurelwind/relay_gauges.py
+++ b/laurelwind/relay_gauges.py
@@ -145,3 +145,8 @@
         'Most connections of callers, from the file descriptors.',
         lambda: account.limits.connections,
     )
+    add_gauge(
+        'laurelwind_endpoint_connections',
+        'Connections to endpoints, idle ones as well.',
+        lambda: daemon.gateway.connections.open_count,
+    )
--- a/laurelwind/transport/connection.py
+++ b/laurelwind/transport/connection.py
@@ -9,6 +9,7 @@
 
 import select
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 import anyio
@@ -58,6 +59,7 @@
     """A connection that carries one request at a time.
 
     :param stream: the connected socket.
+    :ivar record_close: called once the connection has been closed.
     """
 
     def __init__(self, *, stream: SocketStream) -> None:
@@ -73,6 +75,7 @@
         self._discarded_answers = 0
         self._discarded_bytes = 0
         self.is_closed = False
+        self.record_close: Callable[[], None] = _ignore_close
 
     @classmethod
     async def open(cls, address: str) -> 'Connection':
@@ -201,8 +204,11 @@
         if self.is_closed:
             return
         self.is_closed = True
-        with anyio.CancelScope(shield=True):
-            await self._stream.aclose()
+        try:
+            with anyio.CancelScope(shield=True):
+                await self._stream.aclose()
+        finally:
+            self.record_close()
 
     def on_message_begin(self) -> None:
         """Start a new answer (parser callback)."""
@@ -285,6 +291,10 @@
             )
 
 
+def _ignore_close() -> None:
+    """Record nothing."""
+
+
 async def _connect(address: str, *, is_repeated: bool = False) -> SocketStream:
     host, port = split_address(address)
     started_at = read_monotonic_clock()
--- a/laurelwind/transport/gateway.py
+++ b/laurelwind/transport/gateway.py
@@ -15,11 +15,15 @@
     HeaderCodec,
     RelayRequest,
 )
-from laurelwind.transport.connection import Connection
+from laurelwind.transport.endpoint_connections import (
+    EndpointConnections,
+    end_nothing,
+)
 from laurelwind.transport.idle_connections import (
     IdleConnections,
     KeptConnection,
 )
+from laurelwind.transport.limits.machine import MAX_CONNECTIONS
 
 # A connection used within this time is taken to be still open. A request that
 # must not be repeated is sent only on such a connection or on a new one.
@@ -30,11 +34,25 @@
     """Forwards requests to endpoints over HTTP/1.1.
 
     :param codec: encodes request headers and decodes answer heads.
+    :param limit: most connections that are open at once.
+    :param end_unread: ends an answer that its caller has not read for the given
+        seconds; returns whether there was one.
+    :ivar idle: the idle connections.
+    :ivar connections: opens connections within the limit.
     """
 
-    def __init__(self, *, codec: HeaderCodec) -> None:
+    def __init__(
+        self,
+        *,
+        codec: HeaderCodec,
+        limit: int = MAX_CONNECTIONS,
+        end_unread: Callable[[float], bool] = end_nothing,
+    ) -> None:
         self._codec = codec
         self.idle = IdleConnections()
+        self.connections = EndpointConnections(
+            limit=limit, idle=self.idle, end_unread=end_unread
+        )
 
     def start(self, group: TaskGroup) -> None:
         """Start to close idle connections that are of no use any more.
@@ -93,7 +111,7 @@
                 return idle
             await idle.connection.close()
         return KeptConnection(
-            connection=await Connection.open(dispatch.address)
+            connection=await self.connections.open(dispatch.address)
         )
 
     def _write_head(self, request: RelayRequest, dispatch: Dispatch) -> bytes:
--- a/laurelwind/transport/idle_connections.py
+++ b/laurelwind/transport/idle_connections.py
@@ -124,6 +124,12 @@
             self._drop_oldest(self._find_oldest_address())
         await self._close_surplus()
 
+    async def close_oldest(self) -> None:
+        """Close the connection that has been idle for longest, if any."""
+        if self._idle:
+            self._drop_oldest(self._find_oldest_address())
+        await self._close_surplus()
+
     def retain(self, addresses: Set[str]) -> None:
         """Close the connections to endpoints that have left.
 
--- a/laurelwind/transport/limits/account.py
+++ b/laurelwind/transport/limits/account.py
@@ -42,6 +42,11 @@
     def address(self) -> str:
         """Address of the caller, or an empty string."""
 
+    @property
+    @abc.abstractmethod
+    def is_unread(self) -> bool:
+        """Whether its answer waits until the caller reads."""
+
     @abc.abstractmethod
     def count_held_bytes(self) -> int:
         """Count the bytes that the process holds for the connection now."""
@@ -138,6 +143,23 @@
         }
         self._record_end(reason, details)
 
+    def end_unread(self, min_wait_s: float) -> bool:
+        """End the connection whose answer has been unread for longest.
+
+        :param min_wait_s: seconds for which an answer may be unread.
+        :returns: whether there was such a connection.
+        """
+        latest = time.monotonic() - min_wait_s
+        unread = [
+            (since, number, connection)
+            for since, number, connection in self._iterate_waiting()
+            if connection.is_unread and since <= latest
+        ]
+        if not unread:
+            return False
+        min(unread)[-1].end(EndReason.UNREAD)
+        return True
+
     def parse_later(self, connection: HeldConnection) -> None:
         """Let a connection parse more in a later turn of the event loop.
 
--- a/laurelwind/transport/limits/accounted_protocol.py
+++ b/laurelwind/transport/limits/accounted_protocol.py
@@ -60,6 +60,11 @@
         """Whether no request waits for its answer."""
         return self.cycle is None or self.cycle.response_complete
 
+    @property
+    def is_unread(self) -> bool:
+        """Whether an answer is unread; see :class:`HeldConnection`."""
+        return self._unsent_bytes > 0 and not self.is_answered
+
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Take the connection into the account."""
         transport.max_size = READ_BYTES  # type: ignore[attr-defined]
--- a/laurelwind/transport/limits/machine.py
+++ b/laurelwind/transport/limits/machine.py
@@ -15,14 +15,17 @@
 HELD_SHARE: Final = 0.375
 # A body of the default maximum size, as it is counted, and its connection.
 MIN_HELD_BYTES: Final = 16_777_216
-# Share of the descriptors for connections of callers. The rest is for
-# endpoints, the store, other daemons and listeners.
+# Share of the descriptors for connections of callers, and the least number of
+# those that remain for the store, other daemons, listeners and files. What
+# neither takes is for connections to endpoints.
 CONNECTION_SHARE: Final = 0.5
+RESERVED_SHARE: Final = 0.125
+MIN_RESERVED: Final = 32
 # Bytes that a connection may take beyond what is counted: its objects, and a
 # small request. 200 connections without a request took less than 1 MB.
 CONNECTION_BYTES: Final = 32_768
 _MIN_CONNECTIONS: Final = 16
-_MAX_CONNECTIONS: Final = 16_384
+MAX_CONNECTIONS: Final = 16_384
 
 
 @frozen(kw_only=True)
@@ -31,10 +34,12 @@
 
     :ivar held_bytes: most bytes held for callers.
     :ivar connections: most connections of callers.
+    :ivar endpoint_connections: most connections to endpoints.
     """
 
     held_bytes: int
     connections: int
+    endpoint_connections: int = MAX_CONNECTIONS
 
 
 def derive_limits(memory_mb: float = 0, max_fds: int = 0) -> MachineLimits:
@@ -50,9 +55,15 @@
     connections = min(
         int(max_fds * CONNECTION_SHARE), held_bytes // CONNECTION_BYTES
     )
+    connections = min(max(connections, _MIN_CONNECTIONS), MAX_CONNECTIONS)
+    reserved = max(int(max_fds * RESERVED_SHARE), MIN_RESERVED)
+    endpoint_connections = int(max_fds * (1 - CONNECTION_SHARE)) - reserved
     return MachineLimits(
         held_bytes=held_bytes,
-        connections=min(max(connections, _MIN_CONNECTIONS), _MAX_CONNECTIONS),
+        connections=connections,
+        endpoint_connections=min(
+            max(endpoint_connections, _MIN_CONNECTIONS), MAX_CONNECTIONS
+        ),
     )
 
 
@@ -66,5 +77,5 @@
 def _read_max_fds() -> int:
     limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     if limit == resource.RLIM_INFINITY:
-        return 2 * _MAX_CONNECTIONS
+        return 2 * MAX_CONNECTIONS
     return limit
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -360,7 +360,11 @@
 def test_the_limits_follow_from_the_size_of_the_instance(monkeypatch):
     """The process has to stay within the memory of its machine."""
     limits = derive_limits(128, 1024)
-    assert limits == MachineLimits(held_bytes=50_331_648, connections=512)
+    assert limits == MachineLimits(
+        held_bytes=50_331_648, connections=512, endpoint_connections=384
+    )
+    small = derive_limits(128, 128)
+    assert small.connections + small.endpoint_connections <= 96
     assert derive_limits(128, 10**6).connections == 1536
     monkeypatch.setattr(machine, 'read_memory_bytes', lambda: None)
     assert derive_limits().held_bytes == limits.held_bytes
--- /dev/null
+++ b/tests/test_endpoint_connections.py
@@ -0,0 +1,167 @@
+"""Callers that do not read used up the descriptors by way of endpoints."""
+
+import contextlib
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute
+
+from laurelwind.errors import (
+    CapacityError,
+    ConnectionLimitError,
+    EndpointError,
+    ErrorKind,
+    RunState,
+)
+from laurelwind.state.load import read_monotonic_clock
+from laurelwind.transport import endpoint_connections
+from laurelwind.transport.endpoint_connections import EndpointConnections
+from laurelwind.transport.idle_connections import (
+    IdleConnections,
+    KeptConnection,
+)
+from tests.relay_helpers import (
+    EndpointScript,
+    FakeGateway,
+    RelayHarness,
+    build_broken_error,
+    build_request,
+)
+
+pytestmark = pytest.mark.anyio
+
+LIMIT = 3
+
+
+@contextlib.asynccontextmanager
+async def run_connections(end_unread=lambda min_wait_s: False):
+    """Open connections, within a limit, to an endpoint that only accepts."""
+    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    address = f'127.0.0.1:{listener.extra(SocketAttribute.local_port)}'
+    async with listener:
+        yield (
+            EndpointConnections(
+                limit=LIMIT, idle=IdleConnections(), end_unread=end_unread
+            ),
+            address,
+        )
+
+
+async def test_no_more_connections_are_open_than_the_limit(monkeypatch):
+    """Each request opened one, however many were open."""
+    monkeypatch.setattr(endpoint_connections, 'MAX_WAIT_S', 0.05)
+    async with run_connections() as (connections, address):
+        opened = [await connections.open(address) for _ in range(LIMIT)]
+        assert connections.open_count == LIMIT
+        with pytest.raises(ConnectionLimitError) as caught:
+            await connections.open(address)
+        assert caught.value.run is RunState.NOT_RUN
+        for connection in opened:
+            await connection.close()
+            await connection.close()
+        assert connections.open_count == 0
+
+
+async def test_a_request_waits_for_the_connection_of_another_one():
+    """It was refused although the limit was reached for a moment only."""
+    async with (
+        run_connections() as (connections, address),
+        anyio.create_task_group() as group,
+    ):
+        opened = [await connections.open(address) for _ in range(LIMIT)]
+
+        async def close_one():
+            await opened[0].close()
+
+        group.start_soon(close_one)
+        opened.append(await connections.open(address))
+        assert connections.open_count == LIMIT
+        for connection in opened:
+            await connection.close()
+
+
+async def test_idle_connections_make_room_first():
+    """Connections that nobody uses kept a request from being sent."""
+    ended = []
+    async with run_connections(ended.append) as (connections, address):
+        opened = [await connections.open(address) for _ in range(LIMIT)]
+        kept = KeptConnection(connection=opened[0])
+        await connections._idle.add(address, kept)
+        opened.append(await connections.open(address))
+        assert opened[0].is_closed
+        assert not ended
+        for connection in opened:
+            await connection.close()
+
+
+async def test_an_unread_answer_makes_room():
+    """Callers that read nothing kept all others from being served."""
+    async with (
+        run_connections(lambda min_wait_s: end_unread()) as (
+            connections,
+            address,
+        ),
+        anyio.create_task_group() as group,
+    ):
+        opened = [await connections.open(address) for _ in range(LIMIT)]
+
+        def end_unread():
+            group.start_soon(opened[0].close)
+            return True
+
+        opened.append(await connections.open(address))
+        assert opened[0].is_closed
+        for connection in opened:
+            await connection.close()
+
+
+async def test_a_refused_connection_leaves_room():
+    """Endpoints that accept nothing used up the limit."""
+    async with run_connections() as (connections, address):
+        pass
+    for _ in range(2 * LIMIT):
+        with pytest.raises(EndpointError):
+            await connections.open(address)
+    assert connections.open_count == 0
+
+
+class FullGateway(FakeGateway):
+    """Has no connection left after some requests."""
+
+    def __init__(self, scripts):
+        super().__init__(scripts)
+        self.remaining = len(scripts)
+        self.tries = 0
+
+    async def send(self, request, dispatch):
+        self.tries += 1
+        if not self.remaining:
+            raise ConnectionLimitError(
+                ErrorKind.NO_ENDPOINT, 'in use', run=RunState.NOT_RUN
+            )
+        self.remaining -= 1
+        return await super().send(request, dispatch)
+
+
+async def test_without_a_connection_a_request_is_not_run():
+    """Endpoints were blamed for what the daemon itself lacks."""
+    gateway = FullGateway([])
+    harness = RelayHarness(gateway=gateway)
+    with pytest.raises(CapacityError) as caught:
+        await harness.serve(build_request('look'))
+    assert caught.value.status == 503
+    assert caught.value.run is RunState.NOT_RUN
+    assert gateway.tries == 1
+    now = read_monotonic_clock()
+    for name in harness.directory.list_names():
+        state = harness.placement._get_state(harness.directory.find(name))
+        assert not state.is_avoided(now)
+
+
+async def test_a_retry_without_a_connection_promises_nothing():
+    """A request that may have run was reported as not run."""
+    gateway = FullGateway([EndpointScript(head=build_broken_error())])
+    harness = RelayHarness(gateway=gateway)
+    with pytest.raises(EndpointError) as caught:
+        await harness.serve(build_request('look'))
+    assert caught.value.status == 502
