Let requests wait while a daemon becomes ready after its start

A daemon listens 0.02 to 0.3 s before it has read the routing table and the endpoints. Callers whose connections its last process cut come back just then, were refused with 'no routing table has been loaded yet', and had used their one retry.

A request now waits until the daemon is ready, half a second at most, which is what a refusal costs its caller at least, and only in the first admission.start_wait_s seconds of the process, so that a daemon without a store refuses at once. Ruled out: a later begin to listen, as callers then find no connection.

--- a/laurelwind/coordination/admission.py
+++ b/laurelwind/coordination/admission.py
@@ -12,6 +12,7 @@
 from laurelwind.coordination.retries import draw_retry_after
 from laurelwind.coordination.shedding.load_decisions import LoadDecisions
 from laurelwind.coordination.shedding.return_times import compute_outage_delay
+from laurelwind.coordination.startup import StartupWait
 from laurelwind.coordination.tracker import Tracker
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import CallerError, CapacityError, ErrorKind
@@ -34,6 +35,8 @@
     :ivar planner: plans the model cascade.
     :ivar log: decision log.
     :ivar decisions: makes load decisions.
+    :ivar start_wait_s: seconds after the start in which requests wait until
+        the daemon is ready.
     """
 
     tracker: Tracker
@@ -41,6 +44,7 @@
     planner: ModelPlanner
     log: DecisionLog
     decisions: LoadDecisions = field(factory=LoadDecisions)
+    start_wait_s: float = 0
 
 
 class Admission:
@@ -52,6 +56,10 @@
     def __init__(self, *, dependencies: AdmissionDependencies) -> None:
         self._dependencies = dependencies
         self._started_at = read_monotonic_clock()
+        self._startup = StartupWait(
+            limit_s=dependencies.start_wait_s,
+            is_ready=lambda: dependencies.tracker.is_ready,
+        )
 
     async def admit(self, request: RelayRequest, arrived_at: float) -> Job:
         """Build the job of a request that the routing table allows.
@@ -62,6 +70,7 @@
         :raises CapacityError: if the table is too old or cannot be confirmed
             as the newest.
         """
+        await self._startup.wait()
         match = self._resolve_route(request)
         if isinstance(match, ErrorKind):
             # A stale table must not cause a denial: the route or key may have
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -109,6 +109,7 @@
                     planner=planner,
                     log=dependencies.log,
                     decisions=dependencies.decisions,
+                    start_wait_s=dependencies.start_wait_s,
                 )
             ),
             screen=dependencies.screen,
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -75,6 +75,8 @@
     :ivar count_decision: called with the outcome and the reason of each load
         decision.
     :ivar regions: regions of the zones.
+    :ivar start_wait_s: seconds after the start in which requests wait until
+        the daemon is ready.
     """
 
     tracker: Tracker
@@ -95,6 +97,7 @@
     decisions: LoadDecisions = field(factory=LoadDecisions)
     count_decision: Callable[[str, str], None] = _ignore_decision
     regions: ZoneRegions = field(factory=ZoneRegions)
+    start_wait_s: float = 0
 
 
 class Sender:
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -329,6 +329,7 @@
                 log=self.log,
                 decisions=self.load_decisions,
                 count_decision=self.metrics.count_load_decision,
+                start_wait_s=self.settings.admission.start_wait_s,
             ),
             metrics=self.metrics,
         )
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -119,6 +119,18 @@
     places_by_forecast: bool = False
 
 
+@frozen(kw_only=True)
+class AdmissionSettings:
+    """How requests are admitted.
+
+    :ivar start_wait_s: seconds after the start of a daemon in which requests
+        wait until it is ready, each for half a second at most; zero to refuse
+        them at once.
+    """
+
+    start_wait_s: float = 0
+
+
 @frozen(kw_only=True)
 class RelaySettings:
     """Settings of a relay daemon.
@@ -130,6 +142,7 @@
     :ivar regions: region of each availability zone.
     :ivar limits: limits of the machine.
     :ivar load: what is decided by the pace that endpoints report.
+    :ivar admission: how requests are admitted.
     """
 
     daemon: RelayIdentity
@@ -139,6 +152,7 @@
     regions: dict[str, str] = field(factory=dict)
     limits: InstanceLimits = field(factory=InstanceLimits)
     load: LoadSettings = field(factory=LoadSettings)
+    admission: AdmissionSettings = field(factory=AdmissionSettings)
 
 
 def load_relay_settings(path: Path) -> RelaySettings:
@@ -173,6 +187,7 @@
         'bounds.cold_tolerance': bounds.cold_tolerance or 0,
         'limits.memory_mb': settings.limits.memory_mb,
         'limits.max_fds': settings.limits.max_fds,
+        'admission.start_wait_s': settings.admission.start_wait_s,
     }
     for path, number in shares.items():
         if not 0 <= number < math.inf:
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -150,6 +150,7 @@
     table: object
     is_newest: bool = True
     next_table: object = None
+    is_ready: bool = True
 
     async def ensure_current(self):
         self.table = self.next_table or self.table
