Do not take endpoints without a report for empty ones

Placement by forecast was worse for callers than placement without the pace, for two reasons. An endpoint that had not reported to a daemon counted as empty and of usual pace, and so cost less than each known one; a daemon knows a part of the fleet only. And classes of requests on separate endpoints left the largest model too few of them while the load was high: its prompts are most of the work.

An endpoint without a recent report now counts as loaded, and before its first report as slow, as the others of its service are. Classes are kept apart only with load.separates_classes. Twelve random endpoints are compared instead of four, besides those with the prompt's prefix. A lane of class LONG, whose number is zero, was taken for none; that is mended.

--- a/laurelwind/coordination/load/service_loads.py
+++ b/laurelwind/coordination/load/service_loads.py
@@ -12,11 +12,14 @@
 from laurelwind.coordination.load.event_times import EventTimes
 from laurelwind.coordination.load.step_classes import ClassDemand, StepClass
 from laurelwind.coordination.load.token_statistics import TokenMoments
+from laurelwind.protocol.exchanges import LoadReport
 from laurelwind.protocol.load_reports import SharedClass
 
 # Time after the last report of a pace for which a service counts as one whose
 # endpoints report it.
 PACED_TTL_S: Final = 30.0
+# Weight of each report in the averages over the endpoints of a service.
+USUAL_WEIGHT: Final = 0.02
 # First events from which the time to read prompts is learned, the fewest, the
 # quantile that counts (others waited in a queue), and its bounds.
 _MAX_PREFILLS: Final = 48
@@ -45,6 +48,8 @@
     :ivar demand: demand by class.
     :ivar batches: usual state of the endpoints, by class.
     :ivar prefill_ratio: seconds to read a prompt, relative to the estimate.
+    :ivar usual_slowdown: slowdown of its endpoints, on average.
+    :ivar usual_requests: requests at one of its endpoints, on average.
     :ivar paced_at: moment of the last report of a pace, or minus infinity.
     :ivar used_at: moment of the last request.
     """
@@ -54,6 +59,8 @@
     demand: ClassDemand = field(factory=ClassDemand)
     batches: dict[StepClass, BatchStatistics] = field(factory=_build_batches)
     prefill_ratio: float = 1.0
+    usual_slowdown: float = 1.0
+    usual_requests: float = 0
     paced_at: float = -math.inf
     used_at: float = 0
     _prefill_ratios: deque[float] = field(
@@ -67,6 +74,16 @@
         """
         return now - self.paced_at <= PACED_TTL_S
 
+    def record_report(self, report: LoadReport) -> None:
+        """Apply the report of an endpoint that states its pace.
+
+        :param report: the report.
+        """
+        slowdown = report.slowdown or 1
+        requests = report.running + report.waiting
+        self.usual_slowdown += (slowdown - self.usual_slowdown) * USUAL_WEIGHT
+        self.usual_requests += (requests - self.usual_requests) * USUAL_WEIGHT
+
     def record_first_event(self, waited_s: float, prefill_s: float) -> None:
         """Learn from a first event how long prompts take to read.
 
--- a/laurelwind/coordination/load/step_classes.py
+++ b/laurelwind/coordination/load/step_classes.py
@@ -36,6 +36,9 @@
 
 Shares = Mapping[StepClass, float]
 
+# Class under which the batches of endpoints without a class are known.
+SHARED_LANE: Final = StepClass.HEAVY
+
 
 @define(kw_only=True)
 class ClassDemand:
--- a/laurelwind/coordination/scheduling/forecast_placement.py
+++ b/laurelwind/coordination/scheduling/forecast_placement.py
@@ -37,12 +37,20 @@
 
     :param zone: availability zone of the local instance.
     :param rng: random source, or ``None`` for one of its own.
+    :param separates_classes: whether classes of requests are kept on separate
+        endpoints.
     :ivar choices_without_memory: choices that found no endpoint with memory
         for the request.
     """
 
-    def __init__(self, *, zone: str, rng: random.Random | None = None) -> None:
-        super().__init__()
+    def __init__(
+        self,
+        *,
+        zone: str,
+        rng: random.Random | None = None,
+        separates_classes: bool = False,
+    ) -> None:
+        super().__init__(separates_classes=separates_classes)
         self._zone = zone
         self._rng = rng or random.Random()
         self.choices_without_memory = 0
--- a/laurelwind/coordination/scheduling/load_observations.py
+++ b/laurelwind/coordination/scheduling/load_observations.py
@@ -21,19 +21,27 @@
 
 
 class LoadObservations(ReportObservations):
-    """Tracks what endpoints hold and the learned rates of services."""
+    """Tracks what endpoints hold and the learned rates of services.
 
-    def __init__(self) -> None:
+    :param separates_classes: whether classes of requests are kept on separate
+        endpoints.
+    """
+
+    def __init__(self, *, separates_classes: bool) -> None:
         super().__init__()
+        self._separates_classes = separates_classes
         self._positions = ClassPositions()
 
     def get_class(self, endpoint: EndpointRecord) -> StepClass | None:
         """Return the class of requests that an endpoint serves first.
 
-        It is ``None`` before there was demand.
+        It is ``None`` where classes are not separated, and before there was
+        demand.
 
         :param endpoint: the endpoint.
         """
+        if not self._separates_classes:
+            return None
         shares = self.get_service_load(endpoint.service).demand.shares
         return self._positions.get_class(endpoint, shares)
 
@@ -61,7 +69,7 @@
         state.held_tokens += reservation.tokens
         state.arrivals.add(now, reservation.tokens, is_local=True)
         state.add_queued_prefill(reservation.prefill_s * slowdown, now)
-        lane = self.get_class(endpoint) or traits.step_class
+        lane = self.get_lane(endpoint)
         load.batches[lane].tokens.record(reservation.tokens)
         return reservation
 
@@ -83,7 +91,7 @@
         state.held_tokens = max(state.held_tokens - reservation.tokens, 0)
         load = self.get_service_load(endpoint.service)
         held_s = (now - reservation.sent_at) / reservation.slowdown
-        lane = self.get_class(endpoint) or reservation.step_class
+        lane = self.get_lane(endpoint)
         load.batches[lane].record_hold(held_s)
         decode_s = max(held_s - reservation.prefill_s, 0)
         load.demand.record(
@@ -144,7 +152,7 @@
         state = self._get_state(endpoint)
         if state.get_report(now) is None:
             return
-        lane = self.get_class(endpoint) or StepClass.HEAVY
+        lane = self.get_lane(endpoint)
         self.get_service_load(endpoint.service).event_times[lane].record(
             unit_latency_s / state.pace.estimate(now),
             state.estimate_requests(now),
--- a/laurelwind/coordination/scheduling/memory.py
+++ b/laurelwind/coordination/scheduling/memory.py
@@ -4,7 +4,7 @@
 
 from laurelwind.coordination.load.batches import BatchStatistics
 from laurelwind.coordination.load.service_loads import ServiceLoad
-from laurelwind.coordination.load.step_classes import StepClass
+from laurelwind.coordination.load.step_classes import SHARED_LANE
 from laurelwind.coordination.scheduling.endpoint_states import (
     ARRIVAL_TTL_S,
     REPORT_TTL_S,
@@ -58,7 +58,7 @@
     state = candidate.state
     step_class = candidate.step_class
     if step_class is None:
-        step_class = StepClass.HEAVY
+        step_class = SHARED_LANE
     batch = load.batches[step_class]
     hinted, hinted_tokens = state.arrivals.count_remote(
         max(state.reported_at, now - ARRIVAL_TTL_S)
--- a/laurelwind/coordination/scheduling/paced_placement.py
+++ b/laurelwind/coordination/scheduling/paced_placement.py
@@ -18,6 +18,7 @@
 from laurelwind.coordination.load.forecasts import Forecast, Work
 from laurelwind.coordination.load.predictions import EndpointFigures, predict
 from laurelwind.coordination.load.service_loads import ServiceLoad
+from laurelwind.coordination.load.step_classes import SHARED_LANE
 from laurelwind.coordination.scheduling.endpoint_states import (
     REPORT_TTL_S,
     EndpointState,
@@ -79,7 +80,7 @@
         """
         step_class = candidate.step_class
         if step_class is None:
-            step_class = self.traits.step_class
+            step_class = SHARED_LANE
         return self.load.batches[step_class]
 
     def fits(self, candidate: Candidate) -> bool:
@@ -189,9 +190,9 @@
     now = request.now
     report = state.get_report(now)
     slots = max(candidate.endpoint.slots, 1)
-    requests = state.estimate_requests(now)
+    requests = _estimate_requests(candidate, request)
     waiting = max(requests - slots, 0 if report is None else report.waiting)
-    slowdown = state.pace.estimate(now)
+    slowdown = _estimate_slowdown(candidate, request)
     limit = request.traits.memory_limit
     return EndpointFigures(
         running=max(requests - waiting, 0),
@@ -210,11 +211,34 @@
     )
 
 
+def _estimate_requests(candidate: Candidate, request: PacedRequest) -> float:
+    """Estimate the requests at an endpoint.
+
+    One without a recent report counts as loaded as the others: if it counted as
+    empty, requests would prefer what is not known.
+    """
+    state = candidate.state
+    requests = state.estimate_requests(request.now)
+    known = (
+        0 if state.report is None else state.get_remaining_share(request.now)
+    )
+    usual = request.load.usual_requests
+    return max(requests, requests * known + usual * (1 - known))
+
+
+def _estimate_slowdown(candidate: Candidate, request: PacedRequest) -> float:
+    """Estimate the slowdown, that of the service before the first report."""
+    pace = candidate.state.pace
+    if not pace.is_known:
+        return request.load.usual_slowdown
+    return pace.estimate(request.now)
+
+
 def _estimate_event(
     candidate: Candidate, request: PacedRequest, running: float
 ) -> float:
     state = candidate.state
-    slowdown = state.pace.estimate(request.now)
+    slowdown = _estimate_slowdown(candidate, request)
     usual_s = request.load.estimate_event(
         (candidate.step_class, request.traits.step_class), running + 1
     )
@@ -269,7 +293,7 @@
     load = request.load
     step_class = request.traits.step_class
     lane = candidate.step_class
-    others = candidate.state.estimate_requests(request.now)
+    others = _estimate_requests(candidate, request)
     event_delay_s = load.event_times[step_class].slope_s
     mismatch_s: float = 0
     if lane is not None and step_class < lane:
--- a/laurelwind/coordination/scheduling/placement.py
+++ b/laurelwind/coordination/scheduling/placement.py
@@ -57,6 +57,7 @@
     :param uses_pace: whether reports of endpoints that state their pace count.
     :param by_forecast: whether endpoints that report their pace are selected
         by the predicted finish, rather than by the cost of all endpoints.
+    :param separates_classes: whether those keep classes of requests apart.
     """
 
     def __init__(
@@ -66,8 +67,11 @@
         rng: random.Random | None = None,
         uses_pace: bool = True,
         by_forecast: bool = False,
+        separates_classes: bool = False,
     ) -> None:
-        super().__init__(zone=zone, rng=rng)
+        super().__init__(
+            zone=zone, rng=rng, separates_classes=separates_classes
+        )
         self._uses_pace = uses_pace
         self._by_forecast = by_forecast
         self._classes = ClassAssignments()
--- a/laurelwind/coordination/scheduling/report_observations.py
+++ b/laurelwind/coordination/scheduling/report_observations.py
@@ -5,7 +5,10 @@
 from typing import Final
 
 from laurelwind.coordination.load.service_loads import ServiceLoad
-from laurelwind.coordination.load.step_classes import StepClass
+from laurelwind.coordination.load.step_classes import (
+    SHARED_LANE,
+    StepClass,
+)
 from laurelwind.coordination.scheduling.observations import (
     EndpointObservations,
 )
@@ -156,6 +159,16 @@
         :param endpoint: the endpoint.
         """
 
+    def get_lane(self, endpoint: EndpointRecord) -> StepClass:
+        """Return the class under which an endpoint's batch is known.
+
+        Endpoints of no class share one.
+
+        :param endpoint: the endpoint.
+        """
+        step_class = self.get_class(endpoint)
+        return SHARED_LANE if step_class is None else step_class
+
     def _record_surplus(
         self, endpoint: EndpointRecord, report: LoadReport
     ) -> None:
@@ -179,6 +192,7 @@
         state.pace.record(report.slowdown or 1, reported_at)
         load = self.get_service_load(endpoint.service)
         load.paced_at = max(load.paced_at, reported_at)
+        load.record_report(report)
         step_class = self.get_class(endpoint)
         if step_class is not None:
             load.batches[step_class].record_report(
--- a/laurelwind/coordination/scheduling/sampling.py
+++ b/laurelwind/coordination/scheduling/sampling.py
@@ -18,10 +18,11 @@
 from laurelwind.state.rendezvous import compute_rendezvous_hash
 
 # Random endpoints that are compared: of the request's class in the local zone,
-# of its class in other zones, and of other classes.
-LOCAL_CHOICES: Final = 2
-REMOTE_CHOICES: Final = 1
-OTHER_CHOICES: Final = 1
+# of its class in other zones, and of other classes. With two or three, often
+# none is among the few that are much faster than the others.
+LOCAL_CHOICES: Final = 6
+REMOTE_CHOICES: Final = 4
+OTHER_CHOICES: Final = 2
 # Endpoints that are compared besides, as they probably have the prompt's prefix
 # in their cache.
 AFFINITY_CHOICES: Final = 2
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -128,6 +128,7 @@
             zone=settings.daemon.zone,
             uses_pace=settings.load.uses_pace,
             by_forecast=settings.load.places_by_forecast,
+            separates_classes=settings.load.separates_classes,
         )
         self.callers = build_caller_account(self)
         self.gateway = HttpGateway(
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -113,10 +113,13 @@
         decisions, time-outs and the memory of endpoints.
     :ivar places_by_forecast: whether endpoints that report it are selected by
         the predicted finish of a request.
+    :ivar separates_classes: whether those keep requests that slow the steps of
+        their batch apart from others.
     """
 
     uses_pace: bool = False
     places_by_forecast: bool = False
+    separates_classes: bool = False
 
 
 @frozen(kw_only=True)
--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -252,6 +252,7 @@
                 zone=zone,
                 rng=random.Random(seed + number),
                 by_forecast=True,
+                separates_classes=True,
             )
             daemon = Daemon(zone=zone, placement=placer)
             daemon.gossip = ReportGossip(
--- a/tests/test_uneven_endpoints.py
+++ b/tests/test_uneven_endpoints.py
@@ -295,3 +295,18 @@
             placer.choose(endpoints[:count], requirements)
         spent_s.append(time.process_time() - started_at)
     assert spent_s[1] < spent_s[0] * 2
+
+
+def test_an_endpoint_without_a_report_is_no_empty_one(clock):
+    """Requests preferred endpoints of which nothing was known."""
+    placer = Placement(zone='a', by_forecast=True)
+    teach(placer, clock, endpoints=ENDPOINTS[:1])
+    for _ in range(200):
+        clock.now += 0.1
+        report(placer, ENDPOINTS[0], running=32, slowdown=1.2)
+    known, unknown = (
+        placer.forecast_at(endpoint, build_traits())
+        for endpoint in ENDPOINTS[:2]
+    )
+    assert unknown.occupancy > 0.9 * known.occupancy
+    assert unknown.slowdown > 1.1
