--- a/laurelwind/coordination/scheduling/paced_placement.py
+++ b/laurelwind/coordination/scheduling/paced_placement.py
@@ -107,7 +107,8 @@
     )
     tokens = load.lengths.convert_to_tokens(max(events - traits.sent_events, 0))
     if traits.output_limit:
-        tokens = min(tokens, traits.output_limit)
+        sent = load.lengths.convert_to_tokens(traits.sent_events)
+        tokens = min(tokens, max(traits.output_limit - sent, 0))
     return Work(
         prompt_tokens=traits.prompt_tokens,
         output_tokens=tokens,
