Move the field parsers that checks share below the adapter

The configuration check reads the fields of a routing table by the same rules as the daemons' decoder, but only the platform program may import the platform adapter. parse_text, parse_number, parse_list, parse_count and STRUCTURE_ERRORS move unchanged to laurelwind/state/fields.py; the decoders import them from there.

Ruled out: an import by name from the command, which hides a dependency that the layers forbid.

pytest tests/test_documents.py tests/test_platform.py tests/test_tracker.py: passed.

--- a/laurelwind/platform/documents.py
+++ b/laurelwind/platform/documents.py
@@ -8,20 +8,22 @@
 import orjson
 
 from laurelwind.platform.fields import (
-    STRUCTURE_ERRORS,
     build_error,
     parse_address,
-    parse_count,
     parse_duration,
     parse_exact_count,
-    parse_number,
     parse_object,
-    parse_text,
 )
 from laurelwind.platform.tables import build_table
 from laurelwind.protocol.documents import DocumentCodec, DocumentKind
 from laurelwind.protocol.keyed_store import Topic
 from laurelwind.state.directory import EndpointRecord
+from laurelwind.state.fields import (
+    STRUCTURE_ERRORS,
+    parse_count,
+    parse_number,
+    parse_text,
+)
 from laurelwind.state.rollouts import (
     RolloutOrder,
     RolloutReport,
--- a/laurelwind/platform/fields.py
+++ b/laurelwind/platform/fields.py
@@ -1,28 +1,17 @@
 """Checked fields of the platform's documents."""
 
 import ipaddress
-import math
 import re
 import sys
-from collections.abc import Sequence
 from typing import Any, Final
 
 import orjson
 
 from laurelwind.errors import ConfigurationError, ErrorKind
+from laurelwind.state.fields import parse_count, parse_number, parse_text
 
-# Raised where a document has an unexpected structure.
-STRUCTURE_ERRORS: Final = (
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    IndexError,
-    ArithmeticError,
-)
 # Writers that hold numbers as floats round larger integers (RFC 8259).
 MAX_EXACT_COUNT: Final = 2**sys.float_info.mant_dig - 1
-_CONTROL_CHARACTER: Final = re.compile(r'[\x00-\x1f\x7f]')
 _ADDRESS: Final = re.compile(
     r'(?:\[([\da-f:.]+)\]|([\da-f:.]+)):(\d{1,5})', re.ASCII | re.IGNORECASE
 )
@@ -44,21 +33,6 @@
     return document
 
 
-def parse_text(field: Any) -> str:
-    """Return a non-empty string without control characters.
-
-    :param field: the field of a document.
-    :raises TypeError: if it is anything else.
-    :raises ValueError: if it has control characters.
-    """
-    if not isinstance(field, str) or not field:
-        raise TypeError('expected a non-empty string')
-    # Texts become header lines, which a control character would split.
-    if _CONTROL_CHARACTER.search(field):
-        raise ValueError('expected a string without control characters')
-    return field
-
-
 def parse_address(field: Any) -> str:
     """Return an address, ``host:port`` with a numeric host.
 
@@ -82,20 +56,6 @@
     return str(field)
 
 
-def parse_number(field: Any) -> float:
-    """Return a finite number.
-
-    :param field: the field of a document.
-    :raises TypeError: if it is anything else.
-    :raises ValueError: if it is not finite.
-    """
-    if not isinstance(field, int | float) or isinstance(field, bool):
-        raise TypeError('expected a number')
-    if not math.isfinite(field):
-        raise ValueError('expected a finite number')
-    return float(field)
-
-
 def parse_duration(field: Any) -> float:
     """Return a finite number above zero.
 
@@ -109,28 +69,6 @@
     return duration
 
 
-def parse_list(field: Any) -> Sequence[Any]:
-    """Return a list.
-
-    :param field: the field of a document.
-    :raises TypeError: if it is anything else.
-    """
-    if not isinstance(field, list):
-        raise TypeError('expected a list')
-    return field
-
-
-def parse_count(field: Any) -> int:
-    """Return a non-negative integer.
-
-    :param field: the field of a document.
-    :raises TypeError: if it is anything else.
-    """
-    if not isinstance(field, int) or isinstance(field, bool) or field < 0:
-        raise TypeError('expected a non-negative integer')
-    return field
-
-
 def parse_exact_count(field: Any) -> int:
     """Return a non-negative integer that every writer of JSON holds exactly.
 
--- a/laurelwind/platform/store.py
+++ b/laurelwind/platform/store.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from laurelwind.platform.fields import STRUCTURE_ERRORS, parse_address
+from laurelwind.platform.fields import parse_address
 from laurelwind.platform.store_client import (
     StoreAnswer,
     StoreClient,
@@ -27,6 +27,7 @@
     decode_position,
     encode_position,
 )
+from laurelwind.state.fields import STRUCTURE_ERRORS
 
 _TOPIC_NAMES: Final[Mapping[Topic, str]] = {
     Topic.OPERATORS: 'keyed.op',
--- a/laurelwind/platform/tables.py
+++ b/laurelwind/platform/tables.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
-from laurelwind.platform.fields import (
+from laurelwind.state.fields import (
     parse_count,
     parse_list,
     parse_number,
