--- /dev/null
+++ b/laurelwind/state/configuration_check/__init__.py
@@ -0,0 +1,1 @@
+"""Findings on a configuration before it is published."""
