Report answers and addresses that are no daemon's as API errors

The client of the administration API caught two errors of the HTTP library. An address with an impossible port, an answer that is not HTTP, and an error of another form ended commands with a traceback; a refusal without an error body was taken for a document. Without a key the header 'Bearer ' could not be sent, so that 'laurelwind entries' always failed. A key that no header can hold was part of the error's text.

All errors of a call are API errors now, the header is left out without a key, and the text of an unsendable header is not shown.

--- a/laurelwind/cli/connection.py
+++ b/laurelwind/cli/connection.py
@@ -10,6 +10,15 @@
 _TIMEOUT_S: Final = 20.0
 _TIMEOUT_NAMES: Final = ('connect', 'read', 'write', 'pool')
 _MIN_ERROR_STATUS: Final = 400
+# The library raises the last two for addresses that it cannot parse.
+_CALL_ERRORS: Final = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.UnsupportedProtocol,
+    OverflowError,
+    ValueError,
+)
 
 
 class ApiError(Exception):
@@ -62,6 +71,11 @@
         """
         return self._request(method, path, orjson.dumps(body))
 
+    @property
+    def _headers(self) -> dict[bytes | str, bytes | str]:
+        # A header that ends with a blank cannot be sent.
+        return {'Authorization': f'Bearer {self.key}'} if self.key else {}
+
     def _request(self, method: str, path: str, body: bytes) -> Any:
         base_url = self.address
         if '://' not in base_url:
@@ -71,11 +85,16 @@
             answer = httpcore.request(
                 method,
                 f'{base_url}{path}',
-                headers={'Authorization': f'Bearer {self.key}'},
+                headers=self._headers,
                 content=body,
                 extensions={'timeout': timeouts},
             )
-        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+        except httpcore.LocalProtocolError:
+            # The text of this error holds the key.
+            raise ApiError(
+                'the operator key cannot be sent in a header', is_refusal=False
+            ) from None
+        except _CALL_ERRORS as error:
             raise ApiError(
                 f'{self.address} did not answer: {error}', is_refusal=False
             ) from None
@@ -87,11 +106,21 @@
         body = orjson.loads(answer.content)
     except orjson.JSONDecodeError:
         raise ApiError('the answer of the daemon is not JSON') from None
-    if answer.status >= _MIN_ERROR_STATUS and 'error' in body:
-        error = body['error']
-        faults = tuple(
-            f'{fault["path"]}: {fault["expected"]}'
-            for fault in error.get('faults', ())
-        )
-        raise ApiError(f'{error["kind"]}: {error["message"]}', faults=faults)
+    if answer.status >= _MIN_ERROR_STATUS:
+        raise _build_error(answer.status, body)
     return body
+
+
+def _build_error(status: int, body: Any) -> ApiError:
+    try:
+        return _parse_error(body['error'])
+    except (AttributeError, KeyError, TypeError):
+        return ApiError(f'the daemon answered with status {status}')
+
+
+def _parse_error(error: Any) -> ApiError:
+    faults = tuple(
+        ': '.join((fault['path'], fault['expected']))
+        for fault in error.get('faults', ())
+    )
+    return ApiError(': '.join((error['kind'], error['message'])), faults=faults)
