Find dead entries, contradictions and differences of a configuration

'laurelwind check FILE' reads a document of the chat daemon or a routing table of the relay before it is published. Keys are shown as a digest, values in rows of workspaces only under known names.

Ruled out: warnings for unknown fields, as the users' tables have fields that the relay does not read.

--- a/laurelwind/cli/application.py
+++ b/laurelwind/cli/application.py
@@ -2,6 +2,7 @@
 
 from cleo.application import Application
 
+from laurelwind.cli.check import CheckFileCommand
 from laurelwind.cli.configuration import (
     CheckCommand,
     DiffCommand,
@@ -31,6 +32,7 @@
     """Build the application with all its commands."""
     application = Application('laurelwind', RELEASE)
     for command in (
+        CheckFileCommand,
         CheckCommand,
         DiffCommand,
         PublishCommand,
--- a/laurelwind/cli/base.py
+++ b/laurelwind/cli/base.py
@@ -23,6 +23,9 @@
 _DEFAULT_ADDRESS: Final = '127.0.0.1:8090'
 
 JSON_OPTION: Final = option('json', None, 'Write the output as JSON.')
+KEY_OPTION: Final = option(
+    'key', None, f'Operator key (or ${_KEY_VARIABLE}).', flag=False
+)
 API_OPTIONS: Final = (
     option(
         'admin',
@@ -30,7 +33,7 @@
         f'Address of the administration API (or ${_ADDRESS_VARIABLE}).',
         flag=False,
     ),
-    option('key', None, f'Operator key (or ${_KEY_VARIABLE}).', flag=False),
+    KEY_OPTION,
     JSON_OPTION,
 )
 
@@ -60,8 +63,12 @@
         address = self.option('admin') or os.environ.get(
             _ADDRESS_VARIABLE, _DEFAULT_ADDRESS
         )
-        key = self.option('key') or os.environ.get(_KEY_VARIABLE, '')
-        return AdminApi(address=address, key=key)
+        return AdminApi(address=address, key=self.api_key)
+
+    @property
+    def api_key(self) -> str:
+        """Operator key selected by the options."""
+        return self.option('key') or os.environ.get(_KEY_VARIABLE, '')
 
     def show_failure(self, message: str, faults: Sequence[str]) -> None:
         """Write an error to standard error.
--- a/laurelwind/state/configuration_check/values.py
+++ b/laurelwind/state/configuration_check/values.py
@@ -68,6 +68,19 @@
     return text
 
 
+def is_listed_by_field(path: Sequence[str]) -> bool:
+    """Return whether the fields of a value may be shown one by one.
+
+    Their names are shown then, which may be keys in a table that daemons do
+    not know.
+
+    :param path: names and indexes of the fields from the document to the value.
+    """
+    if len(path) > 2:
+        return not _may_hold_key(path)
+    return not path or path[0] in _SHOWN_TABLES | _KEY_TABLES
+
+
 def _may_hold_key(path: Sequence[str]) -> bool:
     if not path:
         return True
@@ -83,7 +96,7 @@
 def _hide_value(field: Any, path: Sequence[str]) -> str:
     if isinstance(field, Mapping):
         return f'an object of {len(field)} fields'
-    if isinstance(field, list):
+    if isinstance(field, list | tuple):
         return f'a list of {len(field)}'
     if isinstance(field, bool) or field is None:
         return json.dumps(field)
