--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -1,6 +1,7 @@
 """Findings of ``laurelwind check`` on the relay's routing tables."""
 
 import hashlib
+import random
 
 import orjson
 import pytest
@@ -62,6 +63,17 @@
     assert wrong == []
 
 
+def test_two_odd_fields_at_once_are_rejected_alike():
+    """One odd field hid another: the check took the rest of a row as sound."""
+    random_source = random.Random(1)
+    first_bodies = list(list_variants(FULL_TABLE))
+    for first in random_source.sample(first_bodies, 20):
+        bodies = list(list_variants(orjson.loads(first)))
+        for body in random_source.sample(bodies, 40):
+            findings = check_table_fields(orjson.loads(body))
+            assert has_errors(findings) != is_decoded(body), body
+
+
 @pytest.mark.parametrize('table', [None, 3, [], 'table'])
 def test_a_table_that_is_no_object_has_an_error(table):
     assert has_errors(check_table_fields(table))
