Say that a routing table is compared with a file

Relay daemons have no administration address. A comparison of a table with an address failed only after a request to it, with whatever the process at the address answered. The command now says so without a request.

--- a/laurelwind/cli/check.py
+++ b/laurelwind/cli/check.py
@@ -31,6 +31,7 @@
     Severity,
 )
 from laurelwind.state.configuration_check.formats import (
+    Format,
     check_configuration,
     detect_format,
 )
@@ -129,7 +130,7 @@
         if source is None:
             return
         try:
-            in_force = self._read_in_force(source)
+            in_force = self._read_in_force(source, configuration)
         except ApiError as error:
             report.findings.append(_build_comparison_error(source, error))
             return
@@ -139,9 +140,14 @@
             return
         report.differences = list_differences(in_force, configuration)
 
-    def _read_in_force(self, source: str) -> Any:
+    def _read_in_force(self, source: str, configuration: Any) -> Any:
         if not _ADDRESS.fullmatch(source) or Path(source).exists():
             return _read_file(source)
+        if detect_format(configuration) is Format.TABLE:
+            raise ApiError(
+                'relay daemons have no admin address; expected the file of the'
+                ' table in force'
+            )
         api = AdminApi(address=source, key=self.api_key)
         view = api.get(_CONFIGURATION_PATH)
         if not isinstance(view, dict) or 'document' not in view:
--- a/tests/test_check_command.py
+++ b/tests/test_check_command.py
@@ -10,6 +10,7 @@
 from tests.test_configuration_findings import DOCUMENT, ROUTES, TABLE, change
 
 BAD_TABLE = change(TABLE, ((*ROUTES, 'kind'), 'odd'))
+DOUBTFUL_DOCUMENT = change(DOCUMENT, (('services', 'idle'), {'pool': 'plain'}))
 DOUBTFUL_TABLE = change(TABLE, ((*ROUTES, 'timeout_ms'), 200))
 
 
@@ -64,19 +65,32 @@
         assert 'changed services.bookings.price: 4 -> 5' in output
 
 
-@pytest.mark.parametrize('source', ['127.0.0.1:1', 'old.json', 'garbage'])
-def test_a_comparison_that_fails_leaves_the_other_findings(write, source):
+@pytest.mark.parametrize(
+    ('configuration', 'source', 'reason'),
+    [
+        (DOUBTFUL_DOCUMENT, '127.0.0.1:1', 'did not answer'),
+        (DOUBTFUL_TABLE, '127.0.0.1:1', 'relay daemons have no admin address'),
+        (DOUBTFUL_TABLE, 'old.json', 'of the same format'),
+    ],
+)
+def test_a_comparison_that_fails_leaves_the_other_findings(
+    write, configuration, source, reason
+):
     """Nothing was printed when the daemon to compare with was down."""
-    path = write('new.json', DOUBTFUL_TABLE)
-    expected = 1
+    path = write('new.json', configuration)
     if source == 'old.json':
         source = write('old.json', DOCUMENT)
-    if source == 'garbage':
-        source, expected = '/nowhere/old.json', 2
     exit_code, output = run_check(f'{path} --against {source}')
-    assert exit_code == expected
-    assert 'warning routes.0.timeout_ms' in output
-    assert ('errors: 1' in output) == (expected == 1)
+    assert exit_code == 1
+    assert reason in output
+    assert 'errors: 1, warnings: 1' in output
+
+
+def test_an_unreadable_file_to_compare_with_leaves_the_other_findings(write):
+    path = write('new.json', DOUBTFUL_TABLE)
+    exit_code, output = run_check(f'{path} --against /nowhere/old.json')
+    assert exit_code == 2
+    assert 'errors: 0, warnings: 1' in output
 
 
 def test_findings_are_printed_as_json(write):
