Keep one exchange of statements and one size of datagrams

cold/gossip.py and limits/limit_gossip.py held the same collecting, spreading and receiving of statements, and four modules their own MAX_DATAGRAM_BYTES.

StatementGossip (coordination/statement_gossip.py) does this for both; each subclass names its encoding and where statements go. The size, and the packing of rows into datagrams, are in protocol/datagrams.py. What is sent is as before: the tests of the datagrams' sizes and of the emulated fleets pass unchanged but for how they build the exchange. pytest tests/test_cold_endpoints.py tests/test_report_gossip.py tests/test_workspace_demand.py tests/test_permits.py tests/test_crash_gossip.py: 134 passed; tests/test_cold_fleet.py tests/test_permit_fleet.py tests/test_load_decisions.py: passed.

--- a/laurelwind/coordination/shedding/load_gossip.py
+++ b/laurelwind/coordination/shedding/load_gossip.py
@@ -16,7 +16,7 @@
 from laurelwind.coordination.shedding.load_decisions import LoadDecisions
 from laurelwind.coordination.shedding.pressure import PressureSample
 from laurelwind.coordination.shedding.workspace_demand import DemandRow
-from laurelwind.protocol.datagrams import DatagramChannel
+from laurelwind.protocol.datagrams import MAX_DATAGRAM_BYTES, DatagramChannel
 from laurelwind.state.load import read_monotonic_clock
 
 # Peers that a report is sent to, and the seconds between reports. With 3 peers
@@ -26,8 +26,7 @@
 FANOUT: Final = 3
 INTERVAL_S: Final = 0.5
 JITTER: Final = (0.8, 1.2)
-# Size of a datagram, which stays within the smallest MTU, and its most rows.
-MAX_DATAGRAM_BYTES: Final = 1200
+# The most rows of a datagram.
 MAX_DEMAND_ROWS: Final = 24
 MAX_PRESSURE_ROWS: Final = 8
 _KIND: Final = 'demand'
--- a/laurelwind/protocol/cold.py
+++ b/laurelwind/protocol/cold.py
@@ -9,12 +9,9 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, Final
 
-import orjson
-
+from laurelwind.protocol.datagrams import pack_rows
 from laurelwind.state.cold_endpoints import ColdStatement
 
-# Size of a datagram in bytes; it stays within the smallest MTU.
-MAX_DATAGRAM_BYTES: Final = 1200
 # Longest name in a datagram.
 MAX_NAME_LENGTH: Final = 64
 # Longest cold time that a statement may leave, in seconds.
@@ -31,19 +28,13 @@
     :param statements: names of endpoints and their statements.
     :param now: the current moment, on the monotonic clock.
     """
-    rows: list[list[Any]] = []
-    size = 0
-    for name, statement in statements:
-        row = [name, encode_statement(statement, now)]
-        row_size = len(orjson.dumps(row)) + 1
-        if rows and size + row_size > MAX_DATAGRAM_BYTES:
-            yield orjson.dumps({_COLD: rows})
-            rows = []
-            size = 0
-        rows.append(row)
-        size += row_size
-    if rows:
-        yield orjson.dumps({_COLD: rows})
+    return pack_rows(
+        _COLD,
+        (
+            [name, encode_statement(statement, now)]
+            for name, statement in statements
+        ),
+    )
 
 
 def decode_cold(
--- a/laurelwind/protocol/crash_notices.py
+++ b/laurelwind/protocol/crash_notices.py
@@ -14,12 +14,11 @@
 import orjson
 from attrs import asdict, frozen
 
+from laurelwind.protocol.datagrams import MAX_DATAGRAM_BYTES
 from laurelwind.state.blocks import Block
 from laurelwind.state.crash_reports import CrashReport, SuspectKey, SuspectKeys
 from laurelwind.state.endpoint_breaks import EndpointBreak, EndpointSurvival
 
-# Size of a datagram in bytes; it stays within the smallest MTU.
-MAX_DATAGRAM_BYTES: Final = 1200
 # Longest names, and the most parts of a prompt, in a row.  A row has room for
 # the name of the request as well.
 MAX_NAME_LENGTH: Final = 64
--- a/laurelwind/protocol/datagrams.py
+++ b/laurelwind/protocol/datagrams.py
@@ -1,11 +1,15 @@
 """Datagrams between daemons."""
 
 import abc
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, Final
 
+import orjson
 from attrs import frozen
 
+# Size of a datagram in bytes; it stays within the smallest MTU.
+MAX_DATAGRAM_BYTES: Final = 1200
+
 
 @frozen(kw_only=True)
 class DatagramMessage:
@@ -37,3 +41,23 @@
         :param peer: ``host:port`` of the daemon.
         :param datagram: the encoded document.
         """
+
+
+def pack_rows(kind: str, rows: Iterable[Any]) -> Iterator[bytes]:
+    """Encode rows as datagrams with one field, which holds the rows.
+
+    :param kind: name of the field.
+    :param rows: the rows; one that is too large is sent alone.
+    """
+    packed: list[Any] = []
+    size = 0
+    for row in rows:
+        row_size = len(orjson.dumps(row)) + 1
+        if packed and size + row_size > MAX_DATAGRAM_BYTES:
+            yield orjson.dumps({kind: packed})
+            packed = []
+            size = 0
+        packed.append(row)
+        size += row_size
+    if packed:
+        yield orjson.dumps({kind: packed})
--- a/laurelwind/protocol/load_reports.py
+++ b/laurelwind/protocol/load_reports.py
@@ -10,8 +10,8 @@
 import orjson
 from attrs import frozen
 
+from laurelwind.protocol.datagrams import MAX_DATAGRAM_BYTES
 from laurelwind.protocol.exchanges import LoadReport
-from laurelwind.protocol.permits import MAX_DATAGRAM_BYTES
 
 _KIND: Final = 'load'
 # Reports in one datagram, and the services whose demand it holds.
--- a/laurelwind/protocol/permits.py
+++ b/laurelwind/protocol/permits.py
@@ -14,11 +14,10 @@
 from attrs import frozen
 
 from laurelwind.protocol.cold import decode_statement, encode_statement
+from laurelwind.protocol.datagrams import pack_rows
 from laurelwind.state.cold_endpoints import ColdStatement
 from laurelwind.state.rate_limits import EndpointProcess, LimitStatement
 
-# Size of a datagram in bytes; it stays within the smallest MTU.
-MAX_DATAGRAM_BYTES: Final = 1200
 # Longest name in a datagram.
 MAX_NAME_LENGTH: Final = 64
 _ASK: Final = 'permit_ask'
@@ -139,19 +138,13 @@
     :param limits: endpoints and their statements.
     :param now: the current moment, on the monotonic clock.
     """
-    rows: list[list[Any]] = []
-    size = 0
-    for process, statement in limits:
-        row = [*process, _encode_statement(statement, now)]
-        row_size = len(orjson.dumps(row)) + 1
-        if rows and size + row_size > MAX_DATAGRAM_BYTES:
-            yield orjson.dumps({_LIMITS: rows})
-            rows = []
-            size = 0
-        rows.append(row)
-        size += row_size
-    if rows:
-        yield orjson.dumps({_LIMITS: rows})
+    return pack_rows(
+        _LIMITS,
+        (
+            [*process, _encode_statement(statement, now)]
+            for process, statement in limits
+        ),
+    )
 
 
 def decode_limits(
--- a/laurelwind/relay_cold.py
+++ b/laurelwind/relay_cold.py
@@ -10,6 +10,7 @@
 from laurelwind.coordination.cold.gossip import ColdGossip
 from laurelwind.coordination.cold.rates import ColdBounds
 from laurelwind.coordination.cold.shares import ColdShares
+from laurelwind.coordination.statement_gossip import GossipDependencies
 from laurelwind.coordination.suspects.keys import build_process_key
 from laurelwind.relay_settings import BoundSettings
 from laurelwind.state.routes import Service
@@ -61,14 +62,22 @@
             ),
         ),
         gossip=ColdGossip(
-            endpoints=cold,
-            channel=daemon.datagrams,
-            list_peers=daemon.list_peers,
+            endpoints=cold, dependencies=build_gossip_dependencies(daemon)
         ),
         count=lambda outcome: daemon.metrics.cold_permits.labels(outcome).inc(),
     )
 
 
+def build_gossip_dependencies(daemon: 'RelayDaemon') -> GossipDependencies:
+    """Build what the exchange of statements about endpoints needs.
+
+    :param daemon: the daemon; its datagrams are built.
+    """
+    return GossipDependencies(
+        channel=daemon.datagrams, list_peers=daemon.list_peers
+    )
+
+
 def build_cold_bounds(bounds: BoundSettings) -> ColdBounds | None:
     """Build the bound for cold endpoints, or ``None`` if there is none.
 
--- a/laurelwind/relay_permits.py
+++ b/laurelwind/relay_permits.py
@@ -13,7 +13,11 @@
 from laurelwind.coordination.limits.permit_asks import PermitAsks
 from laurelwind.coordination.load.report_gossip import ReportGossip
 from laurelwind.protocol.platform import ListedInstance
-from laurelwind.relay_cold import build_cold_access, build_cold_endpoints
+from laurelwind.relay_cold import (
+    build_cold_access,
+    build_cold_endpoints,
+    build_gossip_dependencies,
+)
 
 if TYPE_CHECKING:
     from laurelwind.relay_daemon import RelayDaemon
@@ -35,9 +39,7 @@
     return EndpointPermits(
         limits=limits,
         gossip=LimitGossip(
-            limits=limits,
-            channel=daemon.datagrams,
-            list_peers=daemon.list_peers,
+            limits=limits, dependencies=build_gossip_dependencies(daemon)
         ),
         asks=PermitAsks(
             limits=limits,
--- a/tests/emulated_cold.py
+++ b/tests/emulated_cold.py
@@ -20,6 +20,7 @@
 from laurelwind.coordination.limits.holders import HolderChoice
 from laurelwind.coordination.limits.limit_gossip import LimitGossip
 from laurelwind.coordination.limits.permit_asks import PermitAsks
+from laurelwind.coordination.statement_gossip import GossipDependencies
 from laurelwind.errors import (
     EndpointError,
     EndpointPausedError,
@@ -170,11 +171,12 @@
             )
         )
         limits = EndpointLimits(log=log, cold=self.cold)
+        gossip = GossipDependencies(
+            channel=channel, list_peers=self._list_peers
+        )
         self.permits = EndpointPermits(
             limits=limits,
-            gossip=LimitGossip(
-                limits=limits, channel=channel, list_peers=self._list_peers
-            ),
+            gossip=LimitGossip(limits=limits, dependencies=gossip),
             asks=PermitAsks(
                 limits=limits,
                 holders=HolderChoice(list_members=lambda: self.members),
@@ -187,11 +189,7 @@
                     local_address=member.name,
                     list_members=lambda: self.members,
                 ),
-                gossip=ColdGossip(
-                    endpoints=self.cold,
-                    channel=channel,
-                    list_peers=self._list_peers,
-                ),
+                gossip=ColdGossip(endpoints=self.cold, dependencies=gossip),
                 count=lambda outcome: self.outcomes.update([outcome]),
             ),
             log=log,
--- a/tests/emulated_gossip.py
+++ b/tests/emulated_gossip.py
@@ -8,8 +8,7 @@
 
 from laurelwind.coordination.suspects.gossip import CrashGossip
 from laurelwind.coordination.suspects.screen import SuspectScreen
-from laurelwind.protocol.crash_notices import MAX_DATAGRAM_BYTES
-from laurelwind.protocol.datagrams import DatagramChannel
+from laurelwind.protocol.datagrams import MAX_DATAGRAM_BYTES, DatagramChannel
 from laurelwind.state.crash_reports import CrashReport
 from tests.relay_helpers import build_silent_log
 
--- a/tests/emulated_permits.py
+++ b/tests/emulated_permits.py
@@ -10,6 +10,7 @@
 from laurelwind.coordination.limits.limit_gossip import LimitGossip
 from laurelwind.coordination.limits.permit_asks import PermitAsks
 from laurelwind.coordination.relay_attempts import Attempt
+from laurelwind.coordination.statement_gossip import GossipDependencies
 from laurelwind.state.load import read_monotonic_clock
 from tests.emulated_fleet import build_members
 from tests.emulated_gossip import EmulatedChannel, LossyNetwork
@@ -89,12 +90,14 @@
             limits=limits,
             gossip=LimitGossip(
                 limits=limits,
-                channel=channel,
-                list_peers=lambda: [
-                    other.name
-                    for other in self.members
-                    if other.name != member.name
-                ],
+                dependencies=GossipDependencies(
+                    channel=channel,
+                    list_peers=lambda: [
+                        other.name
+                        for other in self.members
+                        if other.name != member.name
+                    ],
+                ),
             ),
             asks=PermitAsks(
                 limits=limits,
--- a/tests/relay_helpers.py
+++ b/tests/relay_helpers.py
@@ -27,6 +27,7 @@
 )
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import SenderDependencies
+from laurelwind.coordination.statement_gossip import GossipDependencies
 from laurelwind.coordination.suspects.screen import SuspectScreen
 from laurelwind.coordination.zones.regions import ZoneRegions
 from laurelwind.decisions import DecisionLog
@@ -291,7 +292,10 @@
     channel = SilentChannel()
     return EndpointPermits(
         limits=limits,
-        gossip=LimitGossip(limits=limits, channel=channel, list_peers=list),
+        gossip=LimitGossip(
+            limits=limits,
+            dependencies=GossipDependencies(channel=channel, list_peers=list),
+        ),
         asks=PermitAsks(
             limits=limits,
             holders=HolderChoice(list_members=lambda: [LOCAL_MEMBER]),
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -19,7 +19,7 @@
 from laurelwind.coordination.cold.shares import ColdShares
 from laurelwind.platform.documents import PlatformDocuments
 from laurelwind.protocol.cold import decode_cold, encode_cold
-from laurelwind.protocol.permits import MAX_DATAGRAM_BYTES
+from laurelwind.protocol.datagrams import MAX_DATAGRAM_BYTES
 from laurelwind.state.cold_endpoints import ColdStatement, ColdTable
 from laurelwind.state.directory import EndpointDirectory
 from laurelwind.state.permit_schedule import PermitSchedule
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -13,8 +13,8 @@
     TAKEOVER_S,
     PermitHolder,
 )
+from laurelwind.protocol.datagrams import MAX_DATAGRAM_BYTES
 from laurelwind.protocol.permits import (
-    MAX_DATAGRAM_BYTES,
     PermitAnswer,
     PermitAsk,
     PermitReturn,
--- a/tests/test_report_gossip.py
+++ b/tests/test_report_gossip.py
@@ -14,6 +14,7 @@
 from laurelwind.coordination.scheduling.endpoint_states import REPORT_TTL_S
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.scheduling.requirements import RequestTraits
+from laurelwind.protocol.datagrams import MAX_DATAGRAM_BYTES
 from laurelwind.protocol.exchanges import LoadReport
 from laurelwind.protocol.load_reports import (
     MAX_REPORTS,
@@ -23,7 +24,6 @@
     decode_reports,
     encode_reports,
 )
-from laurelwind.protocol.permits import MAX_DATAGRAM_BYTES
 from tests.relay_helpers import (
     SilentChannel,
     build_endpoint_record,
--- a/tests/test_workspace_demand.py
+++ b/tests/test_workspace_demand.py
@@ -8,7 +8,6 @@
 from laurelwind.coordination.shedding.load_decisions import LoadDecisions
 from laurelwind.coordination.shedding.load_gossip import (
     FANOUT,
-    MAX_DATAGRAM_BYTES,
     LoadGossip,
 )
 from laurelwind.coordination.shedding.workspace_demand import (
@@ -17,7 +16,7 @@
     DemandRow,
     WorkspaceDemand,
 )
-from laurelwind.protocol.datagrams import DatagramChannel
+from laurelwind.protocol.datagrams import MAX_DATAGRAM_BYTES, DatagramChannel
 from tests.emulated_load import EmulatedLoad
 from tests.test_load_decisions import build_load_request
 
