Leave out statements of peers that cannot be sent on

A process number, a sequence number or an age beyond 64 bits, as in {"cold": [["e1", [[1e30, -1], 5, [0, null, null], true]]]}, was decoded, and orjson refused to encode it when the daemon sent it on or answered it. The TypeError ended the task, and with it the daemon. The age of a limit and the number of an ask had the same fault.

--- a/laurelwind/protocol/cold.py
+++ b/laurelwind/protocol/cold.py
@@ -9,7 +9,11 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, Final
 
-from laurelwind.protocol.datagrams import pack_rows
+from laurelwind.protocol.datagrams import (
+    decode_age,
+    decode_integer,
+    pack_rows,
+)
 from laurelwind.state.cold_endpoints import ColdStatement
 
 # Longest name in a datagram.
@@ -81,8 +85,8 @@
     since, reached_at, until = (_decode_moment(time, now) for time in times)
     return _check(
         ColdStatement(
-            started_ms=int(started_ms),
-            sequence=int(sequence),
+            started_ms=decode_integer(started_ms),
+            sequence=decode_integer(sequence),
             rate=float(rate),
             since=since,
             reached_at=reached_at,
@@ -113,7 +117,4 @@
 def _decode_moment(time_ms: Any, now: float) -> float:
     if time_ms is None:
         return math.inf
-    moment = now + float(time_ms) / _MS_PER_S
-    if not math.isfinite(moment):
-        raise ValueError
-    return moment
+    return now + decode_age(time_ms) / _MS_PER_S
--- a/laurelwind/protocol/datagrams.py
+++ b/laurelwind/protocol/datagrams.py
@@ -9,6 +9,11 @@
 
 # Size of a datagram in bytes; it stays within the smallest MTU.
 MAX_DATAGRAM_BYTES: Final = 1200
+# What a datagram can hold: signed integers of 64 bits, and ages of moments in
+# milliseconds, here up to 30 years.
+_INTEGER_BITS: Final = 63
+_INTEGER_LIMIT: Final = 1 << _INTEGER_BITS
+_MAX_AGE_MS: Final = 1e12
 
 
 @frozen(kw_only=True)
@@ -43,6 +48,30 @@
         """
 
 
+def decode_integer(number: Any) -> int:
+    """Decode an integer that can be encoded again.
+
+    :param number: the decoded JSON value.
+    :raises ValueError: if it is none; also ``TypeError`` and ``OverflowError``.
+    """
+    integer = int(number)
+    if not -_INTEGER_LIMIT <= integer < _INTEGER_LIMIT:
+        raise ValueError
+    return integer
+
+
+def decode_age(number: Any) -> float:
+    """Decode an age in milliseconds that can be encoded again.
+
+    :param number: the decoded JSON value; negative for a moment to come.
+    :raises ValueError: if it is none; also ``TypeError``.
+    """
+    age_ms = float(number)
+    if not -_MAX_AGE_MS <= age_ms <= _MAX_AGE_MS:
+        raise ValueError
+    return age_ms
+
+
 def pack_rows(kind: str, rows: Iterable[Any]) -> Iterator[bytes]:
     """Encode rows as datagrams with one field, which holds the rows.
 
--- a/laurelwind/protocol/permits.py
+++ b/laurelwind/protocol/permits.py
@@ -14,7 +14,11 @@
 from attrs import frozen
 
 from laurelwind.protocol.cold import decode_statement, encode_statement
-from laurelwind.protocol.datagrams import pack_rows
+from laurelwind.protocol.datagrams import (
+    decode_age,
+    decode_integer,
+    pack_rows,
+)
 from laurelwind.state.cold_endpoints import ColdStatement
 from laurelwind.state.rate_limits import EndpointProcess, LimitStatement
 
@@ -167,7 +171,7 @@
     fields, cold = _split_cold(row, now)
     (number, asker), (name, started_ms, zone), max_wait_s, statement = fields
     return PermitAsk(
-        number=int(number),
+        number=decode_integer(number),
         asker=_decode_name(asker),
         process=_decode_process(name, started_ms),
         zone=_decode_name(zone),
@@ -181,7 +185,7 @@
     fields, cold = _split_cold(row, now)
     number, process, (is_granted, wait_s, retry_s), statement = fields
     return PermitAnswer(
-        number=int(number),
+        number=decode_integer(number),
         process=_decode_process(*process),
         is_granted=bool(is_granted),
         wait_s=_decode_seconds(wait_s),
@@ -196,7 +200,7 @@
 def _decode_return(row: Any, _now: float) -> PermitReturn:
     number, asker, name, started_ms = row
     return PermitReturn(
-        number=int(number),
+        number=decode_integer(number),
         asker=_decode_name(asker),
         process=_decode_process(name, started_ms),
     )
@@ -226,12 +230,10 @@
     rate, sent_ms, stated_ms, limited_ms = fields
     return LimitStatement(
         rate=None if rate is None else _decode_seconds(rate),
-        sent_at=now - _decode_seconds(sent_ms) / _MS_PER_S,
-        stated_at=now - _decode_seconds(stated_ms) / _MS_PER_S,
+        sent_at=_decode_moment(sent_ms, now),
+        stated_at=_decode_moment(stated_ms, now),
         limited_at=(
-            math.inf
-            if limited_ms is None
-            else now - _decode_seconds(limited_ms) / _MS_PER_S
+            math.inf if limited_ms is None else _decode_moment(limited_ms, now)
         ),
     )
 
@@ -246,7 +248,7 @@
 
 
 def _decode_process(name: Any, started_ms: Any) -> EndpointProcess:
-    return _decode_name(name), int(started_ms)
+    return _decode_name(name), decode_integer(started_ms)
 
 
 def _decode_name(name: Any) -> str:
@@ -255,6 +257,10 @@
     return name
 
 
+def _decode_moment(age_ms: Any, now: float) -> float:
+    return now - decode_age(_decode_seconds(age_ms)) / _MS_PER_S
+
+
 def _decode_seconds(number: Any) -> float:
     seconds = float(number)
     if not 0 <= seconds < math.inf:
