Count endpoints with an unreadable cold time as cold when their zone returns

An entry whose cold_remaining_ms is negative, above 600 s or no number has an infinite cold time, which counted as a statement that the endpoint is warm when its zone was taken back. It says nothing: the endpoint counts as cold for cold_start_s, as one without the field. pytest tests/test_cold_endpoints.py -k zone_taken before: 1 failed, 2 passed; now 3 passed.

--- a/laurelwind/coordination/cold/endpoints.py
+++ b/laurelwind/coordination/cold/endpoints.py
@@ -204,7 +204,10 @@
         :param endpoint: the endpoint.
         """
         rates = self.find_rates(endpoint.service)
-        if rates is None or endpoint.cold_s is not None:
+        cold_s = endpoint.cold_s
+        # An infinite time stands for one that could not be read.
+        is_stated = cold_s is not None and math.isfinite(cold_s)
+        if rates is None or is_stated:
             return
         now = self._dependencies.clock()
         self.apply(
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -251,6 +251,20 @@
     assert not harness.is_cold
 
 
+@pytest.mark.parametrize(
+    ('cold_s', 'is_cold'), [(0.0, False), (None, True), (math.inf, True)]
+)
+def test_a_zone_taken_back_is_warm_if_its_entries_say_so(
+    clock, cold_s, is_cold
+):
+    """Guards against an unreadable cold time that counted as none."""
+    harness = Harness(clock)
+    harness.report(max_age_s=math.inf, cold_s=cold_s)
+    clock.now += SERVICE.cold_start_s + 1
+    harness.cold.record_return(harness.record)
+    assert harness.is_cold == is_cold
+
+
 def test_a_new_outage_replaces_one_that_is_over(clock):
     harness = Harness(clock)
     harness.fail()
