Hide members that only a restored store lists where a setting asks for it

Since a member that had left and that a restored store lists again was not named to callers for 5 s, on every deployment. The bound on entries of instances that are gone asks for the change, and only some deployments have it: it is the setting bounds.contact_s now, filled from the deployment's bounds.contact_ms where there is one. Members are hidden for as long + 1 s. Without it they are named as the store lists them.

--- a/laurelwind/coordination/members.py
+++ b/laurelwind/coordination/members.py
@@ -66,6 +66,8 @@
     :param local_instance: member record of the local daemon.
     :param dependencies: collaborators.
     :param clock: returns the current time of the copy's clock, in seconds.
+    :param contact_s: lifetime of memberships in seconds, for which members that
+        only a restored store lists are hidden; zero if they are not.
     :ivar members: all daemons, ordered by name; includes the local one.
     :ivar listed: the daemons that the group lists, ordered by name; without the
         local one if its membership has lapsed.
@@ -82,11 +84,12 @@
         local_instance: ListedInstance,
         dependencies: MembershipDependencies,
         clock: Callable[[], float],
+        contact_s: float = 0,
     ) -> None:
         self.members: tuple[ListedInstance, ...] = (local_instance,)
         self.listed: tuple[ListedInstance, ...] = (local_instance,)
         self.ordered: tuple[ListedInstance, ...] = (local_instance,)
-        self.departures = RestoredMembers(clock=clock)
+        self.departures = RestoredMembers(contact_s=contact_s, clock=clock)
         self.first_read = anyio.Event()
         self._local_instance = local_instance
         self._dependencies = dependencies
--- a/laurelwind/coordination/topics/restored_members.py
+++ b/laurelwind/coordination/topics/restored_members.py
@@ -5,9 +5,10 @@
 
 from laurelwind.state.leases import NEVER, read_boot_clock
 
-# Seconds after a restore for which a member that had left before it is not
-# named to callers: the lifetime of memberships, and the time to read the list.
-HIDE_S: Final = 5.0
+# Seconds, on top of the lifetime of memberships, after a restore for which a
+# member that had left before it is not named to callers: the time to read the
+# list.
+READ_S: Final = 1.0
 # Members that left and are remembered; the newest count.
 MAX_DEPARTED: Final = 1024
 
@@ -17,10 +18,18 @@
 
     Those that are alive renew their memberships, and the others expire.
 
+    :param contact_s: lifetime of memberships in seconds; zero if no member is
+        ever hidden.
     :param clock: clock in seconds that also advances during suspend.
     """
 
-    def __init__(self, *, clock: Callable[[], float] = read_boot_clock) -> None:
+    def __init__(
+        self,
+        *,
+        contact_s: float = 0,
+        clock: Callable[[], float] = read_boot_clock,
+    ) -> None:
+        self._hide_s = contact_s + READ_S if contact_s else 0
         self._clock = clock
         self._era: int | None = None
         self._restored_at = NEVER
@@ -38,7 +47,7 @@
         if self._era is not None and era > self._era:
             self._restored_at = now
         self._era = era
-        hidden_until = self._restored_at + HIDE_S
+        hidden_until = self._restored_at + self._hide_s
         for name in names - self._names:
             if name in self._departed and hidden_until > now:
                 self._hidden[name] = hidden_until
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -117,6 +117,7 @@
             ),
             budgets=self._budgets,
             log=self.log,
+            contact_s=bounds.contact_s or 0,
         )
         self.copies = tracking.copies
         self.membership = tracking.membership
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -70,6 +70,8 @@
     :ivar retry_window_s: length of the window in seconds.
     :ivar exposure_share: largest share of a service's requests that a bad
         version may receive during a roll-out.
+    :ivar contact_s: lifetime of a daemon's membership; without it or at zero,
+        members that only a restored store lists are named to callers at once.
     :ivar evacuate_s: seconds after which the endpoints of an evacuated zone get
         no more requests; without it or at zero, evacuations are ignored.
     :ivar cold_overage: factor of the rate at which cold endpoints take requests
@@ -87,6 +89,7 @@
     retry_extra: float = 20.0
     retry_window_s: float = 10.0
     exposure_share: float = 0.1
+    contact_s: float | None = None
     evacuate_s: float | None = None
     cold_overage: float | None = None
     cold_tolerance: float | None = None
@@ -182,6 +185,7 @@
         'bounds.retry_share': bounds.retry_share,
         'bounds.retry_extra': bounds.retry_extra,
         'bounds.exposure_share': bounds.exposure_share,
+        'bounds.contact_s': bounds.contact_s or 0,
         'bounds.evacuate_s': bounds.evacuate_s or 0,
         'bounds.cold_overage': bounds.cold_overage or 0,
         'bounds.cold_tolerance': bounds.cold_tolerance or 0,
--- a/laurelwind/relay_tracking.py
+++ b/laurelwind/relay_tracking.py
@@ -92,6 +92,7 @@
     state: TrackedState,
     budgets: TopicBudgets,
     log: DecisionLog,
+    contact_s: float = 0,
 ) -> FleetTracking:
     """Build the components that keep the state in sync.
 
@@ -101,6 +102,7 @@
     :param state: the state.
     :param budgets: budget for the age of each topic.
     :param log: the decision log.
+    :param contact_s: lifetime of memberships in seconds; zero if unknown.
     """
     clock = state.lease.read_clock
     copies = build_topic_copies(budgets, clock)
@@ -126,6 +128,7 @@
             log=log,
         ),
         clock=clock,
+        contact_s=contact_s,
     )
     evacuations = Evacuations(
         dependencies=EvacuationDependencies(
--- a/tests/emulated_fleet.py
+++ b/tests/emulated_fleet.py
@@ -326,6 +326,7 @@
             ),
             budgets=self.budgets,
             log=log,
+            contact_s=MEMBER_TTL_MS / 1000,
         )
         self.copies = tracking.copies
         self.membership = tracking.membership
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -91,6 +91,7 @@
 def test_the_template_gives_settings_with_and_without_facts(has_facts):
     """Guards against fields of one deployment that break another."""
     facts = {
+        'bounds.contact_ms': 4000,
         'bounds.evacuate_ms': 5000,
         'bounds.cold_overage': 1.5,
         'bounds.cold_tolerance': 5,
@@ -101,8 +102,10 @@
     if not has_facts:
         assert not settings['regions']
         assert 'evacuate_s' not in settings['bounds']
+        assert 'contact_s' not in settings['bounds']
         return
     assert settings['regions'] == facts['zones']
     assert settings['bounds']['evacuate_s'] == 5
+    assert settings['bounds']['contact_s'] == 4
     assert settings['bounds']['cold_overage'] == 1.5
     assert settings['bounds']['cold_tolerance'] == 5
