--- a/laurelwind/protocol/cold.py
+++ b/laurelwind/protocol/cold.py
@@ -11,10 +11,13 @@
 
 import orjson
 
+from laurelwind.protocol.datagrams import (
+    decode_age,
+    decode_integer,
+    pack_rows,
+)
 from laurelwind.state.cold_endpoints import ColdStatement
 
-# Size of a datagram in bytes; it stays within the smallest MTU.
-MAX_DATAGRAM_BYTES: Final = 1200
 # Longest name in a datagram.
 MAX_NAME_LENGTH: Final = 64
 # Longest cold time that a statement may leave, in seconds.
@@ -31,19 +34,18 @@
     :param statements: names of endpoints and their statements.
     :param now: the current moment, on the monotonic clock.
     """
-    rows: list[list[Any]] = []
-    size = 0
-    for name, statement in statements:
-        row = [name, encode_statement(statement, now)]
-        row_size = len(orjson.dumps(row)) + 1
-        if rows and size + row_size > MAX_DATAGRAM_BYTES:
-            yield orjson.dumps({_COLD: rows})
-            rows = []
-            size = 0
-        rows.append(row)
-        size += row_size
-    if rows:
-        yield orjson.dumps({_COLD: rows})
+    return pack_rows(
+        _COLD,
+        (
+            [name, encode_statement(statement, now)]
+            for name, statement in statements
+        ),
+    )
+
+
+def encode_sign() -> bytes:
+    """Encode a sign of life: a datagram without statements."""
+    return orjson.dumps({_COLD: []})
 
 
 def decode_cold(
@@ -90,8 +92,8 @@
     since, reached_at, until = (_decode_moment(time, now) for time in times)
     return _check(
         ColdStatement(
-            started_ms=int(started_ms),
-            sequence=int(sequence),
+            started_ms=decode_integer(started_ms),
+            sequence=decode_integer(sequence),
             rate=float(rate),
             since=since,
             reached_at=reached_at,
@@ -122,7 +124,4 @@
 def _decode_moment(time_ms: Any, now: float) -> float:
     if time_ms is None:
         return math.inf
-    moment = now + float(time_ms) / _MS_PER_S
-    if not math.isfinite(moment):
-        raise ValueError
-    return moment
+    return now + decode_age(time_ms) / _MS_PER_S
--- a/laurelwind/protocol/permits.py
+++ b/laurelwind/protocol/permits.py
@@ -14,11 +14,14 @@
 from attrs import frozen
 
 from laurelwind.protocol.cold import decode_statement, encode_statement
+from laurelwind.protocol.datagrams import (
+    decode_age,
+    decode_integer,
+    pack_rows,
+)
 from laurelwind.state.cold_endpoints import ColdStatement
 from laurelwind.state.rate_limits import EndpointProcess, LimitStatement
 
-# Size of a datagram in bytes; it stays within the smallest MTU.
-MAX_DATAGRAM_BYTES: Final = 1200
 # Longest name in a datagram.
 MAX_NAME_LENGTH: Final = 64
 _ASK: Final = 'permit_ask'
@@ -139,19 +142,13 @@
     :param limits: endpoints and their statements.
     :param now: the current moment, on the monotonic clock.
     """
-    rows: list[list[Any]] = []
-    size = 0
-    for process, statement in limits:
-        row = [*process, _encode_statement(statement, now)]
-        row_size = len(orjson.dumps(row)) + 1
-        if rows and size + row_size > MAX_DATAGRAM_BYTES:
-            yield orjson.dumps({_LIMITS: rows})
-            rows = []
-            size = 0
-        rows.append(row)
-        size += row_size
-    if rows:
-        yield orjson.dumps({_LIMITS: rows})
+    return pack_rows(
+        _LIMITS,
+        (
+            [*process, _encode_statement(statement, now)]
+            for process, statement in limits
+        ),
+    )
 
 
 def decode_limits(
@@ -174,7 +171,7 @@
     fields, cold = _split_cold(row, now)
     (number, asker), (name, started_ms, zone), max_wait_s, statement = fields
     return PermitAsk(
-        number=int(number),
+        number=decode_integer(number),
         asker=_decode_name(asker),
         process=_decode_process(name, started_ms),
         zone=_decode_name(zone),
@@ -188,7 +185,7 @@
     fields, cold = _split_cold(row, now)
     number, process, (is_granted, wait_s, retry_s), statement = fields
     return PermitAnswer(
-        number=int(number),
+        number=decode_integer(number),
         process=_decode_process(*process),
         is_granted=bool(is_granted),
         wait_s=_decode_seconds(wait_s),
@@ -203,7 +200,7 @@
 def _decode_return(row: Any, _now: float) -> PermitReturn:
     number, asker, name, started_ms = row
     return PermitReturn(
-        number=int(number),
+        number=decode_integer(number),
         asker=_decode_name(asker),
         process=_decode_process(name, started_ms),
     )
@@ -233,12 +230,10 @@
     rate, sent_ms, stated_ms, limited_ms = fields
     return LimitStatement(
         rate=None if rate is None else _decode_seconds(rate),
-        sent_at=now - _decode_seconds(sent_ms) / _MS_PER_S,
-        stated_at=now - _decode_seconds(stated_ms) / _MS_PER_S,
+        sent_at=_decode_moment(sent_ms, now),
+        stated_at=_decode_moment(stated_ms, now),
         limited_at=(
-            math.inf
-            if limited_ms is None
-            else now - _decode_seconds(limited_ms) / _MS_PER_S
+            math.inf if limited_ms is None else _decode_moment(limited_ms, now)
         ),
     )
 
@@ -253,7 +248,7 @@
 
 
 def _decode_process(name: Any, started_ms: Any) -> EndpointProcess:
-    return _decode_name(name), int(started_ms)
+    return _decode_name(name), decode_integer(started_ms)
 
 
 def _decode_name(name: Any) -> str:
@@ -262,6 +257,10 @@
     return name
 
 
+def _decode_moment(age_ms: Any, now: float) -> float:
+    return now - decode_age(_decode_seconds(age_ms)) / _MS_PER_S
+
+
 def _decode_seconds(number: Any) -> float:
     seconds = float(number)
     if not 0 <= seconds < math.inf:
--- a/laurelwind/relay_permits.py
+++ b/laurelwind/relay_permits.py
@@ -13,7 +13,11 @@
 from laurelwind.coordination.limits.permit_asks import PermitAsks
 from laurelwind.coordination.load.report_gossip import ReportGossip
 from laurelwind.protocol.platform import ListedInstance
-from laurelwind.relay_cold import build_cold_access, build_cold_endpoints
+from laurelwind.relay_cold import (
+    build_cold_access,
+    build_cold_endpoints,
+    build_gossip_dependencies,
+)
 
 if TYPE_CHECKING:
     from laurelwind.relay_daemon import RelayDaemon
@@ -26,6 +30,8 @@
     """
     cold = build_cold_endpoints(daemon)
     limits = EndpointLimits(log=daemon.log, cold=cold)
+    access = build_cold_access(daemon, cold)
+    contact = access.gossip.contact
 
     def handle_change(event: LimitEvent) -> None:
         if event.statement.rate is None:
@@ -35,18 +41,19 @@
     return EndpointPermits(
         limits=limits,
         gossip=LimitGossip(
-            limits=limits,
-            channel=daemon.datagrams,
-            list_peers=daemon.list_peers,
+            limits=limits, dependencies=build_gossip_dependencies(daemon)
         ),
         asks=PermitAsks(
             limits=limits,
-            holders=HolderChoice(list_members=lambda: _list_holders(daemon)),
+            holders=HolderChoice(
+                list_members=lambda: _list_holders(daemon),
+                is_cut_off=lambda: contact.is_cut_off,
+            ),
             channel=daemon.datagrams,
             local_address=daemon.settings.listen.peers,
         ),
         count=lambda outcome: daemon.metrics.permits.labels(outcome).inc(),
-        cold=build_cold_access(daemon, cold),
+        cold=access,
         log=daemon.log,
     )
 
