Place requests by the queues and paces that endpoints report

A daemon estimated the queue of an endpoint by hints of single requests, which reach the daemons of one zone only. Requests count as waiting until their first token, so that the report itself tells of the queue: it is now the reported number times the usual time to read a prompt.

--- a/laurelwind/coordination/load/service_loads.py
+++ b/laurelwind/coordination/load/service_loads.py
@@ -50,6 +50,7 @@
     :ivar prefill_ratio: seconds to read a prompt, relative to the estimate.
     :ivar usual_slowdown: slowdown of its endpoints, on average.
     :ivar usual_requests: requests at one of its endpoints, on average.
+    :ivar usual_prefill_s: seconds to read the prompt of a request, on average.
     :ivar paced_at: moment of the last report of a pace, or minus infinity.
     :ivar used_at: moment of the last request.
     """
@@ -61,6 +62,7 @@
     prefill_ratio: float = 1.0
     usual_slowdown: float = 1.0
     usual_requests: float = 0
+    usual_prefill_s: float = 0
     paced_at: float = -math.inf
     used_at: float = 0
     _prefill_ratios: deque[float] = field(
@@ -84,6 +86,14 @@
         self.usual_slowdown += (slowdown - self.usual_slowdown) * USUAL_WEIGHT
         self.usual_requests += (requests - self.usual_requests) * USUAL_WEIGHT
 
+    def record_prompt(self, prefill_s: float) -> None:
+        """Apply the prompt of a request that this daemon sends.
+
+        :param prefill_s: seconds to read it, at the usual pace.
+        """
+        before_s = self.usual_prefill_s or prefill_s
+        self.usual_prefill_s = before_s + (prefill_s - before_s) * USUAL_WEIGHT
+
     def record_first_event(self, waited_s: float, prefill_s: float) -> None:
         """Learn from a first event how long prompts take to read.
 
--- a/laurelwind/coordination/scheduling/load_observations.py
+++ b/laurelwind/coordination/scheduling/load_observations.py
@@ -65,6 +65,7 @@
             slowdown=slowdown,
             sent_at=now,
         )
+        load.record_prompt(reservation.prefill_s)
         state.in_flight += 1
         state.held_tokens += reservation.tokens
         state.arrivals.add(now, reservation.tokens, is_local=True)
--- a/laurelwind/coordination/scheduling/paced_placement.py
+++ b/laurelwind/coordination/scheduling/paced_placement.py
@@ -199,7 +199,7 @@
         running=max(requests - waiting, 0),
         waiting=waiting,
         slots=slots,
-        queued_s=state.estimate_queue_delay(now),
+        queued_s=_estimate_queue(candidate, request, slowdown),
         hold_s=request.get_batch(candidate).hold_s * slowdown,
         event_s=_estimate_event(candidate, request, requests),
         slowdown=slowdown,
@@ -227,6 +227,23 @@
     return max(requests, requests * known + usual * (1 - known))
 
 
+def _estimate_queue(
+    candidate: Candidate, request: PacedRequest, slowdown: float
+) -> float:
+    """Estimate the seconds until the prompts queued at an endpoint are read.
+
+    Requests count as waiting until their first token, so that those which wait
+    by the report have prompts to be read. Hints tell of few of them.
+    """
+    state = candidate.state
+    queue_s = state.estimate_queue_delay(request.now)
+    report = state.get_report(request.now)
+    if report is None:
+        return queue_s
+    reported_s = report.waiting * request.load.usual_prefill_s * slowdown
+    return max(queue_s, reported_s - (request.now - state.reported_at))
+
+
 def _estimate_slowdown(candidate: Candidate, request: PacedRequest) -> float:
     """Estimate the slowdown, that of the service before the first report."""
     pace = candidate.state.pace
--- a/tests/test_uneven_endpoints.py
+++ b/tests/test_uneven_endpoints.py
@@ -310,3 +310,17 @@
     )
     assert unknown.occupancy > 0.9 * known.occupancy
     assert unknown.slowdown > 1.1
+
+
+def test_requests_that_wait_delay_a_further_one(clock):
+    """A queue of prompts was unknown unless hints told of each of them."""
+    placer = Placement(zone='a', by_forecast=True)
+    teach(placer, clock, endpoints=ENDPOINTS[:1])
+    traits = build_traits(prefill_s=0.5)
+    for _ in range(3):
+        sent = placer.record_request(ENDPOINTS[0], 0.5, traits)
+        placer.record_attempt_end(ENDPOINTS[0], sent.reservation)
+    clock.now += 3
+    report(placer, ENDPOINTS[0], waiting=4)
+    forecast = placer.forecast_at(ENDPOINTS[0], traits)
+    assert forecast.start_s == pytest.approx(2, rel=0.3)
