Keep the bounds on connections within few descriptors

With 64 descriptors callers got 32, endpoints 16, and 32 were reserved: 80 in all. The bound on callers now shrinks where the other two need the rest, below 96. Nothing changes from 96 on. Ruled out: a smaller reserve, as the listeners, the store and other daemons need it.

Failing before: tests/test_caller_limits.py::test_the_limits_follow_from_the_size_of_the_instance (48 + 32 <= 64 does not hold).

--- a/laurelwind/transport/limits/machine.py
+++ b/laurelwind/transport/limits/machine.py
@@ -52,11 +52,13 @@
     memory_mb = memory_mb or _read_memory_mb()
     max_fds = max_fds or _read_max_fds()
     held_bytes = max(int(memory_mb * HELD_SHARE * BYTES_PER_MB), MIN_HELD_BYTES)
+    reserved = max(int(max_fds * RESERVED_SHARE), MIN_RESERVED)
     connections = min(
-        int(max_fds * CONNECTION_SHARE), held_bytes // CONNECTION_BYTES
+        int(max_fds * CONNECTION_SHARE),
+        max_fds - reserved - _MIN_CONNECTIONS,
+        held_bytes // CONNECTION_BYTES,
     )
     connections = min(max(connections, _MIN_CONNECTIONS), MAX_CONNECTIONS)
-    reserved = max(int(max_fds * RESERVED_SHARE), MIN_RESERVED)
     endpoint_connections = int(max_fds * (1 - CONNECTION_SHARE)) - reserved
     return MachineLimits(
         held_bytes=held_bytes,
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -363,8 +363,10 @@
     assert limits == MachineLimits(
         held_bytes=50_331_648, connections=512, endpoint_connections=384
     )
-    small = derive_limits(128, 128)
-    assert small.connections + small.endpoint_connections <= 96
+    for max_fds in (64, 80, 96, 128):
+        small = derive_limits(128, max_fds)
+        taken = small.connections + small.endpoint_connections
+        assert taken + machine.MIN_RESERVED <= max_fds
     assert derive_limits(128, 10**6).connections == 1536
     monkeypatch.setattr(machine, 'read_memory_bytes', lambda: None)
     assert derive_limits().held_bytes == limits.held_bytes
