Give connections that become idle to the requests that wait

At the bound on connections to endpoints a request waits for one that is closed. An answer that ended meanwhile left its connection idle and open, so that the request was refused after 0.6 s beside it. While a request waits, connections are now closed and not kept. Ruled out: handing the connection over, which fits only requests for the same endpoint; a loss of a slot by requests that are cancelled as it is granted, which a test now covers and which did not occur.

Failing before: tests/test_endpoint_connections.py::test_a_connection_that_becomes_idle_makes_room. Passed after it: tests/test_endpoint_connections.py, test_connection.py, test_connection_reuse.py, test_idle_connections.py.

--- a/laurelwind/transport/endpoint_connections.py
+++ b/laurelwind/transport/endpoint_connections.py
@@ -49,12 +49,18 @@
         self._free = anyio.Semaphore(limit)
         self._idle = idle
         self._end_unread = end_unread
+        self._waiting = 0
 
     @property
     def open_count(self) -> int:
         """Number of connections that are open or being opened."""
         return self._limit - self._free.value
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether a request waits, so that none should be kept idle."""
+        return self._waiting > 0
+
     async def open(self, address: str) -> Connection:
         """Open a connection.
 
@@ -62,7 +68,10 @@
         :raises ConnectionLimitError: if the limit allows none in time.
         :raises EndpointError: if the endpoint accepts none in time.
         """
-        await self._acquire()
+        if self._free.value:
+            self._free.acquire_nowait()
+        else:
+            await self._wait_for_free()
         try:
             connection = await Connection.open(address)
         except BaseException:
@@ -71,17 +80,14 @@
         connection.record_close = self._free.release
         return connection
 
-    async def _acquire(self) -> None:
-        if not self._free.value:
-            await self._idle.close_oldest()
-        try:
-            self._free.acquire_nowait()
-        except anyio.WouldBlock:
-            self._end_unread(MAX_UNREAD_S)
-        else:
-            return
+    async def _wait_for_free(self) -> None:
+        # From here on a connection that becomes idle is closed for the request.
+        self._waiting += 1
         try:
             with anyio.fail_after(MAX_WAIT_S):
+                await self._idle.close_oldest()
+                if not self._free.value:
+                    self._end_unread(MAX_UNREAD_S)
                 await self._free.acquire()
         except TimeoutError:
             raise ConnectionLimitError(
@@ -89,3 +95,5 @@
                 f'all {self._limit} connections to endpoints are in use',
                 run=RunState.NOT_RUN,
             ) from None
+        finally:
+            self._waiting -= 1
--- a/laurelwind/transport/gateway.py
+++ b/laurelwind/transport/gateway.py
@@ -68,7 +68,7 @@
         head = self._write_head(request, dispatch)
         kept = await self._acquire_connection(request, dispatch)
         if not dispatch.accepts_requests():
-            await self.idle.add(dispatch.address, kept)
+            await self._release(dispatch.address, kept)
             raise EndpointPausedError(
                 ErrorKind.ENDPOINT_FAILED,
                 'the endpoint stopped accepting requests before this one was '
@@ -89,7 +89,7 @@
         return _HttpExchange(
             kept=kept,
             codec=self._codec,
-            release=functools.partial(self.idle.add, dispatch.address, kept),
+            release=functools.partial(self._release, dispatch.address, kept),
         )
 
     async def close(self) -> None:
@@ -114,6 +114,12 @@
             connection=await self.connections.open(dispatch.address)
         )
 
+    async def _release(self, address: str, kept: KeptConnection) -> None:
+        if self.connections.is_awaited:
+            await kept.connection.close()
+        else:
+            await self.idle.add(address, kept)
+
     def _write_head(self, request: RelayRequest, dispatch: Dispatch) -> bytes:
         lines = [b'%s %s HTTP/1.1' % (request.method.encode(), request.target)]
         lines.extend(
--- a/tests/test_endpoint_connections.py
+++ b/tests/test_endpoint_connections.py
@@ -13,13 +13,16 @@
     ErrorKind,
     RunState,
 )
+from laurelwind.protocol.headers import HeaderNames, NamedHeaderCodec
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.transport import endpoint_connections
 from laurelwind.transport.endpoint_connections import EndpointConnections
+from laurelwind.transport.gateway import HttpGateway
 from laurelwind.transport.idle_connections import (
     IdleConnections,
     KeptConnection,
 )
+from tests.helpers import wait_until
 from tests.relay_helpers import (
     EndpointScript,
     FakeGateway,
@@ -27,6 +30,7 @@
     build_broken_error,
     build_request,
 )
+from tests.test_connection import build_answer, run_with_endpoint
 
 pytestmark = pytest.mark.anyio
 
@@ -94,6 +98,51 @@
             await connection.close()
 
 
+async def test_a_connection_that_becomes_idle_makes_room():
+    """A request that waited was refused beside a connection that was idle."""
+
+    async def check(fixture):
+        fixture.gateway = HttpGateway(
+            codec=NamedHeaderCodec(names=HeaderNames()), limit=1
+        )
+        async with anyio.create_task_group() as group:
+            for request_id in ('r1', 'r2', 'r3'):
+                group.start_soon(fixture.send_request, request_id)
+        assert fixture.gateway.connections.open_count == 1
+        assert fixture.gateway.idle.count == 1
+
+    answers = [build_answer(name) for name in (b'r1', b'r2', b'r3')]
+    await run_with_endpoint([(answer, False) for answer in answers], check)
+
+
+@pytest.mark.parametrize('is_cancelled', [False, True])
+async def test_a_request_that_gives_up_leaves_its_place(
+    monkeypatch, is_cancelled
+):
+    """A slot that is granted as its request ends must not be lost."""
+    monkeypatch.setattr(endpoint_connections, 'MAX_WAIT_S', 0.05)
+    async with run_connections() as (connections, address):
+        opened = [await connections.open(address) for _ in range(LIMIT)]
+        async with anyio.create_task_group() as group:
+
+            async def wait_and_give_up():
+                with pytest.raises(ConnectionLimitError):
+                    await connections.open(address)
+
+            for _ in range(LIMIT):
+                group.start_soon(wait_and_give_up)
+            await wait_until(lambda: connections.is_awaited)
+            if is_cancelled:
+                for connection in opened:
+                    connection.record_close()
+                    connection.record_close = lambda: None
+                group.cancel_scope.cancel()
+        assert not connections.is_awaited
+        for connection in opened:
+            await connection.close()
+        assert connections.open_count == 0
+
+
 async def test_an_unread_answer_makes_room():
     """Callers that read nothing kept all others from being served."""
     async with (
