End only unread answers that hold a connection to an endpoint

At the bound on connections to endpoints the answer that was unread for longest was ended on any listener: also a topic that another daemon reads slowly, or a page of metrics. Those hold no connection to an endpoint, so that nothing was freed and the request was refused. The policy of the callers' listener now says that its requests take one.

Failing before: tests/test_endpoint_connections.py::test_only_answers_that_use_an_endpoint_are_ended.

--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -241,7 +241,12 @@
             account=self.callers,
         )
         for address, application in applications.items():
-            server = HttpServer(address=address, policy=policy)
+            server = HttpServer(
+                address=address,
+                policy=evolve(
+                    policy, uses_endpoints=application is self.application
+                ),
+            )
             self._servers.append(server)
             await server.start(group, application)
         self.log.log_warning('started', zone=self.settings.daemon.zone)
--- a/laurelwind/transport/limits/account.py
+++ b/laurelwind/transport/limits/account.py
@@ -45,7 +45,7 @@
     @property
     @abc.abstractmethod
     def is_unread(self) -> bool:
-        """Whether its answer waits until the caller reads."""
+        """Whether its caller does not read, and so keeps an endpoint busy."""
 
     @abc.abstractmethod
     def count_held_bytes(self) -> int:
--- a/laurelwind/transport/timed_protocol.py
+++ b/laurelwind/transport/timed_protocol.py
@@ -51,11 +51,14 @@
     :ivar record_timeout: called when a time-out closes a connection, or
         ``None``.
     :ivar account: bounds what all connections of the process take together.
+    :ivar uses_endpoints: whether each request takes a connection to an
+        endpoint, which an unread answer keeps.
     """
 
     read_limits: Callable[[], ConnectionLimits] = ConnectionLimits
     record_timeout: Callable[[TimeoutKind], None] | None = None
     account: CallerAccount = field(factory=CallerAccount)
+    uses_endpoints: bool = False
 
 
 def limit_head_times(
@@ -90,6 +93,11 @@
         """Account of all connections; see :class:`BoundedProtocol`."""
         return self.policy.account
 
+    @property
+    def is_unread(self) -> bool:
+        """Whether an answer is unread; see :class:`HeldConnection`."""
+        return self.policy.uses_endpoints and super().is_unread
+
     def read_head_limit(self) -> int:
         """Return the maximum size of a head; see :class:`BoundedProtocol`."""
         return self.policy.read_limits().header_bytes
--- a/tests/test_endpoint_connections.py
+++ b/tests/test_endpoint_connections.py
@@ -22,6 +22,9 @@
     IdleConnections,
     KeptConnection,
 )
+from laurelwind.transport.limits.account import CallerAccount
+from laurelwind.transport.server import HttpServer
+from laurelwind.transport.timed_protocol import ConnectionPolicy
 from tests.helpers import wait_until
 from tests.relay_helpers import (
     EndpointScript,
@@ -143,6 +146,31 @@
         assert connections.open_count == 0
 
 
+async def send_much(scope, receive, send):
+    await send({'type': 'http.response.start', 'status': 200, 'headers': []})
+    body = {'type': 'http.response.body', 'body': bytes(10**6)}
+    for _ in range(100):
+        await send({**body, 'more_body': True})
+
+
+@pytest.mark.parametrize('uses_endpoints', [False, True])
+async def test_only_answers_that_use_an_endpoint_are_ended(uses_endpoints):
+    """A daemon that read a topic slowly was cut, which freed nothing."""
+    account = CallerAccount()
+    server = HttpServer(
+        address='127.0.0.1:0',
+        policy=ConnectionPolicy(account=account, uses_endpoints=uses_endpoints),
+    )
+    async with anyio.create_task_group() as group:
+        await server.start(group, send_much)
+        host, _, port = server.address.rpartition(':')
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+            await wait_until(lambda: account.total_bytes)
+            assert account.end_unread(0) is uses_endpoints
+        group.cancel_scope.cancel()
+
+
 async def test_an_unread_answer_makes_room():
     """Callers that read nothing kept all others from being served."""
     async with (
