Spread the times at which refused callers return

Requests refused while they arrive, as memory or descriptors are short, were all told to return after 1 s, so that a crowd that was refused together came back together. Each refusal now draws its Retry-After like the other refusals (0.5 to 1.1 s, two digits). Ruled out: a draw at import, which gives all refusals of a process one time; whole seconds, which do not spread within that range.

Failing before: tests/test_caller_limits.py::test_callers_refused_together_return_at_different_times (five refusals, one time). Passed after it: tests/test_caller_limits.py.

--- a/laurelwind/transport/limits/accounted_protocol.py
+++ b/laurelwind/transport/limits/accounted_protocol.py
@@ -11,7 +11,7 @@
 )
 from laurelwind.transport.limits.incoming_request import IncomingRequest, Phase
 from laurelwind.transport.limits.read_gate import ReadGate
-from laurelwind.transport.limits.refusals import REFUSALS
+from laurelwind.transport.limits.refusals import encode_refusal
 from laurelwind.transport.request_framing import FramedProtocol
 
 # Bytes that one read takes from a socket; asyncio's default is 262,144.
@@ -142,7 +142,7 @@
         self.account.remove(self)
         self.unparsed = b''
         if self._may_refuse and not is_closing:
-            self.transport.write(REFUSALS[reason])
+            self.transport.write(encode_refusal(reason))
         if self.cycle is not None:
             self.cycle.disconnected = True
             self.cycle.message_event.set()
--- a/laurelwind/transport/limits/refusals.py
+++ b/laurelwind/transport/limits/refusals.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from typing import Final
 
+from laurelwind.coordination.retries import draw_retry_after
 from laurelwind.transport.limits.account import EndReason
 
 
@@ -17,13 +18,26 @@
     return '\r\n'.join((*lines, '', '')).encode()
 
 
-_BUSY: Final = _encode(HTTPStatus.SERVICE_UNAVAILABLE, 'retry-after: 1')
-# A request that is refused here is incomplete, so that it has not run.
-REFUSALS: Final[Mapping[EndReason, bytes]] = {
+_SHORTAGES: Final = frozenset((EndReason.MEMORY, EndReason.CONNECTIONS))
+_REFUSALS: Final[Mapping[EndReason, bytes]] = {
     EndReason.HEAD: _encode(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE),
     EndReason.BLANK_LINES: b'',
     EndReason.FRAMING: _encode(HTTPStatus.REQUEST_ENTITY_TOO_LARGE),
-    EndReason.MEMORY: _BUSY,
-    EndReason.CONNECTIONS: _BUSY,
     EndReason.UNREAD: b'',
 }
+
+
+def encode_refusal(reason: EndReason) -> bytes:
+    """Encode the answer to a request that is refused.
+
+    The request is incomplete, so that it has not run. Callers that are refused
+    together, as something is short, get different times at which to return.
+
+    :param reason: limit at which its connection is ended.
+    """
+    if reason not in _SHORTAGES:
+        return _REFUSALS[reason]
+    return _encode(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        f'retry-after: {draw_retry_after():.2f}',
+    )
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -7,6 +7,10 @@
 import pytest
 
 from laurelwind.coordination.plain_answers import AnswerBuffers
+from laurelwind.coordination.retries import (
+    MAX_RETRY_AFTER_S,
+    MIN_RETRY_AFTER_S,
+)
 from laurelwind.transport.limits import machine, memory_size
 from laurelwind.transport.limits.account import CallerAccount, EndReason
 from laurelwind.transport.limits.bounded_protocol import (
@@ -272,6 +276,25 @@
         assert served.account.total_bytes == 0
 
 
+async def test_callers_refused_together_return_at_different_times():
+    """Each was told to return after one second, all at once again."""
+    delays = []
+    refused = None
+    async with serve(connections=1) as served, contextlib.AsyncExitStack() as s:
+        for number in range(6):
+            stream = await s.enter_async_context(await served.connect())
+            await stream.send(LINE % number)
+            await wait_until(lambda: served.account.total_bytes)
+            if refused is not None:
+                text = await read_all(refused)
+                delays.append(float(text.partition(b'retry-after: ')[2]))
+            refused = stream
+    assert all(
+        MIN_RETRY_AFTER_S <= delay <= MAX_RETRY_AFTER_S for delay in delays
+    )
+    assert len(set(delays)) > 1
+
+
 async def test_a_request_in_service_is_not_ended_for_another():
     """A refusal promises that the request has not run."""
     head = LINE + b'Content-Length: 300000\r\n\r\n'
