Count answers that are buffered in the bytes held for callers

Answers that had not begun were held within a total of their own, 16 MB on top of the 48 MB that all callers may take on an instance of 128 MB; failures (5xx) beyond any total. Both now count in the account of held bytes. For an answer connections that wait for their callers are ended, as for other bytes; if none is left, it begins with what was read of it. Ruled out: ending connections whose callers wait for an answer.

A failure of which only a part was read, as it is longer than 1 MB, was kept and delivered as a whole answer if the retry failed. It is retried still, and kept only if it is whole.

Failing before: all of tests/test_buffered_answers.py (test_a_part_of_a_failure_is_not_delivered_as_the_whole with the other changes in place). Passed after it: tests/test_buffered_answers.py, test_caller_limits.py, test_relay.py.

--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from attrs import frozen
+from attrs import field, frozen
 
 from laurelwind.coordination.answer_heads import HeadReader, check_head
 from laurelwind.coordination.attempt_timing import AttemptTimings
@@ -66,6 +66,7 @@
     :ivar planner: decides which answers are escalated to a larger model.
     :ivar metrics: latency metrics.
     :ivar log: decision log.
+    :ivar buffers: buffers plain answers before they begin.
     """
 
     selector: EndpointSelector
@@ -78,6 +79,7 @@
     planner: ModelPlanner
     metrics: RelayMetrics
     log: DecisionLog
+    buffers: AnswerBuffers = field(factory=AnswerBuffers)
 
 
 class Delivery:
@@ -89,7 +91,6 @@
 
     def __init__(self, *, dependencies: DeliveryDependencies) -> None:
         self._dependencies = dependencies
-        self._buffers = AnswerBuffers()
         self._timings = AttemptTimings(rollouts=dependencies.rollouts)
         self.heads = HeadReader(
             placement=dependencies.placement, monitor=dependencies.monitor
@@ -156,7 +157,7 @@
         answer: CallerAnswer,
     ) -> bool:
         is_server_error = head.status >= _SERVER_ERROR
-        body, is_whole = await self._buffers.read(
+        body, is_whole = await self._dependencies.buffers.read(
             attempt, needs_whole=is_server_error
         )
         if is_whole:
@@ -168,7 +169,8 @@
         if is_server_error and selector.can_retry(job):
             job.excluded_endpoints.add(attempt.endpoint.name)
             if selector.reserve_retry(job):
-                job.saved_failure = BufferedAnswer(head=head, body=body)
+                if is_whole:
+                    job.saved_failure = BufferedAnswer(head=head, body=body)
                 return False
         job.has_begun = True
         if is_whole:
--- a/laurelwind/coordination/plain_answers.py
+++ b/laurelwind/coordination/plain_answers.py
@@ -1,5 +1,6 @@
 """Bodies of plain answers."""
 
+from collections.abc import Callable
 from typing import Final
 
 from laurelwind.coordination.relay_attempts import Attempt
@@ -13,6 +14,11 @@
 MAX_ALL_BUFFERED_BYTES: Final = 16_777_216
 
 
+def _hold_freely(change_bytes: int) -> bool:
+    """Hold any number of bytes."""
+    return True
+
+
 class AnswerBuffers:
     """Buffers plain answers before they begin, within a total.
 
@@ -20,10 +26,18 @@
     that is too long to be buffered.
 
     :param max_bytes: most bytes of all buffered answers together.
+    :param hold: adds a number of bytes, which may be negative, to what the
+        process holds for callers; returns whether that is within its limit.
     """
 
-    def __init__(self, *, max_bytes: int = MAX_ALL_BUFFERED_BYTES) -> None:
+    def __init__(
+        self,
+        *,
+        max_bytes: int = MAX_ALL_BUFFERED_BYTES,
+        hold: Callable[[int], bool] = _hold_freely,
+    ) -> None:
         self._max_bytes = max_bytes
+        self._hold = hold
         self._held_bytes = 0
 
     async def read(
@@ -32,7 +46,8 @@
         """Read a plain answer, up to the size that is buffered.
 
         :param attempt: the attempt that is answered.
-        :param needs_whole: whether the total may be exceeded.
+        :param needs_whole: whether the total of the answers may be exceeded,
+            though not the limit of the process.
         :returns: what was read, and whether that is the whole answer.
         """
         chunks: list[bytes] = []
@@ -44,13 +59,21 @@
                     return b''.join(chunks), True
                 chunks.append(chunk)
                 size += len(chunk)
-                self._held_bytes += len(chunk)
-                if self._held_bytes > self._max_bytes and not needs_whole:
+                if not self._try_hold(len(chunk), needs_whole=needs_whole):
                     break
         finally:
             self._held_bytes -= size
+            self._hold(-size)
         return b''.join(chunks), False
 
+    def _try_hold(self, size: int, *, needs_whole: bool) -> bool:
+        """Hold some bytes; return whether more of the answer may be read."""
+        self._held_bytes += size
+        is_within = self._hold(size)
+        return is_within and (
+            needs_whole or self._held_bytes <= self._max_bytes
+        )
+
 
 async def relay_remaining(
     attempt: Attempt, body: bytes, answer: CallerAnswer
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -17,6 +17,7 @@
 )
 from laurelwind.coordination.endpoint_notices import EndpointNotices
 from laurelwind.coordination.model_planning import ModelPlanner
+from laurelwind.coordination.plain_answers import AnswerBuffers
 from laurelwind.coordination.relay_attempts import Attempt
 from laurelwind.coordination.relay_jobs import Job
 from laurelwind.coordination.sending import Sender, SenderDependencies
@@ -66,12 +67,16 @@
 
 
 def build_relay(
-    *, dependencies: SenderDependencies, metrics: RelayMetrics
+    *,
+    dependencies: SenderDependencies,
+    metrics: RelayMetrics,
+    buffers: AnswerBuffers | None = None,
 ) -> 'Relay':
     """Build a relay with its sender, delivery and planner.
 
     :param dependencies: collaborators of the sender.
     :param metrics: latency metrics.
+    :param buffers: buffers plain answers before they begin.
     """
     planner = ModelPlanner()
     sender = Sender(dependencies=dependencies)
@@ -98,6 +103,7 @@
             planner=planner,
             metrics=metrics,
             log=dependencies.log,
+            buffers=buffers or AnswerBuffers(),
         )
     )
     return Relay(
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -24,6 +24,7 @@
 from laurelwind.relay_gauges import register_gauges
 from laurelwind.relay_limits import (
     TableLimits,
+    build_answer_buffers,
     build_caller_account,
     build_retry_budget,
 )
@@ -337,6 +338,7 @@
                 start_wait_s=self.settings.admission.start_wait_s,
             ),
             metrics=self.metrics,
+            buffers=build_answer_buffers(self.callers),
         )
 
     def _log_timeout(self, kind: TimeoutKind) -> None:
--- a/laurelwind/relay_limits.py
+++ b/laurelwind/relay_limits.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING, Any
 
 from laurelwind.coordination.members import FleetMembership
+from laurelwind.coordination.plain_answers import AnswerBuffers
 from laurelwind.coordination.scheduling.fleet_retry_budget import (
     FleetRetryBudget,
 )
@@ -79,6 +80,14 @@
     )
 
 
+def build_answer_buffers(account: CallerAccount) -> AnswerBuffers:
+    """Build the buffers of plain answers that have not begun.
+
+    :param account: account of what is held for callers, which counts them.
+    """
+    return AnswerBuffers(hold=account.hold_answer)
+
+
 def build_caller_account(daemon: 'RelayDaemon') -> CallerAccount:
     """Build the account of all connections of callers.
 
--- a/laurelwind/transport/limits/account.py
+++ b/laurelwind/transport/limits/account.py
@@ -122,6 +122,18 @@
         if self.total_bytes > self.limits.held_bytes:
             self._free_memory()
 
+    def hold_answer(self, change_bytes: int) -> bool:
+        """Add bytes of answers that have not begun, and end others for them.
+
+        :param change_bytes: bytes that are held from now on; negative for ones
+            that no longer are.
+        :returns: whether what is held is within the limit.
+        """
+        self.total_bytes += change_bytes
+        if change_bytes > 0 and self.total_bytes > self.limits.held_bytes:
+            self._free_memory()
+        return self.total_bytes <= self.limits.held_bytes
+
     def record(self, reason: EndReason, connection: HeldConnection) -> None:
         """Record that a connection is ended.
 
