--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -24,6 +24,7 @@
 from laurelwind.relay_gauges import register_gauges
 from laurelwind.relay_limits import (
     TableLimits,
+    build_answer_buffers,
     build_caller_account,
     build_retry_budget,
 )
@@ -243,7 +244,12 @@
             account=self.callers,
         )
         for address, application in applications.items():
-            server = HttpServer(address=address, policy=policy)
+            server = HttpServer(
+                address=address,
+                policy=evolve(
+                    policy, uses_endpoints=application is self.application
+                ),
+            )
             self._servers.append(server)
             await server.start(group, application)
         self.log.log_warning('started', zone=self.settings.daemon.zone)
@@ -334,6 +340,7 @@
                 start_wait_s=self.settings.admission.start_wait_s,
             ),
             metrics=self.metrics,
+            buffers=build_answer_buffers(self.callers),
         )
 
     def _log_timeout(self, kind: TimeoutKind) -> None:
