Count no answers that crashing requests broke off for or against versions

Cause: an attempt that broke off counted as a failure of its endpoint's version, whatever caused the crash.

Change: an answer that broke off is withheld for 0.5 s, in which reports of the same crash arrive. It does not count, or counts no more, as soon as a blocked suspect, or for a version on trial a request, was on board that also crashed an endpoint of another version. Counts that shrink are reported to the other daemons.

Ruled out: excusing every crash with a recurring request on board, since requests that are sent again recur on a version that crashes by itself.

--- a/laurelwind/coordination/attempt_timing.py
+++ b/laurelwind/coordination/attempt_timing.py
@@ -1,4 +1,4 @@
-"""Times attempts, as evidence about the version that runs them."""
+"""Records attempts, as evidence about the version that runs them."""
 
 import contextlib
 import functools
@@ -7,6 +7,7 @@
 
 from laurelwind.coordination.relay_attempts import Attempt
 from laurelwind.coordination.relay_jobs import Job
+from laurelwind.coordination.rollouts.evidence import AnswerOutcome
 from laurelwind.coordination.rollouts.latencies import (
     Latency,
     LatencyGroup,
@@ -14,7 +15,11 @@
     OpenAnswers,
 )
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
+from laurelwind.coordination.suspects.explanations import CrashExplanations
+from laurelwind.coordination.suspects.screen import SuspectScreen
 from laurelwind.errors import EndpointSilentError
+from laurelwind.state.directory import EndpointDirectory
+from laurelwind.state.load import read_monotonic_clock
 
 # Events after which the latency of a stream is recorded, whether or not it has
 # ended, and the fewest by which a stream that ended is compared. The latency of
@@ -30,10 +35,21 @@
     under way: the answers of a slow version are the last to end.
 
     :param rollouts: tracks the latencies of versions.
+    :param screen: knows the requests that crash endpoints.
+    :param directory: registered endpoints.
     """
 
-    def __init__(self, *, rollouts: RolloutRegistry) -> None:
+    def __init__(
+        self,
+        *,
+        rollouts: RolloutRegistry,
+        screen: SuspectScreen,
+        directory: EndpointDirectory,
+    ) -> None:
         self._rollouts = rollouts
+        self._explanations = CrashExplanations(
+            screen=screen, directory=directory
+        )
         self._open = OpenAnswers(baselines=rollouts.baselines)
 
     @contextlib.contextmanager
@@ -73,11 +89,35 @@
                 _measure(attempt),
             )
 
-    def take_latency(self, attempt: Attempt) -> Latency | None:
-        """Return the latency of an answer that ends, unless it is recorded.
+    def record_outcome(
+        self, job: Job, attempt: Attempt, *, failed: bool, has_broken: bool
+    ) -> None:
+        """Record the end of an attempt for its version.
 
+        :param job: the request.
         :param attempt: the attempt.
+        :param failed: whether it failed.
+        :param has_broken: whether its connection broke.
         """
+        is_explained = None
+        if has_broken:
+            is_explained = functools.partial(
+                self._explanations.is_explained,
+                attempt.endpoint,
+                read_monotonic_clock(),
+            )
+        self._rollouts.record_outcome(
+            attempt.endpoint,
+            AnswerOutcome(
+                route=job.route.name,
+                comparison_group=attempt.model,
+                failed=failed,
+                latency=self._take_latency(attempt),
+                is_explained=is_explained,
+            ),
+        )
+
+    def _take_latency(self, attempt: Attempt) -> Latency | None:
         if attempt.is_timed:
             return None
         attempt.is_timed = True
--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -19,7 +19,6 @@
 )
 from laurelwind.coordination.relay_attempts import Attempt
 from laurelwind.coordination.relay_jobs import BufferedAnswer, Job
-from laurelwind.coordination.rollouts.evidence import AnswerOutcome
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.selection import EndpointSelector
@@ -90,7 +89,11 @@
     def __init__(self, *, dependencies: DeliveryDependencies) -> None:
         self._dependencies = dependencies
         self._buffers = AnswerBuffers()
-        self._timings = AttemptTimings(rollouts=dependencies.rollouts)
+        self._timings = AttemptTimings(
+            rollouts=dependencies.rollouts,
+            screen=dependencies.screen,
+            directory=dependencies.notices.directory,
+        )
         self.heads = HeadReader(
             placement=dependencies.placement, monitor=dependencies.monitor
         )
@@ -128,22 +131,22 @@
         return await self._relay_buffered(job, attempt, head, answer)
 
     def record_answer(
-        self, job: Job, attempt: Attempt, *, failed: bool
+        self,
+        job: Job,
+        attempt: Attempt,
+        *,
+        failed: bool,
+        has_broken: bool = False,
     ) -> None:
         """Record the outcome of an attempt for its version and endpoint.
 
         :param job: the request.
         :param attempt: the attempt that is answered.
         :param failed: whether the attempt failed.
+        :param has_broken: whether its connection broke.
         """
-        self._dependencies.rollouts.record_outcome(
-            attempt.endpoint,
-            AnswerOutcome(
-                route=job.route.name,
-                comparison_group=attempt.model,
-                failed=failed,
-                latency=self._timings.take_latency(attempt),
-            ),
+        self._timings.record_outcome(
+            job, attempt, failed=failed, has_broken=has_broken
         )
         if not failed:
             self._dependencies.placement.record_success(attempt.endpoint)
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -264,7 +264,12 @@
             # Silence indicates load or a network fault, not a fault of the
             # version.
             if not is_silent:
-                dependencies.delivery.record_answer(job, attempt, failed=True)
+                dependencies.delivery.record_answer(
+                    job,
+                    attempt,
+                    failed=True,
+                    has_broken=isinstance(error, EndpointBrokenError),
+                )
         job.record_failure(
             attempt.endpoint.name,
             is_silent=is_silent,
--- a/laurelwind/coordination/rollouts/answer_records.py
+++ b/laurelwind/coordination/rollouts/answer_records.py
@@ -3,6 +3,10 @@
 from collections.abc import Callable
 from typing import Final
 
+from laurelwind.coordination.rollouts.broken_answers import (
+    BrokenAnswer,
+    BrokenAnswers,
+)
 from laurelwind.coordination.rollouts.evidence import AnswerOutcome
 from laurelwind.coordination.rollouts.latencies import (
     Latency,
@@ -32,6 +36,7 @@
         self._clock = clock
         self._rollouts: dict[str, RolloutProgress] = {}
         self._rejected_versions: dict[str, dict[str, None]] = {}
+        self._broken_answers = BrokenAnswers()
         self._listeners: list[Callable[[], None]] = []
 
     def add_listener(self, listener: Callable[[], None]) -> None:
@@ -66,7 +71,30 @@
                     outcome.latency,
                 )
             )
-        self._count(endpoint, outcome.route, tally)
+        if outcome.is_explained is None or not self.is_undecided(
+            endpoint.service
+        ):
+            self._count(endpoint, outcome.route, tally)
+        else:
+            overdue = self._broken_answers.add(
+                BrokenAnswer(
+                    endpoint=endpoint,
+                    route=outcome.route,
+                    tally=tally,
+                    is_explained=outcome.is_explained,
+                    broke_at=self._clock(),
+                )
+            )
+            if overdue is not None:
+                self._count(overdue.endpoint, overdue.route, overdue.tally)
+        self.review_broken_answers()
+
+    def review_broken_answers(self) -> None:
+        """Count the answers that broke off and that no suspect explains."""
+        for answer, change in self._broken_answers.review(
+            self._clock(), self._is_target_version
+        ):
+            self._count(answer.endpoint, answer.route, change)
 
     def record_latency(
         self, endpoint: EndpointRecord, group: LatencyGroup, latency: Latency
@@ -108,6 +136,8 @@
             return
         if not self._is_target_version(endpoint):
             rollout.record_old_answer(tally)
+            if tally.failures < 0:
+                self._evaluate(endpoint.service, rollout)
             return
         rollout.record_answer(route, tally)
         if tally.bad_answers:
--- a/laurelwind/coordination/rollouts/evidence.py
+++ b/laurelwind/coordination/rollouts/evidence.py
@@ -1,6 +1,7 @@
 """Evidence by which a version is rejected or accepted during a roll-out."""
 
 import math
+from collections.abc import Callable
 from typing import Final
 
 from attrs import frozen
@@ -36,12 +37,16 @@
     :ivar comparison_group: group of comparable answers, such as a model.
     :ivar failed: whether the answer failed.
     :ivar latency: its latency, or ``None`` if that was recorded before.
+    :ivar is_explained: of an answer that broke off, returns whether a request
+        that crashes endpoints explains it; the argument is whether the version
+        is on trial.
     """
 
     route: str
     comparison_group: str = ''
     failed: bool = False
     latency: Latency | None = None
+    is_explained: Callable[[bool], bool] | None = None
 
 
 def should_reject(tally: Tally, old_tally: Tally) -> bool:
--- a/laurelwind/coordination/rollouts/progress.py
+++ b/laurelwind/coordination/rollouts/progress.py
@@ -70,6 +70,7 @@
     _pooled_tallies: dict[str, Tally] = field(factory=dict)
     _pooled_old_tally: Tally = field(factory=Tally)
     _reported_tally: Tally = field(factory=Tally)
+    _reported_old_failures: int = 0
     _reported_at: float = 0
 
     @property
@@ -239,6 +240,7 @@
         if not self._is_report_due(local_tally, is_first_member):
             return None
         self._reported_tally = local_tally
+        self._reported_old_failures = self.old_tally.failures
         self._reported_at = self.clock()
         return RolloutReport(
             target=self.order.target,
@@ -250,7 +252,10 @@
     def _is_report_due(self, local_tally: Tally, is_first_member: bool) -> bool:
         if self.is_settled:
             return False
-        if local_tally.bad_answers > self._reported_tally.bad_answers:
+        if local_tally.bad_answers != self._reported_tally.bad_answers:
+            return True
+        if self.old_tally.failures < self._reported_old_failures:
+            # Answers that crashing requests broke count no more.
             return True
         since_report_s = self.clock() - self._reported_at
         if (
--- a/laurelwind/coordination/rollouts/registry.py
+++ b/laurelwind/coordination/rollouts/registry.py
@@ -117,6 +117,7 @@
         rollout = self._rollouts.get(order.service)
         if rollout is not None and rollout.order == order:
             return
+        self._broken_answers.discard(order.service)
         self._rollouts[order.service] = RolloutProgress(
             order=order, clock=self._clock, ordered_at=self._clock()
         )
@@ -235,6 +236,7 @@
 
         :param rank: index of the local daemon among the members.
         """
+        self.review_broken_answers()
         for service, rollout in self._rollouts.items():
             report = rollout.take_due_report(is_first_member=rank == 0)
             if report is not None:
--- a/laurelwind/coordination/suspects/screen.py
+++ b/laurelwind/coordination/suspects/screen.py
@@ -34,7 +34,8 @@
     :param count_members: returns the number of daemons.
     :ivar updates: notices to spread.
     :ivar abandoned: attempts that were given up without a complete answer.
-    :ivar breaks: the broken connections to each endpoint.
+    :ivar evidence: reports of crashes.
+    :ivar blocked: the suspects that are blocked.
     :ivar watch: attempts to end when their request is blocked.
     """
 
@@ -51,10 +52,9 @@
         self._log = log
         self._clock = clock
         self._count_members = count_members
-        self._evidence = CrashEvidence()
-        self.breaks = self._evidence.breaks
+        self.evidence = CrashEvidence()
         self._service_answers = ServiceAnswers()
-        self._blocked = Blocks()
+        self.blocked = Blocks()
         self._has_unreviewed = anyio.Event()
         self._appliers: Mapping[type, Callable[..., None]] = {
             Block: self._apply_block,
@@ -70,30 +70,30 @@
     def blocks(self) -> Sequence[Block]:
         """The blocks in force."""
         self._end_blocks()
-        return self._blocked.list_all(self._clock())
+        return self.blocked.list_all(self._clock())
 
     def is_blocked(self, keys: SuspectKeys) -> bool:
         """Return whether a request is rejected.
 
         :param keys: its suspects.
         """
-        return self._blocked.find(keys, self._clock()) is not None
+        return self.blocked.find(keys, self._clock()) is not None
 
     def count_crashes(self, request: SuspectKey) -> int:
         """Count the crashes that a request was on board of since its answer.
 
         :param request: the request, in all its repeats.
         """
-        return self._evidence.count_crashes(request)
+        return self.evidence.count_crashes(request)
 
     def reject(self, keys: SuspectKeys) -> bool:
         """Return whether a request is rejected, and count it if so.
 
         :param keys: its suspects.
         """
-        block = self._blocked.find(keys, self._clock())
+        block = self.blocked.find(keys, self._clock())
         if block is not None:
-            self._blocked.count_request(block, self._clock())
+            self.blocked.count_request(block, self._clock())
         return block is not None
 
     def record_break(self, broken: EndpointBreak) -> None:
@@ -101,7 +101,7 @@
 
         :param broken: the connection.
         """
-        if self._evidence.breaks.record(broken):
+        if self.evidence.breaks.record(broken):
             self.updates.add(broken)
         for report in self.abandoned.take(broken):
             self.record_crash(report)
@@ -111,11 +111,11 @@
 
         :param report: report of the attempt.
         """
-        if not self._evidence.add(report):
+        if not self.evidence.add(report):
             return
         self.updates.add(report)
         self._announce_context(report)
-        if self._evidence.is_proved_before(report):
+        if self.evidence.is_proved_before(report):
             self.review()
         else:
             self._has_unreviewed.set()
@@ -164,7 +164,7 @@
         :param endpoint: the endpoint and the start time of its process.
         :param sent_at: moment at which the attempt was sent.
         """
-        survival = self._evidence.breaks.find_survival(
+        survival = self.evidence.breaks.find_survival(
             endpoint, sent_at, self._clock()
         )
         if survival is not None:
@@ -198,13 +198,13 @@
         return (
             *self.blocks,
             *self.updates.list_answers(since),
-            *self._evidence.list_recent(since),
+            *self.evidence.list_recent(since),
         )
 
     def _block_culprit(self, known: Container[SuspectKeys]) -> bool:
         members = self._count_members()
-        for culprit in self._evidence.find_culprits(
-            self._blocked.groups, self._blocked.former
+        for culprit in self.evidence.find_culprits(
+            self.blocked.groups, self.blocked.former
         ):
             if not self._service_answers.confirm(culprit, members):
                 self._suspect(culprit, known)
@@ -213,14 +213,14 @@
                 keys=culprit.keys,
                 since=culprit.since,
                 seen_at=self._clock(),
-                rounds=self._blocked.count_rounds(culprit.keys),
+                rounds=self.blocked.count_rounds(culprit.keys),
             )
             if self._block(block):
                 return True
         return False
 
     def _apply_report(self, report: CrashReport) -> None:
-        if self._evidence.is_known(report):
+        if self.evidence.is_known(report):
             return
         self.record_crash(report)
         # The daemon that sent it may know less, also if nothing is left of it.
@@ -228,19 +228,17 @@
 
     def _announce_context(self, report: CrashReport) -> None:
         """Announce what tells against a report: an outage, or answers."""
-        outage = self._evidence.breaks.find_outage(
+        outage = self.evidence.breaks.find_outage(
             report.endpoint, report.broke_at
         )
         if outage is not None:
             self.updates.add(outage)
-        cleared = report.keys - self._evidence.list_suspects(report)
-        self.updates.add_known_answers(cleared, self._evidence.answered)
+        cleared = report.keys - self.evidence.list_suspects(report)
+        self.updates.add_known_answers(cleared, self.evidence.answered)
 
     def _apply_answer(self, answer: SuspectAnswer) -> None:
-        is_news = self._evidence.record_answer(answer.key, answer.began_at)
-        for block, remaining in self._blocked.clear(
-            answer.key, answer.began_at
-        ):
+        is_news = self.evidence.record_answer(answer.key, answer.began_at)
+        for block, remaining in self.blocked.clear(answer.key, answer.began_at):
             is_news = True
             self._log.log_warning(
                 'block_narrowed' if remaining else 'block_lifted',
@@ -251,18 +249,18 @@
             self.updates.add_answer(answer)
 
     def _apply_survival(self, survival: EndpointSurvival) -> None:
-        if not self._evidence.breaks.record_survival(survival):
+        if not self.evidence.breaks.record_survival(survival):
             return
         self.updates.add(survival)
         for block in self.blocks:
-            if self._evidence.is_disproved(block.keys):
+            if self.evidence.is_disproved(block.keys):
                 self.lift(block.keys)
 
     def _end_blocks(self) -> None:
-        for block in self._blocked.end(self._clock()):
+        for block in self.blocked.end(self._clock()):
             # What proved it counts no more, so that it is tried once.
             for key in block.keys:
-                self._evidence.record_answer(key, block.ends_at)
+                self.evidence.record_answer(key, block.ends_at)
             self._log.log_warning('block_ended', **block.describe())
 
     def _apply_block(self, block: Block) -> None:
@@ -271,12 +269,12 @@
         disproved = [
             key
             for key in block.keys
-            if self._evidence.answered.get(key) >= block.since
+            if self.evidence.answered.get(key) >= block.since
         ]
         if not disproved:
             self._block(block)
-        elif block.keys not in self._blocked.former:
-            self.updates.add_known_answers(disproved, self._evidence.answered)
+        elif block.keys not in self.blocked.former:
+            self.updates.add_known_answers(disproved, self.evidence.answered)
 
     def _suspect(self, culprit: Culprit, known: Container[SuspectKeys]) -> None:
         self._suspected[culprit.keys] = culprit.service
@@ -288,7 +286,7 @@
             )
 
     def _block(self, block: Block) -> bool:
-        if not self._blocked.add(block):
+        if not self.blocked.add(block):
             return False
         self.updates.add(block)
         ended = self.watch.end_attempts(block.keys)
@@ -297,6 +295,6 @@
             **block.describe(),
             since_s=round(self._clock() - block.since, 3),
             ended_attempts=ended,
-            reports=self._evidence.list_attempts(block.keys),
+            reports=self.evidence.list_attempts(block.keys),
         )
         return True
--- a/laurelwind/relay_cold.py
+++ b/laurelwind/relay_cold.py
@@ -30,7 +30,7 @@
 
     def has_survived(name: str, started_ms: int, broke_at: float) -> bool:
         key = build_process_key(name, started_ms)
-        return daemon.screen.breaks.has_survived(key, broke_at)
+        return daemon.screen.evidence.breaks.has_survived(key, broke_at)
 
     cold = ColdEndpoints(
         dependencies=ColdDependencies(
