Compare failures of a version with the old one's beyond chance

Cause: a version was rejected only above four times the old version's failures, and accepted once its answers excluded that share.

Change: a version is rejected above 1.5 times the old share where chance explains it with at most 0.015 (Chernoff), and accepted below 3.5 times, at most 0.5. Slow answers keep the factor 4. benchmarks/trials.py plays old versions that fail and counts requests later than 5 s after the 50th bad answer.

--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -9,6 +9,7 @@
 """
 
 import argparse
+import math
 import random
 from collections import Counter, deque
 
@@ -31,6 +32,7 @@
 REPORT_S = 1.7
 PACE_S = 0.02
 SLOW_FACTOR = 8
+SLOW_S = 0.1
 LATE_S = 3.0
 # Relative to the load of each endpoint once all sessions moved.
 LOAD_LIMIT = 1.4
@@ -44,6 +46,13 @@
 AFTER_S = 12.0
 
 
+# Share of the answers of a good version that fail.
+USUAL_SHARE = 0.005
+# Seconds after its 50th bad answer from which a bad version gets no request.
+ROLLBACK_S = 5.0
+ROLLBACK_ANSWERS = 50
+
+
 @frozen(kw_only=True)
 class Version:
     """How a version behaves.
@@ -52,16 +61,18 @@
     :ivar slow_factor: factor of the time for each event.
     :ivar bad_from_s: seconds after its first request from which it is bad.
     :ivar min_load: relative load above which it is bad.
+    :ivar old_share: share of the old version's answers that fail.
     """
 
     failure_share: float = 0
     slow_factor: float = 1
     bad_from_s: float = 0
     min_load: float = 0
+    old_share: float = USUAL_SHARE
 
     @property
     def is_bad(self):
-        return self.failure_share > 0.02 or self.slow_factor > 1
+        return self.failure_share > self.old_share or self.slow_factor > 1
 
     def answer(self, rng, served_s, load):
         """Return whether an answer fails, and its seconds per event."""
@@ -72,12 +83,17 @@
 
 
 VERSIONS = {
-    'good': Version(failure_share=0.005),
+    'good': Version(failure_share=USUAL_SHARE),
     'errors 0.4': Version(failure_share=0.4),
     'errors 0.6': Version(failure_share=0.6),
     'slow x 8': Version(slow_factor=SLOW_FACTOR),
     'late 0.5': Version(failure_share=0.5, bad_from_s=LATE_S),
     'under load 0.59': Version(failure_share=0.59, min_load=LOAD_LIMIT),
+    'good, old 0.1': Version(failure_share=0.1, old_share=0.1),
+    'good, old 0.2': Version(failure_share=0.2, old_share=0.2),
+    'errors 0.4, old 0.1': Version(failure_share=0.4, old_share=0.1),
+    'errors 0.6, old 0.1': Version(failure_share=0.6, old_share=0.1),
+    'errors 0.6, old 0.2': Version(failure_share=0.6, old_share=0.2),
 }
 
 
@@ -89,11 +105,14 @@
     :ivar exposed: requests that the version got before the time limit, beyond
         what a bad one may get.
     :ivar failed_later: its failures after the time limit.
+    :ivar late: requests that it got later than ROLLBACK_S after its 50th bad
+        answer.
     """
 
     state: RolloutState | None
     exposed: float
     failed_later: int
+    late: int
 
 
 @define
@@ -137,6 +156,7 @@
         self.rate = self.daemons * self.rng.uniform(*REQUESTS_PER_S)
         self.counts = Counter()
         self.served_at = None
+        self.bad_until = math.inf
         begun_at = self.clock.now
         burst_at = self.rng.uniform(0, BURST_PERIOD_S)
         while self.clock.now < begun_at + duration_s + AFTER_S:
@@ -151,6 +171,7 @@
             state=state,
             exposed=max(self.counts['exposed before'] - allowed, 0),
             failed_later=self.counts['failed after'],
+            late=self.counts['late'],
         )
 
     def step(self, factor, period):
@@ -181,7 +202,7 @@
         return min(candidates, key=lambda other: self.loads[other.name])
 
     def serve(self, endpoint, load, period):
-        version = Version(failure_share=0.005)
+        version = Version(failure_share=self.version.old_share)
         self.counts[period] += 1
         if endpoint.version == 'v2':
             version = self.version
@@ -191,6 +212,10 @@
         failed, unit_s = version.answer(self.rng, served_s, load)
         if endpoint.version == 'v2':
             self.counts[f'failed {period}'] += failed
+            self.counts['late'] += self.clock.now > self.bad_until
+            self.counts['bad'] += failed or unit_s > SLOW_S
+            if self.counts['bad'] == ROLLBACK_ANSWERS:
+                self.bad_until = self.clock.now + ROLLBACK_S
         latency = None if failed else Latency(unit_s=unit_s, elapsed_s=unit_s)
         outcome = AnswerOutcome(route='draft', failed=failed, latency=latency)
         self.pending.append((self.clock.now + REPORT_S, (endpoint, outcome)))
@@ -212,6 +237,7 @@
         counts[outcome.state] += 1
         counts['exposed'] += version.is_bad and outcome.exposed > 0
         counts['failed later'] += outcome.failed_later > 0
+        counts['late'] += version.is_bad and outcome.late > 0
     return counts
 
 
@@ -220,21 +246,23 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seeds', type=int, default=20)
     parser.add_argument('--fleets', type=int, default=len(FLEETS))
+    parser.add_argument('--versions', nargs='*', default=tuple(VERSIONS))
     arguments = parser.parse_args()
     print(
         '| daemons | version | succeeded | rolled back | open | overexposed '
-        '| fails later |'
+        '| fails later | late |'
     )
-    print('|---|---|---|---|---|---|---|')
+    print('|---|---|---|---|---|---|---|---|')
     for daemons, endpoints in FLEETS[: arguments.fleets]:
-        for name in VERSIONS:
+        for name in arguments.versions:
             counts = measure(daemons, endpoints, name, arguments.seeds)
             succeeded = counts[RolloutState.SUCCEEDED]
             rolled_back = counts[RolloutState.ROLLED_BACK]
             print(
                 f'| {daemons} | {name} | {succeeded} | {rolled_back} '
                 f'| {arguments.seeds - succeeded - rolled_back} '
-                f'| {counts["exposed"]} | {counts["failed later"]} |',
+                f'| {counts["exposed"]} | {counts["failed later"]} '
+                f'| {counts["late"]} |',
                 flush=True,
             )
 
--- a/laurelwind/coordination/rollouts/evidence.py
+++ b/laurelwind/coordination/rollouts/evidence.py
@@ -19,9 +19,18 @@
 # Slow answers are weaker evidence, since load and cold caches also cause them.
 MIN_SLOW_ANSWERS: Final = 6
 MIN_SLOW_SHARE: Final = 0.3
-# In each case the share of bad answers must exceed that of the old version by
-# this factor.
-MIN_BAD_RATIO: Final = 4.0
+# The share of failures must exceed that of the old version by this factor, and
+# by more than chance explains: a version as good as the old one shows as many
+# with at most the probability MAX_FALSE_REJECTION.
+MIN_BAD_RATIO: Final = 1.5
+MAX_FALSE_REJECTION: Final = 0.015
+# A version is accepted only if its share of failures is below this multiple of
+# the old version's, and below MAX_ACCEPTED_SHARE: a handful of good answers
+# would rule out a higher share.
+ACCEPTED_BAD_RATIO: Final = 3.5
+MAX_ACCEPTED_SHARE: Final = 0.5
+# The share of slow answers must exceed that of the old version by this factor.
+MIN_SLOW_RATIO: Final = 4.0
 # Probability with which a version that is bad enough to be rejected may show as
 # few bad answers as one that is accepted.
 MAX_FALSE_ACCEPTANCE: Final = 0.01
@@ -56,7 +65,7 @@
     :param old_tally: counts of the old version's answers in the same time.
     """
     failure_share = _get_share(old_tally.failures, old_tally.answers)
-    if tally.failures > MIN_BAD_RATIO * failure_share * tally.answers:
+    if _is_worse(tally, failure_share):
         if tally.failures >= SUFFICIENT_FAILURES:
             return True
         if tally.failures >= max(
@@ -64,7 +73,7 @@
         ):
             return True
     slow_share = _get_share(old_tally.slow, old_tally.timed)
-    if tally.slow <= MIN_BAD_RATIO * slow_share * tally.timed:
+    if tally.slow <= MIN_SLOW_RATIO * slow_share * tally.timed:
         return False
     return tally.slow >= max(MIN_SLOW_ANSWERS, MIN_SLOW_SHARE * tally.timed)
 
@@ -85,7 +94,10 @@
     if not _excludes_share(
         tally.failures,
         tally.answers,
-        _find_rejected_share(MIN_FAILURE_SHARE, failure_share),
+        max(
+            MIN_FAILURE_SHARE,
+            min(ACCEPTED_BAD_RATIO * failure_share, MAX_ACCEPTED_SHARE),
+        ),
     ):
         return False
     if not old_tally.timed:
@@ -94,8 +106,9 @@
     return _excludes_share(
         tally.slow,
         tally.timed,
-        _find_rejected_share(
-            MIN_SLOW_SHARE, _get_share(old_tally.slow, old_tally.timed)
+        max(
+            MIN_SLOW_SHARE,
+            MIN_SLOW_RATIO * _get_share(old_tally.slow, old_tally.timed),
         ),
     )
 
@@ -104,8 +117,19 @@
     return bad / count if count else 0
 
 
-def _find_rejected_share(min_share: float, old_share: float) -> float:
-    return min(max(min_share, MIN_BAD_RATIO * old_share), _MAX_BAD_SHARE)
+def _is_worse(tally: Tally, old_share: float) -> bool:
+    """Return whether a version fails more than the old one, beyond chance.
+
+    Chernoff's bound on the upper tail of the binomial distribution.
+    """
+    if tally.failures <= MIN_BAD_RATIO * old_share * tally.answers:
+        return False
+    if not old_share:
+        return True
+    divergence = _compute_divergence(
+        tally.failures / tally.answers, min(old_share, _MAX_BAD_SHARE)
+    )
+    return math.exp(-tally.answers * divergence) <= MAX_FALSE_REJECTION
 
 
 def _excludes_share(bad: int, answers: int, share: float) -> bool:
@@ -116,9 +140,17 @@
     if not answers:
         return False
     observed = bad / answers
+    share = min(share, _MAX_BAD_SHARE)
     if observed >= share:
         return False
-    divergence = (1 - observed) * math.log((1 - observed) / (1 - share))
-    if bad:
-        divergence += observed * math.log(observed / share)
+    divergence = _compute_divergence(observed, share)
     return math.exp(-answers * divergence) <= MAX_FALSE_ACCEPTANCE
+
+
+def _compute_divergence(observed: float, share: float) -> float:
+    """Return how improbable an observed share is at another one, in nats."""
+    divergence: float = 0
+    for seen, expected in ((observed, share), (1 - observed, 1 - share)):
+        if seen > 0:
+            divergence += seen * math.log(seen / expected)
+    return divergence
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -232,12 +232,14 @@
     assert compute_rank_delay(194) < 5.0
 
 
-def play_trial(rng, failure_share, daemons, old_failure_share):
+def play_trial(rng, failure_share, daemons, old_failure_share, old_answers=0):
     """Return whether a version is accepted, rejected (False) or neither.
 
-    Each daemon sees one answer in turn; the verdict is taken after each.
+    Each daemon sees one answer in turn; the verdict is taken after each.  The
+    old version gave ``old_answers`` in the first half of the roll-out.
     """
-    tally, old_tally = Tally(), Tally()
+    failures = sum(rng.random() < old_failure_share for _ in range(old_answers))
+    tally, old_tally = Tally(), Tally(answers=old_answers, failures=failures)
     for _ in range(max(daemons, 8) * 8):
         tally = tally.add(
             Tally(answers=1, failures=int(rng.random() < failure_share))
@@ -419,3 +421,25 @@
     assert not list(book.collect_due_reports(1))
     clock.now = 105
     assert list(book.collect_due_reports(0))
+
+
+@pytest.mark.parametrize(
+    ('old_share', 'failure_share'), [(0.1, 0.4), (0.1, 0.6), (0.2, 0.6)]
+)
+def test_bad_versions_beside_an_old_one_that_fails_are_seldom_accepted(
+    old_share, failure_share
+):
+    """Four times the old version's failures excused 0.6 beside 0.2."""
+    rng = random.Random(8)
+    verdicts = [
+        play_trial(rng, failure_share, 8, old_share, 120) for _ in range(400)
+    ]
+    assert verdicts.count(True) <= 0.02 * len(verdicts)
+
+
+@pytest.mark.parametrize('share', [0.1, 0.2])
+def test_versions_that_fail_like_the_old_one_are_seldom_rejected(share):
+    """A lower ratio alone would reject one in seven for chance failures."""
+    rng = random.Random(8)
+    verdicts = [play_trial(rng, share, 8, share, 120) for _ in range(400)]
+    assert verdicts.count(False) <= 0.05 * len(verdicts)
