Play callers that misuse daemons in the fault soak

The soak's callers were all ordinary, so that limits on callers were never tested beside faults. The scenario misuse adds 40 connections at a time that send endless heads, blank lines, incomplete bodies or pipelined requests with unread answers, and checks that no process exceeds the memory that limits.memory_mb states, 128 MB. No fault window is recorded for them, so that all other guarantees are checked as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,7 @@
 from soak.faults import FaultInjector
 from soak.fleet import Fleet, choose_network
 from soak.guarantees import GuaranteeChecker
+from soak.memory import MemoryWatch
 from soak.scenarios import SCENARIOS, Scenario
 from soak.tables import PoolShare
 
@@ -57,6 +58,7 @@
         has_prompts=scenario.has_prompts,
     )
     fleet.unusual = scenario.unusual
+    memory = MemoryWatch(fleet=fleet, memory_mb=scenario.memory_mb)
     async with anyio.create_task_group() as group:
         faults = FaultInjector(
             fleet=fleet,
@@ -69,6 +71,7 @@
             for number in range(CALLER_COUNT):
                 group.start_soon(callers.run_caller, number)
             group.start_soon(callers.repeat_deadly_requests)
+            group.start_soon(memory.run)
             await faults.run(seconds)
             violations = await _check_recovery(
                 fleet, callers, faults.endpoints.rollout_ordered_at
@@ -79,6 +82,7 @@
         group.cancel_scope.cancel()
     checker = GuaranteeChecker(fleet=fleet, callers=callers, faults=faults)
     violations.extend(checker.find_violations())
+    violations.extend(memory.find_violations())
     return violations, checker.count_outcomes(), faults.history
 
 
@@ -104,6 +108,7 @@
             # Daemons rank by address, and a seed must give the same ranks.
             host=f'{network}.{FIRST_HOST + number}',
         )
+        daemon.memory_mb = scenario.memory_mb
         fleet.daemons.append(daemon)
         await daemon.start_links(group)
         await daemon.start()
--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -52,6 +52,8 @@
 # most requests that may reach the endpoint from it afterwards.
 PAUSE_HEEDED_S: Final = 0.5
 MAX_LATE_IN_PAUSE: Final = 2
+# Memory of the smallest instance, in MB of 2**20 bytes.
+MEMORY_MB: Final = 128
 # Rate limits of endpoints: seconds after its first statement from which a limit
 # is checked, and after which a daemon that got one keeps it; and the window in
 # which it may be exceeded, by a factor and a number of requests.
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -36,10 +36,17 @@
 retry_extra = 50
 exposure_share = {exposure_share}
 """
+_LIMITS = """\
+[limits]
+memory_mb = {memory_mb}
+"""
 
 
 class Daemon:
-    """One daemon process, with links to its callers and its store."""
+    """One daemon process, with links to its callers and its store.
+
+    :ivar memory_mb: size of its instance in its settings; zero to leave it out.
+    """
 
     command: tuple[str, ...] = (sys.executable, '-m', 'laurelwind.platform')
 
@@ -51,6 +58,7 @@
         self.start_count = 0
         self.is_stopping = False
         self.process: Process | None = None
+        self.memory_mb: float = 0
         self.store_link = Link(target=store)
         listeners = ('callers', 'readiness', 'entries', 'metrics', 'peers')
         self.addresses = dict(
@@ -108,6 +116,8 @@
             exposure_share=bounds.EXPOSURE_SHARE,
             **self.addresses,
         )
+        if self.memory_mb:
+            text += _LIMITS.format(memory_mb=self.memory_mb)
         await anyio.Path(settings).write_text(text)
         self.start_count += 1
         self._started_at = anyio.current_time()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 from soak.environment_faults import EnvironmentFaults
 from soak.fault_journal import FaultJournal
 from soak.fleet import Fleet
+from soak.misuse import MisuseFaults
 from soak.scenarios import Scenario
 from soak.table_changes import TableChanges
 
@@ -50,6 +51,7 @@
         self._environment = EnvironmentFaults(
             fleet=fleet, journal=self._journal
         )
+        self._misuse = MisuseFaults(fleet=fleet, journal=self._journal)
         self._tables = TableChanges(fleet=fleet, journal=self._journal)
         self._fleet = fleet
         self._scenario = scenario
@@ -102,6 +104,7 @@
             'silence': self.endpoints.silence,
             'poison': self.endpoints.poison,
             'repeat': self.endpoints.repeat_deadly_request,
+            'misuse': self._misuse.misuse,
             'tables': self._tables.change_in_series,
             'reloads': self.daemons.reload_in_series,
             'stops': self.daemons.stop_in_series,
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -71,4 +71,10 @@
         10,
         'requests that crash endpoints and come again, beside other faults',
     ),
+    RegressionSeed(
+        4,
+        'misuse',
+        10,
+        'endless heads, blank lines, incomplete bodies and unread answers',
+    ),
 )
--- a/soak/scenarios.py
+++ b/soak/scenarios.py
@@ -41,6 +41,10 @@
     *('pause', 'link'),
     *('store', 'turn away', 'table', 'leave', 'reloads', 'silence'),
 )
+_MISUSE: Final = (
+    *('misuse', 'misuse', 'misuse', 'misuse', 'misuse', 'misuse'),
+    *('stop', 'kill', 'reload', 'table', 'leave'),
+)
 _OPERATIONS: Final = (
     *('silence', 'silence', 'silence', 'tables', 'tables', 'reloads'),
     *('stops', 'stops', 'keys', 'leave'),
@@ -60,6 +64,8 @@
     :ivar has_prompts: whether streams have prompts, some of which crash
         endpoints.
     :ivar zones: zone of each daemon, one letter each.
+    :ivar memory_mb: size of each instance in MB of 2**20 bytes, which its
+        daemon must not exceed; zero if it is not checked.
     """
 
     fault_names: Sequence[str]
@@ -68,6 +74,7 @@
     unusual: UnusualBehaviour = field(factory=UnusualBehaviour)
     has_prompts: bool = False
     zones: str = ZONES
+    memory_mb: float = 0
 
 
 # Scenarios by name: faults alone; planned work and silent endpoints alone;
@@ -75,7 +82,8 @@
 # from an older copy, and endpoints that announce that they leave or ask for a
 # pause; endpoints that state rate limits; a store that serves some daemons
 # only, beside signals and changes in series; requests that crash endpoints and
-# come again; faults with planned work.
+# come again; callers that misuse daemons of the smallest instances; faults with
+# planned work.
 SCENARIOS: Final[Mapping[str, Scenario]] = {
     'faults': Scenario(
         fault_names=_FAULTS,
@@ -119,6 +127,12 @@
         fault_share=0,
         has_large_requests=False,
     ),
+    'misuse': Scenario(
+        fault_names=_MISUSE,
+        fault_share=0,
+        has_large_requests=False,
+        memory_mb=bounds.MEMORY_MB,
+    ),
     'all': Scenario(
         fault_names=(
             *(*_FAULTS, *_OPERATIONS, 'limits', 'limits', 'turn away'),
--- a/tests/test_soak_daemons.py
+++ b/tests/test_soak_daemons.py
@@ -1,11 +1,14 @@
-"""Stops of daemon processes in the fault soak."""
+"""Stops and memory of daemon processes in the fault soak."""
 
+import random
 import time
 
 import anyio
 import pytest
 
 from soak import bounds
+from soak.fleet import Fleet
+from soak.memory import MemoryWatch
 from tests.soak_helpers import build_daemon
 
 pytestmark = pytest.mark.anyio
@@ -48,3 +51,21 @@
     tmp_path, monkeypatch
 ):
     assert not await _stop(tmp_path, monkeypatch, IGNORES)
+
+
+@pytest.mark.parametrize(('memory_mb', 'count'), [(0.01, 1), (10_000, 0)])
+async def test_a_process_beyond_its_memory_breaks_the_bound(
+    tmp_path, memory_mb, count
+):
+    """The soak must not pass over daemons that callers made too large."""
+    fleet = Fleet(rng=random.Random(1), folder=tmp_path)
+    daemon = build_daemon(tmp_path)
+    daemon.command = ENDS
+    fleet.daemons.append(daemon)
+    watch = MemoryWatch(fleet=fleet, memory_mb=memory_mb)
+    await daemon.start()
+    watch.read_peaks()
+    await daemon.kill()
+    watch.read_peaks()
+    assert len(watch.find_violations()) == count
+    assert list(watch.peaks_mb) == [daemon.incarnation]
