Decide about load by the endpoint that was chosen

Cause: the selector chose an endpoint, and the review then let placement draw another random sample, so that the forecast was of another endpoint. A request was rejected for the queue of an endpoint that it would not have been sent to, and observed delays corrected forecasts of other endpoints. A repeat also kept the forecast of the attempt before it.

Ruled out: a larger sample, which only makes the difference rarer.

Change: the review gets the endpoint and forecasts the request there. Where that forecast misses the deadline, up to two further endpoints are chosen and compared; one that is not known to miss it gets the request. A move to the old version uses the endpoint whose forecast found room. A request that waits for a permit leaves the wait if another endpoint is to be used. Services without a pace are no longer reviewed because another has one.

Without the change `pytest tests/test_load_gate.py -k gets_the_request` fails with a forecast of occupancy 6 for the free endpoint. The stubs of the test file now give forecasts by endpoint, as the former interface is gone.

--- a/laurelwind/coordination/choosing.py
+++ b/laurelwind/coordination/choosing.py
@@ -131,31 +131,49 @@
 
     async def _choose_queued(self, job: Job) -> Choice | None:
         for _ in range(MAX_ASKS):
-            endpoint = self._selector.choose_queued(job)
-            if endpoint is None:
-                break
-            permit = await self._permits.acquire(
-                job.request.request_id, endpoint, _compute_max_wait(job)
-            )
-            if permit is None:
+            choice = await self._ask_queued(job)
+            if choice is None:
                 continue
-            await self._wait_until_due(job, permit)
-            if self._selector.placement.is_ready(job, endpoint):
-                return Choice(endpoint=endpoint, permit=permit)
-            self._permits.give_back(permit)
+            if not await self._wait_until_due(job, choice):
+                break
+            if self._selector.placement.is_ready(job, choice.endpoint):
+                return choice
+            self._permits.give_back(choice.permit)
         return None
 
-    async def _wait_until_due(self, job: Job, permit: Permit) -> None:
-        """Wait for a permit; more urgent requests may rule the wait out."""
+    async def _ask_queued(self, job: Job) -> Choice | None:
+        endpoint = self._selector.choose_queued(job)
+        if endpoint is None:
+            return None
+        permit = await self._permits.acquire(
+            job.request.request_id, endpoint, _compute_max_wait(job)
+        )
+        if permit is None:
+            return None
+        return Choice(endpoint=endpoint, permit=permit)
+
+    async def _wait_until_due(self, job: Job, choice: Choice) -> bool:
+        """Wait for a permit; more urgent requests may rule the wait out.
+
+        Return ``False`` if another endpoint should be used at once; the permit
+        is given back then.
+        """
+        permit = choice.permit
         try:
             left_s = permit.due_at - read_monotonic_clock()
             while left_s > 0:
-                self._selector.load.review(job, left_s)
+                endpoint = self._selector.load.review(
+                    job, choice.endpoint, left_s
+                )
+                if endpoint is not choice.endpoint:
+                    self._permits.give_back(permit)
+                    return False
                 await anyio.sleep(min(left_s, REVIEW_INTERVAL_S))
                 left_s = permit.due_at - read_monotonic_clock()
         except BaseException:
             self._permits.give_back(permit)
             raise
+        return True
 
     def _log_wait(self, job: Job, error: EndpointError) -> None:
         self._log.log_info(
--- a/laurelwind/coordination/request_placement.py
+++ b/laurelwind/coordination/request_placement.py
@@ -1,10 +1,14 @@
 """Places requests among the endpoints that accept them."""
 
 from collections.abc import Sequence, Set
+from typing import Final
 
 from attrs import frozen
 
-from laurelwind.coordination.job_requirements import build_requirements
+from laurelwind.coordination.job_requirements import (
+    build_requirements,
+    build_traits,
+)
 from laurelwind.coordination.limits.permit_refusals import PermitRefusals
 from laurelwind.coordination.load.forecasts import Forecast, Work
 from laurelwind.coordination.relay_jobs import Job
@@ -15,6 +19,8 @@
 from laurelwind.state.evacuated_zones import EvacuatedZones
 from laurelwind.state.rate_limits import get_process
 
+_NONE: Final[Set[str]] = frozenset()
+
 
 @frozen(kw_only=True)
 class RequestPlacement:
@@ -41,17 +47,21 @@
         current: EndpointRecord | None = None,
         *,
         avoids_backoff: bool = False,
+        compared: Set[str] = _NONE,
     ) -> EndpointRecord | None:
         """Select an endpoint that the request has not left.
 
         :param job: the request.
         :param current: the endpoint that it is to leave, or ``None``.
         :param avoids_backoff: whether endpoints in backoff are ruled out.
+        :param compared: names of endpoints that were selected before and did
+            not suit.
         """
         if job.attempts >= job.route.max_attempts:
             return None
         ready = self._list_ready(job)
         excluded = job.fallback_endpoints | self.refusals.list_refusing(ready)
+        excluded |= compared
         if job.avoids_cold:
             excluded |= self.refusals.list_cold(ready)
         if current is not None:
@@ -152,17 +162,16 @@
             ),
         )
 
-    def forecast(self, job: Job, work: Work) -> Forecast | None:
-        """Forecast work at the endpoint that the request would be sent to.
+    def forecast_at(
+        self, job: Job, endpoint: EndpointRecord, work: Work
+    ) -> Forecast | None:
+        """Forecast work at an endpoint, or return ``None`` without its pace.
 
         :param job: the request.
+        :param endpoint: the endpoint.
         :param work: work of the request, or of another one in its place.
         """
-        ready = self._list_ready(job)
-        excluded = job.fallback_endpoints | self.refusals.list_refusing(ready)
-        return self.placement.forecast(
-            ready, build_requirements(job, excluded=excluded), work
-        )
+        return self.placement.forecast_at(endpoint, build_traits(job), work)
 
     def estimate_return(self, job: Job) -> float:
         """Return the seconds until the first endpoint accepts requests.
--- a/laurelwind/coordination/selection.py
+++ b/laurelwind/coordination/selection.py
@@ -74,10 +74,7 @@
         if endpoint is None and not avoids_backoff:
             endpoint = self.placement.choose_fallback(job)
         if endpoint is not None:
-            if self.load.review(job):
-                return self.placement.choose_untried(
-                    job, avoids_backoff=avoids_backoff
-                )
+            endpoint = self.load.review(job, endpoint)
             self._ensure_start_before_deadline(job, endpoint)
         return endpoint
 
--- a/laurelwind/coordination/shedding/load_decisions.py
+++ b/laurelwind/coordination/shedding/load_decisions.py
@@ -11,6 +11,7 @@
 from laurelwind.coordination.shedding.pressure import (
     PressureSample,
     compute_ratio,
+    has_room,
 )
 from laurelwind.coordination.shedding.rules import (
     Review,
@@ -91,6 +92,25 @@
             now,
         )
 
+    def misses_deadline(
+        self, request: LoadRequest, forecast: Forecast, now: float
+    ) -> bool:
+        """Return whether a forecast is known to miss the deadline.
+
+        :param request: the request.
+        :param forecast: its forecast at one endpoint.
+        :param now: current moment on the monotonic clock.
+        """
+        if not is_fresh(forecast) or has_room(forecast, request.goal_s):
+            return False
+        load = self.get_service(request.service)
+        corrected = load.correct(forecast, request.priority, now)
+        needed_s = max(
+            request.get_needed_time(forecast),
+            request.get_needed_time(corrected),
+        )
+        return needed_s > request.remaining_s
+
     def record_sent(
         self, key: str, request: LoadRequest, forecast: Forecast, now: float
     ) -> None:
@@ -148,8 +168,8 @@
         """Decide about a request that no endpoint may have run.
 
         :param request: the request.
-        :param forecast: forecast at the best endpoint, or ``None`` if nothing
-            is known.
+        :param forecast: forecast at the endpoint that was selected, or ``None``
+            if nothing is known.
         :param now: current moment on the monotonic clock.
         :param is_first: whether this is the first review of the request.
         """
--- a/laurelwind/coordination/shedding/load_gate.py
+++ b/laurelwind/coordination/shedding/load_gate.py
@@ -5,7 +5,7 @@
 
 from attrs import field, frozen
 
-from laurelwind.coordination.load.forecasts import Forecast, Work
+from laurelwind.coordination.load.forecasts import Work
 from laurelwind.coordination.relay_attempts import Attempt
 from laurelwind.coordination.relay_jobs import Job
 from laurelwind.coordination.request_placement import RequestPlacement
@@ -19,8 +19,12 @@
 from laurelwind.coordination.shedding.rules import is_fresh
 from laurelwind.coordination.shedding.urgent_classes import UrgentClasses
 from laurelwind.decisions import DecisionLog
+from laurelwind.state.directory import EndpointRecord
 from laurelwind.state.load import read_monotonic_clock
 
+# Further endpoints that are compared before a request is rejected for its
+# deadline, so that the work per request does not grow with the fleet.
+MAX_ALTERNATIVES: Final = 2
 _MS_PER_S: Final = 1000
 _LOWEST_PRIORITY: Final = 9
 
@@ -44,40 +48,49 @@
     # Service and priority of the attempts without an answer, by their id().
     _attempts: dict[int, tuple[str, int]] = field(factory=dict, init=False)
 
-    def review(self, job: Job, delay_s: float = 0) -> bool:
+    def review(
+        self, job: Job, endpoint: EndpointRecord, delay_s: float = 0
+    ) -> EndpointRecord:
         """Reject a request that the load does not allow to be served.
 
         A request that an endpoint may have run is never rejected.
 
         :param job: the request.
+        :param endpoint: the endpoint that was selected for it.
         :param delay_s: seconds until it may be sent, as it waits for a permit.
-        :returns: whether the request now avoids the version that is being
-            rolled out, so that its endpoint has to be chosen anew.
+        :returns: the endpoint to send it to: the selected one, or another one
+            where it is in time or of the old version of a service.
         :raises CapacityError: if the request is rejected.
         """
+        job.forecast = None
         if job.may_have_run or job.events:
-            return False
+            return endpoint
         now = read_monotonic_clock()
-        forecast = self.placement.forecast(job, job.work)
-        job.forecast = forecast
-        if forecast is None and not self.decisions.is_active:
-            return False
+        job.forecast = self.placement.forecast_at(job, endpoint, job.work)
+        if job.forecast is None:
+            return endpoint
         request = build_load_request(job, delay_s)
-        if forecast is not None:
-            self._record_urgent(job, forecast, now)
+        if self.decisions.misses_deadline(request, job.forecast, now):
+            timely = self._choose_timely(job, endpoint, now)
+            if timely is not None:
+                endpoint = timely
+                request = build_load_request(job)
+        self._record_urgent(job, endpoint, now)
         is_first = not job.is_load_reviewed
         decision = self.decisions.review(
-            request, forecast, now, is_first=is_first
+            request, job.forecast, now, is_first=is_first
         )
         job.is_load_reviewed = True
-        if decision.is_shed and self._avoid_target_version(job):
-            return True
+        if decision.is_shed:
+            old = self._choose_old_version(job)
+            if old is not None:
+                return old
         if is_first or decision.is_shed:
             self.count(decision.outcome, decision.reason)
         if decision.is_shed:
             self._log_shed(job, request, decision)
             raise build_shed_error(decision)
-        return False
+        return endpoint
 
     def record_sent(self, job: Job, attempt: Attempt) -> None:
         """Track an attempt, to compare its delay with the forecast.
@@ -115,32 +128,61 @@
         if place is not None:
             self.decisions.discard(str(id(attempt)), *place)
 
-    def _avoid_target_version(self, job: Job) -> bool:
-        """Let a request use the old version where only that one has room."""
+    def _choose_timely(
+        self, job: Job, endpoint: EndpointRecord, now: float
+    ) -> EndpointRecord | None:
+        """Select an endpoint that is not known to miss the deadline."""
+        request = build_load_request(job)
+        compared = {endpoint.name}
+        for _ in range(MAX_ALTERNATIVES):
+            other = self.placement.choose_untried(
+                job, avoids_backoff=True, compared=compared
+            )
+            if other is None:
+                break
+            forecast = self.placement.forecast_at(job, other, job.work)
+            if forecast is None:
+                break
+            if not self.decisions.misses_deadline(request, forecast, now):
+                job.forecast = forecast
+                return other
+            compared.add(other.name)
+        return None
+
+    def _choose_old_version(self, job: Job) -> EndpointRecord | None:
+        """Select an endpoint of the old version if only that one has room."""
         if job.request.session or job.avoids_target_version:
-            return False
+            return None
         if not self.placement.is_rolling_out(job):
-            return False
+            return None
         job.avoids_target_version = True
-        forecast = self.placement.forecast(job, job.work)
-        goal_s = job.route.latency_goal_s
-        if forecast is None or not is_fresh(forecast):
-            job.avoids_target_version = False
-        elif has_room(forecast, goal_s):
-            job.forecast = forecast
-        else:
-            job.avoids_target_version = False
-        return job.avoids_target_version
-
-    def _record_urgent(self, job: Job, forecast: Forecast, now: float) -> None:
-        """Record how long the most urgent requests would wait."""
+        endpoint = self.placement.choose_untried(job)
+        if endpoint is not None:
+            forecast = self.placement.forecast_at(job, endpoint, job.work)
+            if (
+                forecast is not None
+                and is_fresh(forecast)
+                and has_room(forecast, job.route.latency_goal_s)
+            ):
+                job.forecast = forecast
+                return endpoint
+        job.avoids_target_version = False
+        return None
+
+    def _record_urgent(
+        self, job: Job, endpoint: EndpointRecord, now: float
+    ) -> None:
+        """Record how long the most urgent requests would wait there."""
+        forecast = job.forecast
         urgent = self.urgent.find(job.service)
         if urgent is None or urgent.priority >= job.priority:
             return
-        if not is_fresh(forecast) or has_room(forecast, urgent.goal_s):
+        if forecast is None or not is_fresh(forecast):
+            return
+        if has_room(forecast, urgent.goal_s):
             return
         work = Work(priority=urgent.priority)
-        urgent_forecast = self.placement.forecast(job, work)
+        urgent_forecast = self.placement.forecast_at(job, endpoint, work)
         if urgent_forecast is not None:
             self.decisions.record_forecast(
                 LoadRequest(
--- a/tests/test_load_gate.py
+++ b/tests/test_load_gate.py
@@ -8,7 +8,7 @@
 from laurelwind.coordination.load.forecasts import Forecast
 from laurelwind.coordination.relay_jobs import Job
 from laurelwind.errors import CapacityError, EndpointError, ErrorKind
-from laurelwind.protocol.exchanges import AnswerHead
+from laurelwind.protocol.exchanges import AnswerHead, LoadReport
 from laurelwind.state.load import read_monotonic_clock
 from tests.relay_helpers import (
     EndpointScript,
@@ -39,17 +39,40 @@
 
 
 def build_harness(*scripts, forecasts):
-    """Build a relay whose forecasts are given, the last one repeated."""
+    """Build a relay whose forecasts are given.
+
+    A list is used in its order, the last one repeatedly; a mapping gives the
+    forecast of each endpoint.
+    """
     harness = RelayHarness(*scripts)
-    remaining = list(forecasts)
+    remaining = forecasts if isinstance(forecasts, dict) else list(forecasts)
 
-    def forecast(endpoints, requirements, work):
+    def forecast_at(endpoint, traits, work=None):
+        if work is None:
+            return None
+        if isinstance(remaining, dict):
+            return remaining[endpoint.name]
         return remaining.pop(0) if len(remaining) > 1 else remaining[0]
 
-    harness.placement.forecast = forecast
+    harness.placement.forecast_at = forecast_at
     return harness
 
 
+def build_job(name, timeout_s=2.0, **fields):
+    """Build a request in progress without a workspace."""
+    routes = {route.name: route for route in build_routing_table().routes}
+    now = read_monotonic_clock()
+    return Job(
+        request=build_request(name),
+        route=routes[name],
+        workspace=None,
+        service='pool',
+        arrived_at=now,
+        deadline_at=now + timeout_s,
+        **fields,
+    )
+
+
 @pytest.mark.parametrize('name', ['book', 'look', 'draft'])
 async def test_hopeless_request_is_rejected_before_it_is_sent(name):
     """Guards against requests that wait and then fail at their deadline."""
@@ -81,10 +104,61 @@
 
 async def test_old_version_with_room_is_used_during_a_rollout():
     """Guards against refusals as only the few endpoints of a trial are full."""
-    harness = build_harness(COMPLETE, forecasts=[HOPELESS, EMPTY])
+    harness = build_harness(
+        COMPLETE, forecasts={'e1': HOPELESS, 'e2': HOPELESS, 'e3': EMPTY}
+    )
     harness.rollouts.is_rolling_out = lambda service: True
+    harness.rollouts.filter_endpoints = (
+        lambda service, key, endpoints, allows_target: [
+            endpoint
+            for endpoint in endpoints
+            if (endpoint.name == 'e3') is not allows_target
+        ]
+    )
     answer = await harness.serve(build_request('look'))
     assert answer.body == b'whole'
+    assert harness.gateway.sent[0].endpoint == 'e3'
+
+
+async def test_forecast_is_of_the_endpoint_that_gets_the_request():
+    """Guards against refusals by the forecast of another, full endpoint.
+
+    Load: one endpoint is free and eight are full, as they report themselves.
+    """
+    harness = RelayHarness(names=[f'e{number}' for number in range(9)])
+    for endpoint in harness.directory.list_ready('pool'):
+        is_free = endpoint.name == 'e0'
+        harness.placement.record_report(
+            endpoint,
+            LoadReport(
+                running=0 if is_free else 8,
+                waiting=0 if is_free else 40,
+                slots=8,
+                slowdown=1.0,
+            ),
+        )
+    selector = harness.relay._dependencies.sender.selector
+    for _ in range(60):
+        job = build_job('look')
+        assert selector.choose(job).name == 'e0'
+        assert job.forecast.occupancy < 0.5
+
+
+async def test_another_endpoint_in_time_is_used_before_a_refusal():
+    """Guards against refusals while another endpoint is in time.
+
+    Load: the endpoints of the lowest cost miss the deadline, one does not.
+    """
+    in_time = Forecast(
+        start_s=0.1, first_s=0.2, finish_s=0.5, occupancy=1.1, age_s=0.1
+    )
+    harness = build_harness(
+        COMPLETE, forecasts={'e1': HOPELESS, 'e2': HOPELESS, 'e3': in_time}
+    )
+    harness.placement.record_remote_work('e3', 0.5)
+    answer = await harness.serve(build_request('look'))
+    assert answer.body == b'whole'
+    assert harness.gateway.sent[0].endpoint == 'e3'
 
 
 async def test_refused_request_is_rejected_between_attempts():
@@ -199,15 +273,7 @@
         permits=permits,
         log=harness.log,
     )
-    now = read_monotonic_clock()
-    job = Job(
-        request=build_request('look'),
-        route=build_routing_table().routes[1],
-        workspace=None,
-        service='pool',
-        arrived_at=now,
-        deadline_at=now + 8,
-    )
+    job = build_job('look', timeout_s=8)
     with anyio.fail_after(3), pytest.raises(CapacityError):
         await chooser.choose(job)
     assert len(permits.returned) == 1
