Forecast the expected answer instead of the caller's limit

Cause: the work of a load decision took the caller's limit of output tokens for the expected output. Requests with a high limit had a predicted finish of minutes and were rejected, and the amounts that are compared among requests and workspaces were limits as well.

Change: the review uses the estimate of placement, which is learned from ended answers and callers' hints and only bounded by the limit. The job keeps the work of its last decision, for what is recorded when it is sent.

Measured: a plain request with limit 4,000, usual answer 20 tokens at 30 ms, 2 s left, all 8 slots taken and 2 waiting: rejected for its deadline before, sent with a predicted finish below 1.5 s after (`pytest tests/test_load_gate.py -k output_limit`, failed before).

--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -93,6 +93,7 @@
     :ivar longest_gap_s: longest gap between two delivered events, in seconds.
     :ivar load_draw: random number in [0, 1) of all its load decisions.
     :ivar is_load_reviewed: whether a load decision was made about it.
+    :ivar work: expected work, as of the last load decision.
     :ivar forecast: forecast of the last load decision, or ``None``.
     """
 
@@ -124,6 +125,7 @@
     longest_gap_s: float = 0
     load_draw: float = field(factory=random.random)
     is_load_reviewed: bool = False
+    work: Work = field(factory=Work)
     forecast: Forecast | None = None
 
     @property
@@ -232,16 +234,6 @@
         """Estimated prefill time of the prompt, in seconds."""
         return self.estimate_prefill(self.request.prompt_tokens)
 
-    @property
-    def work(self) -> Work:
-        """Work that the request causes at an endpoint."""
-        return Work(
-            prompt_tokens=self.request.prompt_tokens,
-            output_tokens=self.request.output_tokens,
-            prefill_s=self.prefill_s,
-            priority=self.priority,
-        )
-
     @property
     def scheduling_class(self) -> SchedulingClass | None:
         """Scheduling class, or ``None`` with fewer than two models."""
--- a/laurelwind/coordination/request_placement.py
+++ b/laurelwind/coordination/request_placement.py
@@ -162,6 +162,18 @@
             ),
         )
 
+    def estimate_work(self, job: Job) -> Work | None:
+        """Estimate the work of a request, ``None`` without a reported pace.
+
+        The caller's limit of the answer's length bounds the estimate; it is no
+        estimate itself.
+
+        :param job: the request.
+        """
+        if not self.placement.is_paced(job.service):
+            return None
+        return self.placement.estimate_work(job.service, build_traits(job))
+
     def forecast_at(
         self, job: Job, endpoint: EndpointRecord, work: Work
     ) -> Forecast | None:
--- a/laurelwind/coordination/shedding/load_gate.py
+++ b/laurelwind/coordination/shedding/load_gate.py
@@ -65,8 +65,12 @@
         job.forecast = None
         if job.may_have_run or job.events:
             return endpoint
+        work = self.placement.estimate_work(job)
+        if work is None:
+            return endpoint
+        job.work = work
         now = read_monotonic_clock()
-        job.forecast = self.placement.forecast_at(job, endpoint, job.work)
+        job.forecast = self.placement.forecast_at(job, endpoint, work)
         if job.forecast is None:
             return endpoint
         request = build_load_request(job, delay_s)
--- a/tests/test_load_gate.py
+++ b/tests/test_load_gate.py
@@ -55,21 +55,21 @@
         return remaining.pop(0) if len(remaining) > 1 else remaining[0]
 
     harness.placement.forecast_at = forecast_at
+    harness.placement.is_paced = lambda service: True
     return harness
 
 
-def build_job(name, timeout_s=2.0, **fields):
+def build_job(name, timeout_s=2.0, output_tokens=0):
     """Build a request in progress without a workspace."""
     routes = {route.name: route for route in build_routing_table().routes}
     now = read_monotonic_clock()
     return Job(
-        request=build_request(name),
+        request=build_request(name, output_tokens=output_tokens),
         route=routes[name],
         workspace=None,
         service='pool',
         arrived_at=now,
         deadline_at=now + timeout_s,
-        **fields,
     )
 
 
@@ -144,6 +144,30 @@
         assert job.forecast.occupancy < 0.5
 
 
+async def test_output_limit_of_a_caller_is_no_expected_output():
+    """Guards against refusals of short answers with a high limit.
+
+    Load: all slots of the only endpoint are taken, and a few requests wait. A
+    usual answer has 20 tokens, and the caller's limit is 4,000.
+    """
+    harness = RelayHarness(names=['e0'])
+    placement = harness.placement
+    (endpoint,) = harness.directory.list_ready('pool')
+    placement.record_report(
+        endpoint, LoadReport(running=8, waiting=2, slots=8, slowdown=1.0)
+    )
+    load = placement.get_service_load('pool')
+    for _ in range(8):
+        load.lengths.record('look', 20, 0)
+        for event_times in load.event_times.values():
+            event_times.record(0.03, 8)
+    job = build_job('look', output_tokens=4000)
+    selector = harness.relay._dependencies.sender.selector
+    assert selector.choose(job) is endpoint
+    assert job.forecast.finish_s < 1.5
+    assert job.work.output_tokens == 20
+
+
 async def test_another_endpoint_in_time_is_used_before_a_refusal():
     """Guards against refusals while another endpoint is in time.
 
