Spread the returns of rejected callers by a draw of their own

Cause: Retry-After was spread by the draw that decides about the request. Those that are rejected have the highest draws, so that with a small shed share all of them returned at nearly the same moment.

Ruled out: to scale the draw within the rejected range, as it is not known to rules that reject by deadline or work.

Change: a request has a second, independent draw for its return.

--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -92,6 +92,8 @@
     :ivar last_event_at: moment of the last delivered event.
     :ivar longest_gap_s: longest gap between two delivered events, in seconds.
     :ivar load_draw: random number in [0, 1) of all its load decisions.
+    :ivar return_draw: random number in [0, 1) for the time at which its caller
+        returns if it is rejected.
     :ivar is_load_reviewed: whether a load decision was made about it.
     :ivar work: expected work, as of the last load decision.
     :ivar forecast: forecast of the last load decision, or ``None``.
@@ -124,6 +126,7 @@
     last_event_at: float = 0
     longest_gap_s: float = 0
     load_draw: float = field(factory=random.random)
+    return_draw: float = field(factory=random.random)
     is_load_reviewed: bool = False
     work: Work = field(factory=Work)
     forecast: Forecast | None = None
--- a/laurelwind/coordination/shedding/decisions.py
+++ b/laurelwind/coordination/shedding/decisions.py
@@ -47,6 +47,9 @@
     :ivar delay_s: seconds until it may be sent, as it waits for a permit.
     :ivar draw: random number in [0, 1) that is drawn once per request, so that
         repeated reviews do not add up to a higher probability of rejection.
+    :ivar return_draw: random number in [0, 1) that spreads the returns of
+        rejected callers. It is independent of ``draw``, as those that are
+        rejected have the highest draws.
     """
 
     service: str
@@ -60,6 +63,7 @@
     remaining_s: float
     delay_s: float = 0
     draw: float
+    return_draw: float
 
     @property
     def amount(self) -> float:
--- a/laurelwind/coordination/shedding/load_gate.py
+++ b/laurelwind/coordination/shedding/load_gate.py
@@ -198,6 +198,7 @@
                     goal_s=urgent.goal_s,
                     remaining_s=urgent.goal_s,
                     draw=0,
+                    return_draw=0,
                 ),
                 urgent_forecast,
                 now,
@@ -252,4 +253,5 @@
         remaining_s=job.remaining_s,
         delay_s=delay_s,
         draw=job.load_draw,
+        return_draw=job.return_draw,
     )
--- a/laurelwind/coordination/shedding/rules.py
+++ b/laurelwind/coordination/shedding/rules.py
@@ -167,7 +167,7 @@
             priority=request.priority,
             goal_left_s=request.goal_s - request.elapsed_s,
             remaining_s=request.remaining_s,
-            draw=request.draw,
+            draw=request.return_draw,
         ),
     )
 
--- a/tests/emulated_load.py
+++ b/tests/emulated_load.py
@@ -256,6 +256,7 @@
             elapsed_s=0,
             remaining_s=call.kind.timeout_s - (self.now - call.arrived_at),
             draw=self.random.random(),
+            return_draw=self.random.random(),
         )
         if call.kind.priority > 1:
             probe = Call(
@@ -272,6 +273,7 @@
                 goal_s=2,
                 remaining_s=5,
                 draw=0,
+                return_draw=0,
             )
             daemon.record_forecast(
                 urgent, engine.forecast(probe, self.now), self.now
--- a/tests/test_load_decisions.py
+++ b/tests/test_load_decisions.py
@@ -29,6 +29,7 @@
         'goal_s': 2.0,
         'remaining_s': 5.0,
         'draw': 0.99,
+        'return_draw': 0.5,
         **fields,
     }
     return LoadRequest(**values)
