--- a/laurelwind/coordination/shedding/load_gate.py
+++ b/laurelwind/coordination/shedding/load_gate.py
@@ -26,7 +26,6 @@
 # deadline, so that the work per request does not grow with the fleet.
 MAX_ALTERNATIVES: Final = 2
 _MS_PER_S: Final = 1000
-_LOWEST_PRIORITY: Final = 9
 
 
 @frozen(kw_only=True)
@@ -192,7 +191,7 @@
                 LoadRequest(
                     service=job.service,
                     kind=urgent.route,
-                    priority=min(max(urgent.priority, 0), _LOWEST_PRIORITY),
+                    priority=urgent.priority,
                     work=work,
                     is_stream=urgent.is_stream,
                     goal_s=urgent.goal_s,
