Compare the demand of a workspace with that of the others

Cause: the present share of a workspace was compared with its usual one, but the total that the share refers to holds the surge itself. At six times its usual load a workspace of usual share 0.4 was in excess beyond 4.5 times only, and one above two thirds never.

Ruled out: rates instead of shares, as a rise of all workspaces alike is no excess and the number of reports varies.

Change: the work is compared with that of the others, times the usual ratio of the two; the usual share follows a surge by the same measure. The sums have a module of their own. A fall of the others by more than a third still looks like a surge, as only shares are known.

--- a/laurelwind/coordination/shedding/load_gossip.py
+++ b/laurelwind/coordination/shedding/load_gossip.py
@@ -13,9 +13,9 @@
 import orjson
 from anyio.abc import TaskGroup
 
+from laurelwind.coordination.shedding.demand_totals import DemandRow
 from laurelwind.coordination.shedding.load_decisions import LoadDecisions
 from laurelwind.coordination.shedding.pressure import PressureSample
-from laurelwind.coordination.shedding.workspace_demand import DemandRow
 from laurelwind.protocol.datagrams import DatagramChannel
 from laurelwind.state.load import read_monotonic_clock
 
--- a/laurelwind/coordination/shedding/workspace_demand.py
+++ b/laurelwind/coordination/shedding/workspace_demand.py
@@ -4,7 +4,13 @@
 from collections.abc import Sequence
 from typing import Final
 
-from attrs import define, field, frozen
+from attrs import define
+
+from laurelwind.coordination.shedding.demand_totals import (
+    DemandRow,
+    DemandTotals,
+    Pair,
+)
 
 # Time over which demand is averaged.
 DEMAND_WINDOW_S: Final = 4.0
@@ -20,42 +26,13 @@
 SURGE_SLOWNESS: Final = 10.0
 # Time after a start before a daemon relies on the shares that it has seen.
 LEARNING_S: Final = 5.0
-# Multiple of the usual share that is not in excess.
+# Multiple of the usual demand, relative to the others, that is not in excess.
 TOLERANCE: Final = 1.5
-# Recent requests, of all and of one workspace, that a share has to rest on.
-MIN_REQUESTS: Final = 30
-MIN_WORKSPACE_REQUESTS: Final = 6
 # Pairs of a service and a workspace that are kept; the smallest is dropped.
 MAX_PAIRS: Final = 64
 # Usual share below which an absent workspace is forgotten.
 MIN_USUAL_SHARE: Final = 0.0005
 
-# A service and a workspace.
-Pair = tuple[str, str]
-
-
-@frozen(kw_only=True)
-class DemandRow:
-    """Demand of one workspace on one service, as one daemon sees it.
-
-    :ivar service: name of the service.
-    :ivar workspace: name of the workspace.
-    :ivar work: recent work.
-    :ivar requests: recent requests.
-    :ivar usual_share: usual share of the service's work, or zero if unknown.
-    """
-
-    service: str
-    workspace: str
-    work: float
-    requests: float
-    usual_share: float = 0
-
-    @property
-    def pair(self) -> Pair:
-        """The service and the workspace."""
-        return self.service, self.workspace
-
 
 @define(kw_only=True)
 class PairDemand:
@@ -89,34 +66,6 @@
         self.updated_at = now
 
 
-@define(kw_only=True)
-class _Totals:
-    work: dict[Pair, float] = field(factory=dict)
-    requests: dict[Pair, float] = field(factory=dict)
-    service_work: dict[str, float] = field(factory=dict)
-    service_requests: dict[str, float] = field(factory=dict)
-
-    def add(self, row: DemandRow) -> None:
-        pair, service = row.pair, row.service
-        self.work[pair] = self.work.get(pair, 0) + row.work
-        self.requests[pair] = self.requests.get(pair, 0) + row.requests
-        self.service_work[service] = (
-            self.service_work.get(service, 0) + row.work
-        )
-        self.service_requests[service] = (
-            self.service_requests.get(service, 0) + row.requests
-        )
-
-    def get_share(self, pair: Pair) -> float:
-        return self.work.get(pair, 0) / max(self.service_work[pair[0]], 1)
-
-    def is_sufficient(self, pair: Pair) -> bool:
-        return (
-            self.service_requests.get(pair[0], 0) >= MIN_REQUESTS
-            and self.requests.get(pair, 0) >= MIN_WORKSPACE_REQUESTS
-        )
-
-
 class WorkspaceDemand:
     """Compares the present share of each workspace with its usual one.
 
@@ -128,7 +77,7 @@
         self._pairs: dict[Pair, PairDemand] = {}
         self._reports: dict[str, tuple[float, Sequence[DemandRow]]] = {}
         self._usual: dict[Pair, float] = {}
-        self._totals = _Totals()
+        self._totals = DemandTotals()
         self._refreshed_at = -math.inf
         self._started_at = math.inf
 
@@ -189,7 +138,10 @@
         return rows[:limit]
 
     def compute_excess(self, service: str, workspace: str, now: float) -> float:
-        """Return the share of a workspace's demand beyond its usual share.
+        """Return the share of a workspace's demand beyond its usual demand.
+
+        It is compared with the demand of the others, as the present total
+        holds the surge itself.
 
         :param service: name of the service.
         :param workspace: name of the workspace.
@@ -203,8 +155,8 @@
             return 0
         if not self._totals.is_sufficient(pair):
             return 0
-        share = self._totals.get_share(pair)
-        return max(1 - TOLERANCE * usual / share, 0) if share else 0
+        surge = self._totals.get_surge(pair, usual)
+        return max(1 - TOLERANCE / surge, 0) if surge else 0
 
     def count_reports(self, now: float) -> int:
         """Return the number of peers whose reports are fresh.
@@ -226,7 +178,7 @@
         for peer, (received_at, _) in tuple(self._reports.items()):
             if now - received_at > REPORT_TTL_S:
                 self._reports.pop(peer)
-        totals = _Totals()
+        totals = DemandTotals()
         reported_usual: dict[Pair, list[float]] = {}
         for row in self.list_rows(now, MAX_PAIRS):
             totals.add(row)
@@ -256,7 +208,10 @@
                 # of a daemon are too few to tell a share.
                 others = sorted(reported.get(pair, ()))
                 usual = others[len(others) // 2] if others else 0
-            known[pair] = self._follow(usual, share, step_s, now)
+            is_surge = self._totals.get_surge(pair, usual) > SURGE_RATIO
+            known[pair] = self._follow(
+                usual, share, step_s, now, is_surge=is_surge
+            )
         for absent in self._usual.keys() - known.keys():
             usual = self._follow(self._usual[absent], 0, step_s, now)
             if usual > MIN_USUAL_SHARE and len(known) < MAX_PAIRS:
@@ -264,7 +219,13 @@
         self._usual = known
 
     def _follow(
-        self, usual: float, share: float, step_s: float, now: float
+        self,
+        usual: float,
+        share: float,
+        step_s: float,
+        now: float,
+        *,
+        is_surge: bool = False,
     ) -> float:
         if not usual:
             # A workspace that appears later is not at its usual share at once.
@@ -272,6 +233,6 @@
                 return min(share, 1 / max(len(self._totals.work), 1))
             return share
         window_s = max(min(now - self._started_at, USUAL_WINDOW_S), LEARNING_S)
-        if share > SURGE_RATIO * usual and self._is_settled(now):
+        if is_surge and self._is_settled(now):
             window_s = USUAL_WINDOW_S * SURGE_SLOWNESS
         return usual + (share - usual) * (1 - math.exp(-step_s / window_s))
--- a/tests/test_workspace_demand.py
+++ b/tests/test_workspace_demand.py
@@ -5,6 +5,7 @@
 import pytest
 
 from laurelwind.coordination.load.forecasts import Forecast
+from laurelwind.coordination.shedding.demand_totals import DemandRow
 from laurelwind.coordination.shedding.load_decisions import LoadDecisions
 from laurelwind.coordination.shedding.load_gossip import (
     FANOUT,
@@ -14,7 +15,6 @@
 from laurelwind.coordination.shedding.workspace_demand import (
     MAX_PAIRS,
     MAX_REPORTS,
-    DemandRow,
     WorkspaceDemand,
 )
 from laurelwind.protocol.datagrams import DatagramChannel
@@ -73,6 +73,31 @@
     assert not demand.compute_excess('pool', 'b', now + 1)
 
 
+@pytest.mark.parametrize('usual', [15, 40, 70])
+def test_surge_does_not_raise_what_it_is_compared_with(usual):
+    """Load: a small or large workspace sends six times its usual load.
+
+    Guards against a limit that grows with the surge: compared with the present
+    total, a usual share of 0.4 was in excess beyond 4.5 times only.
+    """
+    demand = WorkspaceDemand()
+    now = learn(demand, a=usual, b=100 - usual)
+    for factor, excess in ((1.4, 0), (3, 0.5), (6, 0.75)):
+        rows = build_rows(a=factor * usual, b=100 - usual)
+        demand.record_report('d2', rows, now + 1)
+        demand._refreshed_at = 0
+        measured = demand.compute_excess('pool', 'a', now + 1)
+        assert measured == pytest.approx(excess, abs=0.05)
+
+
+def test_workspace_without_others_is_not_in_excess():
+    """Load: all others are idle. Guards against refusals that help nobody."""
+    demand = WorkspaceDemand()
+    now = learn(demand, a=40, b=60)
+    demand.record_report('d2', build_rows(a=240, b=1), now + 1)
+    assert not demand.compute_excess('pool', 'a', now + 1)
+
+
 def test_large_workspace_at_its_usual_load_is_not_in_excess():
     """Load: one workspace always sends most of all requests."""
     demand = WorkspaceDemand()
