Play evacuations and cold endpoints in the fault soak

No process-level test covered the two bounds: no arrival in an evacuated zone later than evacuate_s, and few arrivals at a cold endpoint in any second.

The scenario `zones` has endpoints in three zones and services with a cold time. Zones are evacuated and taken back; endpoints crash and return cold with a late entry, or state that they are cold again; beside that roll-outs, stops, kills and faults of the store and of links. zone_checks.py checks both bounds, the second for all daemons, in contact or not.

--- a/laurelwind/coordination/members.py
+++ b/laurelwind/coordination/members.py
@@ -66,8 +66,9 @@
     :param local_instance: member record of the local daemon.
     :param dependencies: collaborators.
     :param clock: returns the current time of the copy's clock, in seconds.
-    :param contact_s: lifetime of memberships in seconds, for which members that
-        only a restored store lists are hidden; zero if they are not.
+    :param contact_s: seconds after which a daemon that is gone is no member,
+        for which those that only a restored store lists are hidden; zero if
+        they are not.
     :ivar members: all daemons, ordered by name; includes the local one.
     :ivar listed: the daemons that the group lists, ordered by name; without the
         local one if its membership has lapsed.
--- a/laurelwind/coordination/topics/restored_members.py
+++ b/laurelwind/coordination/topics/restored_members.py
@@ -5,9 +5,8 @@
 
 from laurelwind.state.leases import NEVER, read_boot_clock
 
-# Seconds, on top of the lifetime of memberships, after a restore for which a
-# member that had left before it is not named to callers: the time to read the
-# list.
+# Seconds, on top of ``contact_s``, after a restore for which a member that had
+# left before it is not named to callers: the time to read the list.
 READ_S: Final = 1.0
 # Members that left and are remembered; the newest count.
 MAX_DEPARTED: Final = 1024
@@ -18,8 +17,8 @@
 
     Those that are alive renew their memberships, and the others expire.
 
-    :param contact_s: lifetime of memberships in seconds; zero if no member is
-        ever hidden.
+    :param contact_s: seconds after which a daemon that is gone is no member;
+        zero if no member is ever hidden.
     :param clock: clock in seconds that also advances during suspend.
     """
 
--- a/laurelwind/relay_settings.py
+++ b/laurelwind/relay_settings.py
@@ -70,8 +70,9 @@
     :ivar retry_window_s: length of the window in seconds.
     :ivar exposure_share: largest share of a service's requests that a bad
         version may receive during a roll-out.
-    :ivar contact_s: lifetime of a daemon's membership; without it or at zero,
-        members that only a restored store lists are named to callers at once.
+    :ivar contact_s: seconds after which a daemon that is gone is no member;
+        without it or at zero, members that only a restored store lists are
+        named to callers at once.
     :ivar evacuate_s: seconds after which the endpoints of an evacuated zone get
         no more requests; without it or at zero, evacuations are ignored.
     :ivar cold_overage: factor of the rate at which cold endpoints take requests
--- a/laurelwind/relay_tracking.py
+++ b/laurelwind/relay_tracking.py
@@ -102,7 +102,8 @@
     :param state: the state.
     :param budgets: budget for the age of each topic.
     :param log: the decision log.
-    :param contact_s: lifetime of memberships in seconds; zero if unknown.
+    :param contact_s: seconds after which a daemon that is gone is no member;
+        zero if unknown.
     """
     clock = state.lease.read_clock
     copies = build_topic_copies(budgets, clock)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -57,6 +57,8 @@
         has_prompts=scenario.has_prompts,
     )
     fleet.unusual = scenario.unusual
+    fleet.endpoint_zones = scenario.endpoint_zones
+    fleet.has_cold = scenario.has_cold
     async with anyio.create_task_group() as group:
         faults = FaultInjector(
             fleet=fleet,
--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -7,6 +7,14 @@
 DRAIN_S: Final = 2.0
 STOP_S: Final = 8.0
 RECOVERY_S: Final = 12.0
+EVACUATE_S: Final = 5.0
+# Cold endpoints: requests per second that they take, and for how long, and the
+# bound on what reaches one in a second. It is below what the callers of a soak
+# send to an endpoint that nothing protects: 11 in a second were measured.
+COLD_PER_S: Final = 2.0
+COLD_START_S: Final = 3.0
+COLD_OVERAGE: Final = 1.5
+COLD_TOLERANCE: Final = 3.0
 # Guarantees of a daemon are not checked until this long after its last fault.
 SETTLE_S: Final = 3.0
 # Time after which stalled persistent connections to an endpoint are detected.
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -35,6 +35,9 @@
 retry_share = 0.9
 retry_extra = 50
 exposure_share = {exposure_share}
+evacuate_s = {evacuate_s}
+cold_overage = {cold_overage}
+cold_tolerance = {cold_tolerance}
 """
 
 
@@ -106,6 +109,9 @@
             drain_s=bounds.DRAIN_S,
             stop_s=bounds.STOP_S,
             exposure_share=bounds.EXPOSURE_SHARE,
+            evacuate_s=bounds.EVACUATE_S,
+            cold_overage=bounds.COLD_OVERAGE,
+            cold_tolerance=bounds.COLD_TOLERANCE,
             **self.addresses,
         )
         await anyio.Path(settings).write_text(text)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 from soak.fleet import Fleet
 from soak.scenarios import Scenario
 from soak.table_changes import TableChanges
+from soak.zone_faults import ZoneFaults
 
 # Seconds between the starts of two faults.
 MIN_PAUSE_S = 0.3
@@ -30,6 +31,7 @@
     :param group: task group for endpoints that are added.
     :ivar daemons: faults of daemons.
     :ivar endpoints: faults of endpoints.
+    :ivar zones: evacuated zones and cold endpoints.
     :ivar ended_daemons: daemons whose process ended by itself.
     """
 
@@ -46,6 +48,7 @@
         self.endpoints = EndpointFaults(
             fleet=fleet, journal=self._journal, group=group
         )
+        self.zones = ZoneFaults(fleet=fleet, journal=self._journal)
         self.ended_daemons: list[str] = []
         self._environment = EnvironmentFaults(
             fleet=fleet, journal=self._journal
@@ -102,6 +105,9 @@
             'silence': self.endpoints.silence,
             'poison': self.endpoints.poison,
             'repeat': self.endpoints.repeat_deadly_request,
+            'evacuate': self.zones.evacuate,
+            'return cold': self.zones.return_cold,
+            'turn cold': self.zones.turn_cold,
             'tables': self._tables.change_in_series,
             'reloads': self.daemons.reload_in_series,
             'stops': self.daemons.stop_in_series,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,7 +10,12 @@
 from soak import bounds
 from soak.daemons import Daemon
 from soak.fault_windows import FaultWindows
-from soak.tables import PoolShare, PublishedTable, encode_table
+from soak.tables import (
+    PoolShare,
+    PublishedTable,
+    add_cold_rates,
+    encode_table,
+)
 from standins.link import Link
 from standins.relayed_endpoint import RelayedEndpoint
 from standins.run_log import RunLog
@@ -39,6 +44,11 @@
     :param folder: directory of settings and logs.
     :ivar tables: every routing table, oldest first.
     :ivar extra_keys: temporary keys of the newest table.
+    :ivar endpoint_zones: zones of endpoints that are added, in turn, a letter
+        each.
+    :ivar zones: zone of each endpoint.
+    :ivar born: start time of each endpoint that has restarted.
+    :ivar has_cold: whether services have a cold time.
     :ivar unusual: what endpoints do that are added from now on.
     :ivar deadly_until: end of the time in which prompts have a deadly part.
     :ivar deadly_requests: requests that crash endpoints, and come again.
@@ -60,6 +70,10 @@
         self.deadly_until = float('-inf')
         self.deadly_requests: list[DeadlyRequest] = []
         self.unusual = UnusualBehaviour()
+        self.endpoint_zones = 'a'
+        self.zones: dict[str, str] = {}
+        self.born: dict[str, int] = {}
+        self.has_cold = False
         self._number = 0
         # The newest content of each record, by topic and key, oldest first.
         self._written: dict[tuple[str, str], dict | None] = {}
@@ -94,6 +108,10 @@
             **fields,
         )
         endpoint.unusual = self.unusual
+        count = len(self.zones)
+        self.zones[endpoint.name] = self.endpoint_zones[
+            count % len(self.endpoint_zones)
+        ]
         await endpoint.start(group)
         link = Link(target=endpoint.address)
         await link.start(group)
@@ -103,9 +121,16 @@
         return endpoint
 
     def register(
-        self, endpoint: RelayedEndpoint, address: str, state: str = 'ready'
+        self,
+        endpoint: RelayedEndpoint,
+        address: str,
+        state: str = 'ready',
+        cold_s: float = 0,
     ) -> None:
-        """Write the record of an endpoint to the store."""
+        """Write the record of an endpoint to the store.
+
+        :param cold_s: seconds for which it is cold.
+        """
         self._number += 1
         self.write(
             'keyed.servers',
@@ -113,13 +138,13 @@
             {
                 'service': endpoint.service,
                 'address': address,
-                'zone': 'a',
+                'zone': self.zones[endpoint.name],
                 'version': endpoint.version,
                 'slots': 8,
                 'state': state,
-                'cold_remaining_ms': 0,
+                'cold_remaining_ms': round(max(cold_s, 0) * 1000),
                 'sequence': self._number,
-                'born': 1,
+                'born': self.born.get(endpoint.name, 1),
             },
         )
 
@@ -152,6 +177,8 @@
         document = encode_table(
             len(self.tables) + 1, shares, keys, timeout_s, filler_keys
         )
+        if self.has_cold:
+            add_cold_rates(document)
         self.write('keyed.op', 'config', document)
         self.tables.append(
             PublishedTable(
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -13,6 +13,7 @@
 from soak.faults import FaultInjector
 from soak.fleet import Fleet
 from soak.tables import PublishedTable
+from soak.zone_checks import check_zones
 from standins.relayed_answers import encode_answer, encode_events
 from standins.run_log import Run
 
@@ -55,6 +56,7 @@
             *check_applications(self._fleet),
             *check_crashes(self._fleet, self._requests),
             *check_announcements(self._fleet, self._requests),
+            *check_zones(self._fleet, self._requests, self._faults.zones),
             *(
                 f'registry: {name} returned no addresses'
                 for name in self._empty_answers
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -71,4 +71,10 @@
         10,
         'requests that crash endpoints and come again, beside other faults',
     ),
+    RegressionSeed(
+        7,
+        'zones',
+        12,
+        'evacuated zones, endpoints that return cold or turn cold again',
+    ),
 )
--- a/soak/scenarios.py
+++ b/soak/scenarios.py
@@ -41,6 +41,11 @@
     *('pause', 'link'),
     *('store', 'turn away', 'table', 'leave', 'reloads', 'silence'),
 )
+_ZONE_FAULTS: Final = (
+    *('evacuate', 'evacuate', 'return cold', 'return cold', 'return cold'),
+    *('turn cold', 'turn cold', 'stop', 'stops', 'kill', 'link'),
+    *('store', 'turn away', 'table', 'leave', 'rollout'),
+)
 _OPERATIONS: Final = (
     *('silence', 'silence', 'silence', 'tables', 'tables', 'reloads'),
     *('stops', 'stops', 'keys', 'leave'),
@@ -60,6 +65,8 @@
     :ivar has_prompts: whether streams have prompts, some of which crash
         endpoints.
     :ivar zones: zone of each daemon, one letter each.
+    :ivar endpoint_zones: zones of endpoints in turn, one letter each.
+    :ivar has_cold: whether services have a cold time.
     """
 
     fault_names: Sequence[str]
@@ -68,6 +75,8 @@
     unusual: UnusualBehaviour = field(factory=UnusualBehaviour)
     has_prompts: bool = False
     zones: str = ZONES
+    endpoint_zones: str = 'a'
+    has_cold: bool = False
 
 
 # Scenarios by name: faults alone; planned work and silent endpoints alone;
@@ -75,7 +84,7 @@
 # from an older copy, and endpoints that announce that they leave or ask for a
 # pause; endpoints that state rate limits; a store that serves some daemons
 # only, beside signals and changes in series; requests that crash endpoints and
-# come again; faults with planned work.
+# come again; evacuated zones and cold endpoints; faults with planned work.
 SCENARIOS: Final[Mapping[str, Scenario]] = {
     'faults': Scenario(
         fault_names=_FAULTS,
@@ -119,6 +128,14 @@
         fault_share=0,
         has_large_requests=False,
     ),
+    'zones': Scenario(
+        fault_names=_ZONE_FAULTS,
+        fault_share=0,
+        has_large_requests=False,
+        zones=_PARTIAL_ZONES,
+        endpoint_zones='abc',
+        has_cold=True,
+    ),
     'all': Scenario(
         fault_names=(
             *(*_FAULTS, *_OPERATIONS, 'limits', 'limits', 'turn away'),
--- a/soak/tables.py
+++ b/soak/tables.py
@@ -87,6 +87,16 @@
     }
 
 
+def add_cold_rates(document: dict) -> None:
+    """Give all services of a routing table a cold time.
+
+    :param document: the encoded table.
+    """
+    for service in document['services']:
+        service['cold_start_s'] = bounds.COLD_START_S
+        service['cold_per_s'] = bounds.COLD_PER_S
+
+
 def _encode_shares(shares: Sequence[PoolShare]) -> dict:
     if len(shares) == 1:
         return {'service': shares[0].pool}
--- a/standins/notices.py
+++ b/standins/notices.py
@@ -33,6 +33,7 @@
     :ivar at: moment of its arrival, on the monotonic clock, in seconds.
     :ivar answered_at: moment at which its answer was begun.
     :ivar rate_limit: limit that the answer stated, or ``None``.
+    :ivar is_misdirected: whether it was meant for another endpoint.
     """
 
     request_id: str
@@ -40,6 +41,7 @@
     at: float
     answered_at: float
     rate_limit: float | None
+    is_misdirected: bool = False
 
 
 @frozen(kw_only=True)
--- a/standins/relayed_endpoint.py
+++ b/standins/relayed_endpoint.py
@@ -121,7 +121,8 @@
         self._last_runs.pop(stream)
         self._unframed.discard(stream)
 
-    async def _crash(self) -> None:
+    async def crash(self) -> None:
+        """Break off all answers, and serve again after ``CRASH_S``."""
         now = anyio.current_time()
         self._down_until = now + CRASH_S
         self._run_log.crashed_at.setdefault(self.name, []).append(now)
@@ -158,6 +159,7 @@
             request_id,
             self.notices.encode(),
         )
+        is_misdirected = headers.get(b'x-expect-instance') != self.name.encode()
         self._run_log.arrivals.append(
             Arrival(
                 request_id=request_id.decode(),
@@ -165,9 +167,10 @@
                 at=arrived_at,
                 answered_at=anyio.current_time(),
                 rate_limit=self.notices.rate_limit,
+                is_misdirected=is_misdirected,
             )
         )
-        if headers.get(b'x-expect-instance') != self.name.encode():
+        if is_misdirected:
             self._run_log.misdirected += 1
             await send_refusal(stream, head_template, b'421 Misdirected')
             return True
@@ -235,7 +238,7 @@
         if action == 'flood':
             await send_without_end(stream, head_template, self._rng)
         if action == 'crash':
-            await self._crash()
+            await self.crash()
 
     def _record_run(
         self,
