--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -77,4 +77,10 @@
         10,
         'endless heads, blank lines, incomplete bodies and unread answers',
     ),
+    RegressionSeed(
+        7,
+        'zones',
+        12,
+        'evacuated zones, endpoints that return cold or turn cold again',
+    ),
 )
--- a/soak/scenarios.py
+++ b/soak/scenarios.py
@@ -45,6 +45,11 @@
     *('misuse', 'misuse', 'misuse', 'misuse', 'misuse', 'misuse'),
     *('stop', 'kill', 'reload', 'table', 'leave'),
 )
+_ZONE_FAULTS: Final = (
+    *('evacuate', 'evacuate', 'return cold', 'return cold', 'return cold'),
+    *('turn cold', 'turn cold', 'stop', 'stops', 'kill', 'link'),
+    *('store', 'turn away', 'table', 'leave', 'rollout'),
+)
 _OPERATIONS: Final = (
     *('silence', 'silence', 'silence', 'tables', 'tables', 'reloads'),
     *('stops', 'stops', 'keys', 'leave'),
@@ -66,6 +71,8 @@
     :ivar zones: zone of each daemon, one letter each.
     :ivar memory_mb: size of each instance in MB of 2**20 bytes, which its
         daemon must not exceed; zero if it is not checked.
+    :ivar endpoint_zones: zones of endpoints in turn, one letter each.
+    :ivar has_cold: whether services have a cold time.
     """
 
     fault_names: Sequence[str]
@@ -75,6 +82,8 @@
     has_prompts: bool = False
     zones: str = ZONES
     memory_mb: float = 0
+    endpoint_zones: str = 'a'
+    has_cold: bool = False
 
 
 # Scenarios by name: faults alone; planned work and silent endpoints alone;
@@ -82,8 +91,8 @@
 # from an older copy, and endpoints that announce that they leave or ask for a
 # pause; endpoints that state rate limits; a store that serves some daemons
 # only, beside signals and changes in series; requests that crash endpoints and
-# come again; callers that misuse daemons of the smallest instances; faults with
-# planned work.
+# come again; callers that misuse daemons of the smallest instances; evacuated
+# zones and cold endpoints; faults with planned work.
 SCENARIOS: Final[Mapping[str, Scenario]] = {
     'faults': Scenario(
         fault_names=_FAULTS,
@@ -133,6 +142,14 @@
         has_large_requests=False,
         memory_mb=bounds.MEMORY_MB,
     ),
+    'zones': Scenario(
+        fault_names=_ZONE_FAULTS,
+        fault_share=0,
+        has_large_requests=False,
+        zones=_PARTIAL_ZONES,
+        endpoint_zones='abc',
+        has_cold=True,
+    ),
     'all': Scenario(
         fault_names=(
             *(*_FAULTS, *_OPERATIONS, 'limits', 'limits', 'turn away'),
