Bound the connections that peers open to a chat daemon

Nothing bounded the connections to the peers' socket, so that peers that only send a greeting took a descriptor each, up to the last one. Beyond 3/8 of the descriptors less the reserve, new ones are now refused in the callback that the library has for it. Ruled out: counting by the library's table, which keeps entries of connections that end as they begin (1 of 10 measured), so that the bound would come to refuse everyone; closing the oldest, which displaces the daemons of the fleet.

Failing before: tests/test_peers.py::test_peers_open_no_more_connections_than_the_limit. Measured on a socket as the daemon's: 100 greetings take 100 descriptors, 19 with a limit of 20 by that table; 10 incomplete messages of 16 MB take 160 MB. pytest tests/test_peers.py tests/test_processes.py and tests/test_hostile_callers.py -k chat_daemon (80 and 93 MB) pass.

--- a/laurelwind/transport/peers.py
+++ b/laurelwind/transport/peers.py
@@ -28,6 +28,8 @@
     extract_trace_context,
     format_traceparent,
 )
+from laurelwind.transport.limits.machine import derive_limits
+from laurelwind.transport.peer_connections import PeerConnections
 
 _MAX_CONCURRENT_ANSWERS: Final = 64
 _MAX_PEERS: Final = 64
@@ -114,6 +116,9 @@
     :param metrics: counts messages and bytes.
     :param tracing: records a span for each answered request that carries a
         trace context.
+    :param max_connections: most connections that peers may open; by default
+        the share of the descriptors that a relay has for endpoints.
+    :ivar inbound: the connections that peers have opened.
     """
 
     def __init__(
@@ -123,6 +128,7 @@
         signer: EnvelopeSigner,
         metrics: Metrics,
         tracing: Tracing,
+        max_connections: int | None = None,
     ) -> None:
         self._signer = signer
         self._metrics = metrics
@@ -133,6 +139,10 @@
         self._scope = anyio.CancelScope()
         self._stopped = anyio.Event()
         self._listener = pynng.Rep0(recv_max_size=_MAX_MESSAGE_BYTES)
+        self.inbound = PeerConnections(
+            limit=max_connections or derive_limits().endpoint_connections
+        )
+        self.inbound.watch(self._listener)
         self._listener.listen(f'tcp://{address}')
 
     @property
