Confirm pressure by several requests or peers only

Cause: any three fresh samples without room confirmed pressure for requests of unknown forecast. One waiting request records a sample at each review, and one peer reports up to one per priority.

Change: a sample names its source, the request or the peer, and each source counts once with its newest sample. Three sources are required.

--- a/laurelwind/coordination/shedding/decisions.py
+++ b/laurelwind/coordination/shedding/decisions.py
@@ -36,6 +36,7 @@
 
     :ivar service: name of its service.
     :ivar kind: name of its route.
+    :ivar request_id: its identifier; samples of one request count once.
     :ivar workspace: name of its workspace, or an empty string.
     :ivar priority: priority, 0 (most urgent) to 9.
     :ivar work: work that it causes at an endpoint.
@@ -54,6 +55,7 @@
 
     service: str
     kind: str
+    request_id: str
     workspace: str = ''
     priority: int = 0
     work: Work = field(factory=Work)
--- a/laurelwind/coordination/shedding/load_decisions.py
+++ b/laurelwind/coordination/shedding/load_decisions.py
@@ -88,6 +88,7 @@
                     is_stream=request.is_stream,
                 ),
                 observed_at=now - forecast.age_s,
+                source=('request', request.request_id),
             ),
             now,
         )
--- a/laurelwind/coordination/shedding/load_gate.py
+++ b/laurelwind/coordination/shedding/load_gate.py
@@ -191,6 +191,7 @@
                 LoadRequest(
                     service=job.service,
                     kind=urgent.route,
+                    request_id=job.request.request_id,
                     priority=urgent.priority,
                     work=work,
                     is_stream=urgent.is_stream,
@@ -243,6 +244,7 @@
     return LoadRequest(
         service=job.service,
         kind=job.route.name,
+        request_id=job.request.request_id,
         workspace='' if job.workspace is None else job.workspace.name,
         priority=job.priority,
         work=job.work,
--- a/laurelwind/coordination/shedding/load_gossip.py
+++ b/laurelwind/coordination/shedding/load_gossip.py
@@ -108,7 +108,7 @@
             return
         now = self._clock()
         known = self._decisions.list_services()
-        for service, sample, admitted_share in _decode(pressures, now):
+        for service, sample, admitted_share in _decode(peer, pressures, now):
             load = known.get(service)
             if load is not None:
                 load.pressure.record_remote(sample, now)
@@ -156,7 +156,7 @@
 
 
 def _decode(
-    rows: list[Any], now: float
+    peer: str, rows: list[Any], now: float
 ) -> Iterator[tuple[str, PressureSample, float]]:
     for row in rows[:MAX_PRESSURE_ROWS]:
         if not _is_row(row, _PRESSURE_TYPES):
@@ -169,6 +169,7 @@
                 priority=priority,
                 ratio=min(ratio, 1),
                 observed_at=now - age_s,
+                source=('peer', peer),
             ),
             min(admitted_share, 1),
         )
--- a/laurelwind/coordination/shedding/pressure.py
+++ b/laurelwind/coordination/shedding/pressure.py
@@ -1,7 +1,6 @@
 """Pressure on a service, from forecasts of this daemon and of its peers."""
 
 import math
-from collections import deque
 from typing import Final
 
 from attrs import define, field, frozen
@@ -35,10 +34,13 @@
 MAX_SHED_SHARE: Final = 0.95
 MAX_RATIO: Final = 1.0
 # Fresh samples without room that confirm pressure where a request's own
-# forecast is unknown. Each is of the endpoint that was best for its request.
+# forecast is unknown. Each is of another request or another peer.
 MIN_CONFIRMATIONS: Final = 3
 _PRIORITIES: Final = 10
 
+# Kind of a source, and the identifier of the request or address of the peer.
+Source = tuple[str, str]
+
 
 @frozen(kw_only=True)
 class PressureSample:
@@ -48,11 +50,13 @@
     :ivar ratio: predicted wait as a share of the slack before the latency
         goal; zero if there is room.
     :ivar observed_at: moment of the endpoint's report, on the monotonic clock.
+    :ivar source: what it comes from: a request or a peer.
     """
 
     priority: int
     ratio: float
     observed_at: float
+    source: Source
 
 
 def has_room(forecast: Forecast, goal_s: float) -> bool:
@@ -139,9 +143,8 @@
 
     _classes: dict[int, ClassPressure] = field(factory=dict)
     _local: dict[int, PressureSample] = field(factory=dict)
-    _recent: deque[PressureSample] = field(
-        factory=lambda: deque(maxlen=MIN_CONFIRMATIONS)
-    )
+    # The newest sample of each of the last sources, newest last.
+    _recent: dict[Source, PressureSample] = field(factory=dict)
 
     def record(self, sample: PressureSample, now: float) -> None:
         """Apply a sample of this daemon, and keep it for the peers.
@@ -162,7 +165,10 @@
         if now - sample.observed_at > EVIDENCE_TTL_S:
             return
         if 0 <= sample.priority < _PRIORITIES:
-            self._recent.append(sample)
+            self._recent.pop(sample.source, None)
+            if len(self._recent) >= MIN_CONFIRMATIONS:
+                self._recent.pop(next(iter(self._recent)))
+            self._recent[sample.source] = sample
             pressure = self._classes.setdefault(
                 sample.priority, ClassPressure()
             )
@@ -182,8 +188,9 @@
         }
 
     def is_confirmed(self, now: float) -> bool:
-        """Return whether several fresh samples in a row found no room.
+        """Return whether fresh samples of several sources found no room.
 
+        A request that is reviewed repeatedly, or one peer, is one source.
         Only then does the pressure on a service apply to a request for which
         no fresh forecast is known.
 
@@ -191,7 +198,7 @@
         """
         return len(self._recent) == MIN_CONFIRMATIONS and all(
             sample.ratio > 0 and now - sample.observed_at <= EVIDENCE_TTL_S
-            for sample in self._recent
+            for sample in self._recent.values()
         )
 
     def get_age(self, now: float) -> float:
--- a/tests/emulated_load.py
+++ b/tests/emulated_load.py
@@ -249,6 +249,7 @@
         request = LoadRequest(
             service='pool',
             kind=call.kind.name,
+            request_id=str(id(call)),
             workspace=call.workspace,
             priority=call.kind.priority,
             work=Work(prompt_tokens=call.tokens, priority=call.kind.priority),
@@ -269,6 +270,7 @@
             urgent = LoadRequest(
                 service='pool',
                 kind='ask',
+                request_id=str(id(call)),
                 priority=1,
                 goal_s=2,
                 remaining_s=5,
--- a/tests/test_load_decisions.py
+++ b/tests/test_load_decisions.py
@@ -24,6 +24,7 @@
     values = {
         'service': 'pool',
         'kind': 'ask',
+        'request_id': 'r1',
         'priority': 1,
         'work': Work(prompt_tokens=1000),
         'goal_s': 2.0,
@@ -51,7 +52,9 @@
     """Record two seconds of forecasts that exceed the latency goal."""
     for step in range(20):
         decisions.record_forecast(
-            build_load_request(priority=priority, goal_s=goal_s),
+            build_load_request(
+                request_id=f'r{step}', priority=priority, goal_s=goal_s
+            ),
             build_forecast(start_s=3, first_s=3.1, finish_s=4, occupancy=1.5),
             now - 2 + step / 10,
         )
