Count each request once, with its last outcome

Cause: a request that was rejected at the version on trial and then moved to the old version was sent, but counted as rejected. One that was admitted and rejected at a later review was counted twice, and its work stayed admitted. Both move the floor and the correction for more urgent work.

Change: a decision keeps how its request is counted.

--- a/laurelwind/coordination/relay_jobs.py
+++ b/laurelwind/coordination/relay_jobs.py
@@ -13,6 +13,7 @@
     classify_step,
 )
 from laurelwind.coordination.scheduling.requirements import SchedulingClass
+from laurelwind.coordination.shedding.decisions import LoadDecision
 from laurelwind.coordination.suspects.keys import (
     build_part_keys,
     build_request_name,
@@ -94,7 +95,7 @@
     :ivar load_draw: random number in [0, 1) of all its load decisions.
     :ivar return_draw: random number in [0, 1) for the time at which its caller
         returns if it is rejected.
-    :ivar is_load_reviewed: whether a load decision was made about it.
+    :ivar load_decision: the last load decision about it, or ``None``.
     :ivar work: expected work, as of the last load decision.
     :ivar forecast: forecast of the last load decision, or ``None``.
     """
@@ -127,7 +128,7 @@
     longest_gap_s: float = 0
     load_draw: float = field(factory=random.random)
     return_draw: float = field(factory=random.random)
-    is_load_reviewed: bool = False
+    load_decision: LoadDecision | None = None
     work: Work = field(factory=Work)
     forecast: Forecast | None = None
 
--- a/laurelwind/coordination/shedding/decisions.py
+++ b/laurelwind/coordination/shedding/decisions.py
@@ -6,6 +6,7 @@
 from attrs import field, frozen
 
 from laurelwind.coordination.load.forecasts import Forecast, Work
+from laurelwind.coordination.shedding.demand import CountedOutcome
 
 
 class LoadOutcome(enum.StrEnum):
@@ -93,6 +94,7 @@
     :ivar floor: smallest probability of admission at the moment.
     :ivar evidence_age_s: age of the newest evidence of load in seconds.
     :ivar retry_after_s: delay after which a rejected caller should return.
+    :ivar counted: how the request is counted in the demand, or ``None``.
     """
 
     outcome: LoadOutcome
@@ -102,6 +104,7 @@
     floor: float = 0
     evidence_age_s: float = math.inf
     retry_after_s: float = 0
+    counted: CountedOutcome | None = None
 
     @property
     def is_shed(self) -> bool:
--- a/laurelwind/coordination/shedding/demand.py
+++ b/laurelwind/coordination/shedding/demand.py
@@ -3,7 +3,7 @@
 import math
 from typing import Final
 
-from attrs import define, field
+from attrs import define, evolve, field, frozen
 
 # Time over which demand and admissions are averaged: the interval for which
 # the floors are stated.
@@ -42,6 +42,24 @@
     return [float(0) for _ in range(EXCESS_PRIORITY + 1)]
 
 
+@frozen(kw_only=True)
+class CountedOutcome:
+    """The outcome of a request, as it was counted.
+
+    :ivar is_admitted: whether it counts as admitted.
+    :ivar priority: its priority.
+    :ivar work: its work.
+    :ivar weight: its weight in the admitted share at ``counted_at``.
+    :ivar counted_at: moment of the decision, on the monotonic clock.
+    """
+
+    is_admitted: bool
+    priority: int
+    work: float
+    weight: float
+    counted_at: float
+
+
 @define(kw_only=True)
 class ServiceDemand:
     """Demand on one service that this daemon has seen.
@@ -86,8 +104,8 @@
 
     def record_outcome(
         self, priority: int, work: float, now: float, *, is_admitted: bool
-    ) -> None:
-        """Count a decision.
+    ) -> CountedOutcome:
+        """Count a decision, and return what was counted.
 
         :param priority: priority of the request.
         :param work: its work.
@@ -100,6 +118,33 @@
         weight = 1 - math.exp(-elapsed_s / ADMISSION_WINDOW_S)
         self.admitted_share += (is_admitted - self.admitted_share) * weight
         self._counted_at = now
+        return CountedOutcome(
+            is_admitted=is_admitted,
+            priority=priority,
+            work=work,
+            weight=weight,
+            counted_at=now,
+        )
+
+    def revise_outcome(self, counted: CountedOutcome) -> CountedOutcome:
+        """Count a request with the opposite outcome instead.
+
+        :param counted: what was counted for it.
+        :returns: what is counted now.
+        """
+        sign = -1 if counted.is_admitted else 1
+        decay = math.exp(
+            -max(self._decayed_at - counted.counted_at, 0) / DEMAND_WINDOW_S
+        )
+        self._admitted[counted.priority] = max(
+            self._admitted[counted.priority] + sign * counted.work * decay, 0
+        )
+        # Later decisions have reduced its weight by about as much.
+        passed_s = max(self._counted_at - counted.counted_at, 0)
+        weight = counted.weight * math.exp(-passed_s / ADMISSION_WINDOW_S)
+        share = self.admitted_share + sign * weight
+        self.admitted_share = min(max(share, 0), 1)
+        return evolve(counted, is_admitted=not counted.is_admitted)
 
     def record_remote_share(self, share: float, now: float) -> None:
         """Apply the admitted share of a peer.
--- a/laurelwind/coordination/shedding/load_decisions.py
+++ b/laurelwind/coordination/shedding/load_decisions.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from attrs import evolve
+
 from laurelwind.coordination.load.forecasts import Forecast
 from laurelwind.coordination.shedding.corrections import SentRequest
 from laurelwind.coordination.shedding.decisions import (
@@ -164,7 +166,7 @@
         forecast: Forecast | None,
         now: float,
         *,
-        is_first: bool = True,
+        last: LoadDecision | None = None,
     ) -> LoadDecision:
         """Decide about a request that no endpoint may have run.
 
@@ -172,7 +174,8 @@
         :param forecast: forecast at the endpoint that was selected, or ``None``
             if nothing is known.
         :param now: current moment on the monotonic clock.
-        :param is_first: whether this is the first review of the request.
+        :param last: the decision about the request that this one replaces, or
+            ``None`` at its first review.
         """
         self.is_active = self.is_active or forecast is not None
         load = self.get_service(request.service)
@@ -180,6 +183,7 @@
             request.service, request.workspace, now
         )
         rank, rank_draw = rank_request(request, excess)
+        is_first = last is None
         if is_first:
             load.demand.record_arrival(rank, request.kind, request.amount, now)
         # Demand is shared for services that load decisions apply to.
@@ -202,11 +206,14 @@
                 now=now,
             )
         )
-        if is_first or decision.is_shed:
-            load.demand.record_outcome(
+        counted = None if last is None else last.counted
+        if counted is None:
+            counted = load.demand.record_outcome(
                 request.priority,
                 request.amount,
                 now,
                 is_admitted=not decision.is_shed,
             )
-        return decision
+        elif counted.is_admitted is decision.is_shed:
+            counted = load.demand.revise_outcome(counted)
+        return evolve(decision, counted=counted)
--- a/laurelwind/coordination/shedding/load_gate.py
+++ b/laurelwind/coordination/shedding/load_gate.py
@@ -79,15 +79,18 @@
                 endpoint = timely
                 request = build_load_request(job)
         self._record_urgent(job, endpoint, now)
-        is_first = not job.is_load_reviewed
+        is_first = job.load_decision is None
         decision = self.decisions.review(
-            request, job.forecast, now, is_first=is_first
+            request, job.forecast, now, last=job.load_decision
         )
-        job.is_load_reviewed = True
         if decision.is_shed:
             old = self._choose_old_version(job)
             if old is not None:
-                return old
+                endpoint = old
+                decision = self.decisions.review(
+                    build_load_request(job), job.forecast, now, last=decision
+                )
+        job.load_decision = decision
         if is_first or decision.is_shed:
             self.count(decision.outcome, decision.reason)
         if decision.is_shed:
--- a/tests/test_load_decisions.py
+++ b/tests/test_load_decisions.py
@@ -283,9 +283,10 @@
     decisions = press(LoadDecisions())
     forecast = build_forecast(start_s=0.3, first_s=0.4, occupancy=1.2)
     request = build_load_request(draw=0.0, delay_s=0.5)
+    decision = None
     for step in range(10):
         decision = decisions.review(
-            request, forecast, 100 + step * 0.1, is_first=not step
+            request, forecast, 100 + step * 0.1, last=decision
         )
         assert decision.outcome is LoadOutcome.WAIT
 
--- a/tests/test_load_returns.py
+++ b/tests/test_load_returns.py
@@ -21,9 +21,7 @@
     for step in range(100):
         job = build_job('draft', timeout_s=20.0)
         job.load_draw = 0.95 + step / 2000
-        decision = decisions.review(
-            build_load_request(job), forecast, 100.0, is_first=False
-        )
+        decision = decisions.review(build_load_request(job), forecast, 100.0)
         assert decision.is_shed
         delays.append(decision.retry_after_s)
     assert max(delays) - min(delays) > 0.1
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -17,8 +17,11 @@
     """
     decisions = LoadDecisions()
     request = build_load_request(draw=0, priority=9)
+    decision = None
     for step in range(20):
-        decisions.review(request, PRESSED, 100 + step / 4, is_first=not step)
+        decision = decisions.review(
+            request, PRESSED, 100 + step / 4, last=decision
+        )
     other = build_load_request(priority=9)
     assert not decisions.review(other, UNKNOWN, 105.0).is_shed
 
