Bound usual shares, and end load decisions with the pace

Cause: the usual shares held every pair of the present reports, 1,152 with 48 reports of 24 rows each, where 64 were meant. Load decisions stayed active forever after the first forecast, so that Retry-After of a daemon with an old table kept following the outage.

Change: the 64 pairs with the largest shares of their services are kept. Decisions are active for 600 s after the last forecast; that is longer than an outage, within which no forecast is made.

--- a/laurelwind/coordination/admission.py
+++ b/laurelwind/coordination/admission.py
@@ -146,9 +146,10 @@
         return route, workspace
 
     def _draw_return_delay(self, request: RelayRequest) -> float:
-        if not self._dependencies.decisions.is_active:
+        now = read_monotonic_clock()
+        if not self._dependencies.decisions.is_active(now):
             return draw_retry_after()
-        uptime_s = read_monotonic_clock() - self._started_at
+        uptime_s = now - self._started_at
         return compute_outage_delay(
             min(self._dependencies.lease.age_s, uptime_s),
             request.deadline_s,
--- a/laurelwind/coordination/shedding/demand_totals.py
+++ b/laurelwind/coordination/shedding/demand_totals.py
@@ -1,5 +1,6 @@
 """Demand of workspaces on services, summed over daemons."""
 
+import heapq
 from typing import Final
 
 from attrs import define, field, frozen
@@ -68,6 +69,16 @@
             self.service_requests.get(service, 0) + row.requests
         )
 
+    def list_largest(self, limit: int) -> list[Pair]:
+        """Return the pairs with the largest shares of their service's work.
+
+        Work is not compared among services: a request of one may count 1, and
+        of another thousands of tokens.
+
+        :param limit: largest number of pairs.
+        """
+        return heapq.nlargest(limit, self.work, key=self.get_share)
+
     def get_share(self, pair: Pair) -> float:
         """Return the share of the service's work.
 
--- a/laurelwind/coordination/shedding/load_decisions.py
+++ b/laurelwind/coordination/shedding/load_decisions.py
@@ -1,5 +1,6 @@
 """Decides whether a request is sent, waits or is rejected because of load."""
 
+import math
 from typing import Final
 
 from attrs import evolve
@@ -26,21 +27,33 @@
 
 # Services whose load is tracked; a routing table has far fewer.
 MAX_SERVICES: Final = 64
+# Time after the last forecast for which load decisions count as active: as long
+# as placement keeps what it has learned of an unused service.
+ACTIVE_TTL_S: Final = 600.0
 
 
 class LoadDecisions:
     """Makes load decisions by forecasts and the pressure on each service.
 
     :ivar workspaces: demand of workspaces.
-    :ivar is_active: whether the endpoints of any service have reported their
-        pace, without which no decision is made.
     """
 
     def __init__(self) -> None:
-        self.is_active = False
+        self._forecast_at = -math.inf
         self.workspaces = WorkspaceDemand()
         self._services: dict[str, ServiceEvidence] = {}
 
+    def is_active(self, now: float) -> bool:
+        """Return whether the endpoints of any service report their pace.
+
+        Without that no decision is made. While the daemon has no valid table it
+        gets no forecasts, so that the last one counts for longer than an
+        outage.
+
+        :param now: current moment on the monotonic clock.
+        """
+        return now - self._forecast_at <= ACTIVE_TTL_S
+
     def get_service(self, name: str) -> ServiceEvidence:
         """Return the load of a service.
 
@@ -177,7 +190,8 @@
         :param last: the decision about the request that this one replaces, or
             ``None`` at its first review.
         """
-        self.is_active = self.is_active or forecast is not None
+        if forecast is not None:
+            self._forecast_at = now
         load = self.get_service(request.service)
         excess = self.workspaces.compute_excess(
             request.service, request.workspace, now
--- a/laurelwind/coordination/shedding/workspace_demand.py
+++ b/laurelwind/coordination/shedding/workspace_demand.py
@@ -200,7 +200,7 @@
     ) -> None:
         known = {}
         is_settled = self._is_settled(now)
-        for pair in self._totals.work:
+        for pair in self._totals.list_largest(MAX_PAIRS):
             share = self._totals.get_share(pair)
             usual = self._usual.get(pair, 0)
             if not usual or not is_settled:
--- a/tests/test_workspace_demand.py
+++ b/tests/test_workspace_demand.py
@@ -143,6 +143,19 @@
     assert excess > 0.3
 
 
+def test_usual_shares_are_bounded():
+    """Guards against growth with the workspaces that all peers name."""
+    demand = WorkspaceDemand()
+    for step in range(40):
+        now = 100 + step / 4
+        for peer in range(MAX_REPORTS):
+            rows = {f'w{peer}-{row}': 10 + row for row in range(24)}
+            demand.record_report(f'd{peer}', build_rows(**rows), now)
+        demand.compute_excess('pool', 'w0-23', now)
+    assert len(demand._usual) == MAX_PAIRS
+    assert all(pair[1].endswith(('-23', '-22')) for pair in demand._usual)
+
+
 def test_tables_are_bounded():
     """Guards against growth with workspaces or peers."""
     demand = WorkspaceDemand()
