--- a/laurelwind/coordination/shedding/load_decisions.py
+++ b/laurelwind/coordination/shedding/load_decisions.py
@@ -1,7 +1,10 @@
 """Decides whether a request is sent, waits or is rejected because of load."""
 
+import math
 from typing import Final
 
+from attrs import evolve
+
 from laurelwind.coordination.load.forecasts import Forecast
 from laurelwind.coordination.shedding.corrections import SentRequest
 from laurelwind.coordination.shedding.decisions import (
@@ -24,21 +27,33 @@
 
 # Services whose load is tracked; a routing table has far fewer.
 MAX_SERVICES: Final = 64
+# Time after the last forecast for which load decisions count as active: as long
+# as placement keeps what it has learned of an unused service.
+ACTIVE_TTL_S: Final = 600.0
 
 
 class LoadDecisions:
     """Makes load decisions by forecasts and the pressure on each service.
 
     :ivar workspaces: demand of workspaces.
-    :ivar is_active: whether the endpoints of any service have reported their
-        pace, without which no decision is made.
     """
 
     def __init__(self) -> None:
-        self.is_active = False
+        self._forecast_at = -math.inf
         self.workspaces = WorkspaceDemand()
         self._services: dict[str, ServiceEvidence] = {}
 
+    def is_active(self, now: float) -> bool:
+        """Return whether the endpoints of any service report their pace.
+
+        Without that no decision is made. While the daemon has no valid table it
+        gets no forecasts, so that the last one counts for longer than an
+        outage.
+
+        :param now: current moment on the monotonic clock.
+        """
+        return now - self._forecast_at <= ACTIVE_TTL_S
+
     def get_service(self, name: str) -> ServiceEvidence:
         """Return the load of a service.
 
@@ -88,6 +103,7 @@
                     is_stream=request.is_stream,
                 ),
                 observed_at=now - forecast.age_s,
+                source=('request', request.request_id),
             ),
             now,
         )
@@ -163,7 +179,7 @@
         forecast: Forecast | None,
         now: float,
         *,
-        is_first: bool = True,
+        last: LoadDecision | None = None,
     ) -> LoadDecision:
         """Decide about a request that no endpoint may have run.
 
@@ -171,14 +187,17 @@
         :param forecast: forecast at the endpoint that was selected, or ``None``
             if nothing is known.
         :param now: current moment on the monotonic clock.
-        :param is_first: whether this is the first review of the request.
+        :param last: the decision about the request that this one replaces, or
+            ``None`` at its first review.
         """
-        self.is_active = self.is_active or forecast is not None
+        if forecast is not None:
+            self._forecast_at = now
         load = self.get_service(request.service)
         excess = self.workspaces.compute_excess(
             request.service, request.workspace, now
         )
         rank, rank_draw = rank_request(request, excess)
+        is_first = last is None
         if is_first:
             load.demand.record_arrival(rank, request.kind, request.amount, now)
         # Demand is shared for services that load decisions apply to.
@@ -201,11 +220,14 @@
                 now=now,
             )
         )
-        if is_first or decision.is_shed:
-            load.demand.record_outcome(
+        counted = None if last is None else last.counted
+        if counted is None:
+            counted = load.demand.record_outcome(
                 request.priority,
                 request.amount,
                 now,
                 is_admitted=not decision.is_shed,
             )
-        return decision
+        elif counted.is_admitted is decision.is_shed:
+            counted = load.demand.revise_outcome(counted)
+        return evolve(decision, counted=counted)
--- a/tests/test_load_decisions.py
+++ b/tests/test_load_decisions.py
@@ -24,6 +24,7 @@
     values = {
         'service': 'pool',
         'kind': 'ask',
+        'request_id': 'r1',
         'priority': 1,
         'work': Work(prompt_tokens=1000),
         'goal_s': 2.0,
@@ -51,7 +52,9 @@
     """Record two seconds of forecasts that exceed the latency goal."""
     for step in range(20):
         decisions.record_forecast(
-            build_load_request(priority=priority, goal_s=goal_s),
+            build_load_request(
+                request_id=f'r{step}', priority=priority, goal_s=goal_s
+            ),
             build_forecast(start_s=3, first_s=3.1, finish_s=4, occupancy=1.5),
             now - 2 + step / 10,
         )
@@ -280,9 +283,10 @@
     decisions = press(LoadDecisions())
     forecast = build_forecast(start_s=0.3, first_s=0.4, occupancy=1.2)
     request = build_load_request(draw=0.0, delay_s=0.5)
+    decision = None
     for step in range(10):
         decision = decisions.review(
-            request, forecast, 100 + step * 0.1, is_first=not step
+            request, forecast, 100 + step * 0.1, last=decision
         )
         assert decision.outcome is LoadOutcome.WAIT
 
