Move all sessions to a version only at the time limit of its order

Cause: all sessions moved at two thirds of the time limit, so that a version that turned bad later had had 0.36 of the service's requests in the time that the exposure bound counts, where 0.15 are allowed.

Change: at the shift twice the trial share moves, and all other sessions at the time limit. Success is written at 0.92 of it as before and moves no session by itself while the moment is known. A version that shows nothing until the time limit has had 0.83 of its bound at constant load. The phases are in a module of their own.

--- a/laurelwind/coordination/rollouts/evidence.py
+++ b/laurelwind/coordination/rollouts/evidence.py
@@ -23,7 +23,10 @@
 # by more than chance explains: a version as good as the old one shows as many
 # with at most the probability MAX_FALSE_REJECTION.
 MIN_BAD_RATIO: Final = 1.5
-MAX_FALSE_REJECTION: Final = 0.015
+MAX_FALSE_REJECTION: Final = 0.001
+# From this factor on, a weaker proof suffices.
+FAR_BAD_RATIO: Final = 4.0
+MAX_FALSE_REJECTION_FAR: Final = 0.015
 # A version is accepted only if its share of failures is below this multiple of
 # the old version's, and below MAX_ACCEPTED_SHARE: a handful of good answers
 # would rule out a higher share.
@@ -129,7 +132,10 @@
     divergence = _compute_divergence(
         tally.failures / tally.answers, min(old_share, _MAX_BAD_SHARE)
     )
-    return math.exp(-tally.answers * divergence) <= MAX_FALSE_REJECTION
+    chance = math.exp(-tally.answers * divergence)
+    if tally.failures > FAR_BAD_RATIO * old_share * tally.answers:
+        return chance <= MAX_FALSE_REJECTION_FAR
+    return chance <= MAX_FALSE_REJECTION
 
 
 def _excludes_share(bad: int, answers: int, share: float) -> bool:
--- a/laurelwind/coordination/rollouts/progress.py
+++ b/laurelwind/coordination/rollouts/progress.py
@@ -9,6 +9,14 @@
     should_accept,
     should_reject,
 )
+from laurelwind.coordination.rollouts.phases import (
+    CANARY_FRACTION,
+    MAX_STATUS_AGE_S,
+    SHIFT_FRACTION,
+    SHIFT_NOTICE_S,
+    compute_moved_share,
+    compute_success_s,
+)
 from laurelwind.state.rollouts import (
     RolloutOrder,
     RolloutReport,
@@ -18,19 +26,6 @@
 )
 
 ALL_ROUTES: Final = '*'
-# Fractions of an order's time limit. A session may not change its version in
-# the first half; then the target version serves some sessions, then all.
-CANARY_FRACTION: Final = 0.51
-SHIFT_FRACTION: Final = 0.66
-SUCCESS_FRACTION: Final = 0.92
-# Seconds of the time limit reserved for writing the final status.
-SUCCESS_MARGIN_S: Final = 0.8
-# Age of the last read of the statuses above which a daemon does not use the
-# target version, since it may have been rolled back.
-MAX_STATUS_AGE_S: Final = 3.0
-# Seconds between the decision to shift and the shift. A daemon that has not
-# read the decision by then does not use the target version at all.
-SHIFT_NOTICE_S: Final = MAX_STATUS_AGE_S
 # Seconds after which a daemon reports new good answers, until the pooled
 # answers suffice, however few each daemon counts.
 REPORT_DELAY_S: Final = 0.8
@@ -49,8 +44,9 @@
     :ivar clock: returns the current time in seconds.
     :ivar ordered_at: moment of the order.
     :ivar state: the last status that was written, or ``None``.
-    :ivar shift_at_s: seconds since the order at which all sessions move to the
+    :ivar shift_at_s: seconds since the order at which more sessions move to the
         target version, or ``None`` before that is decided.
+    :ivar succeeded_at: moment at which this daemon learnt of the success.
     :ivar is_rejected: whether this daemon rejected the target version.
     :ivar rejected_at: moment of the rejection.
     :ivar old_tally: this daemon's answers of the version in use.
@@ -63,6 +59,7 @@
     shift_at_s: float | None = None
     is_rejected: bool = False
     rejected_at: float = 0
+    succeeded_at: float = 0
     old_tally: Tally = field(factory=Tally)
     _local_tallies: dict[str, Tally] = field(factory=dict)
     _peer_reports: dict[str, RolloutReport] = field(factory=dict)
@@ -153,6 +150,15 @@
         ).subtract(previous.old_tally)
         self.ordered_at = min(self.ordered_at, self.clock() - report.elapsed_s)
 
+    def apply_state(self, state: RolloutState) -> None:
+        """Apply a status that was written.
+
+        :param state: the status.
+        """
+        if state is RolloutState.SUCCEEDED and state is not self.state:
+            self.succeeded_at = self.clock()
+        self.state = state
+
     def apply_shift(self, shift: RolloutShift) -> None:
         """Apply the decision to shift.
 
@@ -188,10 +194,25 @@
         is_too_early = self.elapsed_fraction < CANARY_FRACTION
         if is_too_early or status_age_s > MAX_STATUS_AGE_S:
             return 0
-        has_shifted = (
-            self.shift_at_s is not None and self.elapsed_s >= self.shift_at_s
+        return self.get_session_share(canary_share)
+
+    def get_session_share(self, canary_share: float) -> float:
+        """Return the share of the sessions that moved by now.
+
+        A daemon that learns of the success without the order's age, as after a
+        restart, moves the others after the time that is usually left then.
+
+        :param canary_share: the share before the shift.
+        """
+        duration_s = self.order.duration_s
+        if self.state is RolloutState.SUCCEEDED:
+            since_s = self.clock() - self.succeeded_at
+            left_s = duration_s - compute_success_s(duration_s)
+            if self.shift_at_s is None or since_s >= left_s:
+                return 1
+        return compute_moved_share(
+            canary_share, self.elapsed_s, self.shift_at_s, duration_s
         )
-        return 1 if has_shifted else canary_share
 
     def find_due_state(self, delay_s: float) -> RolloutState | None:
         """Return the status that is due, whether or not it is written.
@@ -204,10 +225,7 @@
             is_due = self.clock() - self.rejected_at >= delay_s
             return RolloutState.ROLLED_BACK if is_due else None
         elapsed_s = self.elapsed_s - delay_s
-        duration_s = self.order.duration_s
-        success_due_s = min(
-            duration_s * SUCCESS_FRACTION, duration_s - SUCCESS_MARGIN_S
-        )
+        success_due_s = compute_success_s(self.order.duration_s)
         if elapsed_s > success_due_s and self.is_accepted:
             return RolloutState.SUCCEEDED
         return RolloutState.ACTIVE if elapsed_s > 0 else None
--- a/laurelwind/coordination/rollouts/registry.py
+++ b/laurelwind/coordination/rollouts/registry.py
@@ -154,7 +154,7 @@
                 state=status.state,
                 **rollout.describe_evidence(),
             )
-        rollout.state = status.state
+        rollout.apply_state(status.state)
         self._lost.discard_status(service)
 
     def apply_shift(self, service: str, shift: RolloutShift) -> None:
@@ -214,20 +214,23 @@
         rollout = self._rollouts.get(service)
         if rollout is None:
             return exclude_versions(endpoints, rejected)
-        target = rollout.order.target
-        old_endpoints, target_endpoints = split_versions(endpoints, target)
-        if rollout.state is RolloutState.ROLLED_BACK:
-            return exclude_versions(old_endpoints, rejected)
+        split = split_versions(endpoints, rollout.order.target)
+        target_endpoints = split[1]
+        old_endpoints = exclude_versions(split[0], rejected)
         if rollout.state is RolloutState.SUCCEEDED:
-            return target_endpoints or old_endpoints
-        if rollout.is_rejected or not allows_target:
-            return exclude_versions(old_endpoints, rejected)
+            share = rollout.get_session_share(self._canary_share)
+            if hash_fraction(session) < share:
+                return target_endpoints or split[0]
+            return old_endpoints or target_endpoints
+        is_ruled_out = rollout.is_rejected or not allows_target
+        if is_ruled_out or rollout.state is RolloutState.ROLLED_BACK:
+            return old_endpoints
         share = rollout.compute_target_share(
             self._canary_share, self._clock() - self._statuses_read_at
         )
         if target_endpoints and hash_fraction(session) < share:
             return target_endpoints
-        return exclude_versions(old_endpoints, rejected) or target_endpoints
+        return old_endpoints or target_endpoints
 
     def collect_due_reports(
         self, rank: int
