Withdraw a version that fails after its success

Cause: bad answers counted until the status succeeded. A version that failed under the load after it kept all sessions.

Change: for 60 s after the success, while endpoints of the old version are known, failures go on being counted and reported. From eight failures that are more than 0.02 of the answers and four times the old version's, the sessions return to the old endpoints; without any the version goes on serving. The status stays as it was written: a later rolled_back would contradict what the operator acted on; version_withdrawn is logged. Slowness does not count then, as the old version gives no answers to compare with. Counts are in a module of their own.

--- a/laurelwind/coordination/rollouts/answer_records.py
+++ b/laurelwind/coordination/rollouts/answer_records.py
@@ -151,9 +151,10 @@
             return
         route, tally = rejected
         rollout.reject()
-        self._remember_rejected(service, rollout.order.target)
+        if not rollout.is_settled:
+            self._remember_rejected(service, rollout.order.target)
         self._log.log_warning(
-            'version_rejected',
+            'version_withdrawn' if rollout.is_settled else 'version_rejected',
             service=service,
             target=rollout.order.target,
             route=route,
--- a/laurelwind/coordination/rollouts/evidence.py
+++ b/laurelwind/coordination/rollouts/evidence.py
@@ -39,6 +39,8 @@
 MAX_FALSE_ACCEPTANCE: Final = 0.01
 # Above this share of bad answers no version can be told from a worse one.
 _MAX_BAD_SHARE: Final = 0.9
+# Share of failures from which sessions leave a version that had succeeded.
+MIN_WITHDRAWAL_SHARE: Final = 0.02
 
 
 @frozen(kw_only=True)
@@ -116,6 +118,24 @@
     )
 
 
+def should_withdraw(tally: Tally, old_tally: Tally) -> bool:
+    """Return whether a version that succeeded fails too much to keep it.
+
+    The old version gives no answers meanwhile, so that only failures count and
+    its share is estimated cautiously: slowness may come from the load.
+
+    :param tally: counts of the version's answers.
+    :param old_tally: counts of the old version's answers before.
+    """
+    old_share = (old_tally.failures + 1) / (old_tally.answers + 1)
+    far_share = min(FAR_BAD_RATIO * old_share, MAX_ACCEPTED_SHARE)
+    min_share = max(MIN_WITHDRAWAL_SHARE, far_share, MIN_BAD_RATIO * old_share)
+    return (
+        tally.failures >= SUFFICIENT_FAILURES
+        and tally.failures > min_share * tally.answers
+    )
+
+
 def _get_share(bad: int, count: int) -> float:
     return bad / count if count else 0
 
--- a/laurelwind/coordination/rollouts/phases.py
+++ b/laurelwind/coordination/rollouts/phases.py
@@ -21,6 +21,10 @@
 # read the decision by then does not use the target version at all.
 SHIFT_NOTICE_S: Final = MAX_STATUS_AGE_S
 
+# Seconds after the success for which evidence still counts, while endpoints of
+# the old version are known; load that comes later is not the roll-out's.
+WATCH_S: Final = 60.0
+
 
 def compute_success_s(duration_s: float) -> float:
     """Return the seconds since the order at which success is written.
--- a/laurelwind/coordination/rollouts/progress.py
+++ b/laurelwind/coordination/rollouts/progress.py
@@ -1,31 +1,35 @@
 """Progress of one roll-out: its phases, and the counts of its answers."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Final
 
-from attrs import asdict, define, field
+from attrs import define, field
 
+from laurelwind.coordination.rollouts.counts import (
+    ALL_ROUTES,
+    RolloutCounts,
+)
 from laurelwind.coordination.rollouts.evidence import (
     should_accept,
     should_reject,
+    should_withdraw,
 )
 from laurelwind.coordination.rollouts.phases import (
     CANARY_FRACTION,
     MAX_STATUS_AGE_S,
     SHIFT_FRACTION,
     SHIFT_NOTICE_S,
+    WATCH_S,
     compute_moved_share,
     compute_success_s,
 )
 from laurelwind.state.rollouts import (
-    RolloutOrder,
     RolloutReport,
     RolloutShift,
     RolloutState,
     Tally,
 )
 
-ALL_ROUTES: Final = '*'
 # Seconds after which a daemon reports new good answers, until the pooled
 # answers suffice, however few each daemon counts.
 REPORT_DELAY_S: Final = 0.8
@@ -35,37 +39,28 @@
 
 
 @define(kw_only=True)
-class RolloutProgress:
+class RolloutProgress(RolloutCounts):
     """State of one order, as known to one daemon.
 
     All moments are on the clock that is passed in.
 
-    :ivar order: the operator's order.
-    :ivar clock: returns the current time in seconds.
-    :ivar ordered_at: moment of the order.
     :ivar state: the last status that was written, or ``None``.
     :ivar shift_at_s: seconds since the order at which more sessions move to the
         target version, or ``None`` before that is decided.
     :ivar succeeded_at: moment at which this daemon learnt of the success.
-    :ivar is_rejected: whether this daemon rejected the target version.
+    :ivar has_old_endpoints: whether endpoints of the old version were known as
+        a request was last placed after the success.
+    :ivar is_rejected: whether this daemon rejected the target version, or
+        withdrew it after its success.
     :ivar rejected_at: moment of the rejection.
-    :ivar old_tally: this daemon's answers of the version in use.
     """
 
-    order: RolloutOrder
-    clock: Callable[[], float]
-    ordered_at: float
     state: RolloutState | None = None
     shift_at_s: float | None = None
+    has_old_endpoints: bool = False
     is_rejected: bool = False
     rejected_at: float = 0
     succeeded_at: float = 0
-    old_tally: Tally = field(factory=Tally)
-    _local_tallies: dict[str, Tally] = field(factory=dict)
-    _peer_reports: dict[str, RolloutReport] = field(factory=dict)
-    # Sums over all daemons, updated with each answer and report.
-    _pooled_tallies: dict[str, Tally] = field(factory=dict)
-    _pooled_old_tally: Tally = field(factory=Tally)
     _reported_tally: Tally = field(factory=Tally)
     _reported_old_failures: int = 0
     _reported_at: float = 0
@@ -88,13 +83,23 @@
     @property
     def is_undecided(self) -> bool:
         """Whether answers still count for or against the target version."""
-        return not self.is_rejected and not self.is_settled
+        is_open = not self.is_settled or self.is_watched
+        return is_open and not self.is_rejected
+
+    @property
+    def is_watched(self) -> bool:
+        """Whether the version succeeded and its sessions can still return."""
+        return (
+            self.state is RolloutState.SUCCEEDED
+            and self.has_old_endpoints
+            and self.clock() - self.succeeded_at < WATCH_S
+        )
 
     @property
     def is_target_in_use(self) -> bool:
         """Whether the unconfirmed target version serves, or soon will."""
         if self.is_settled:
-            return False
+            return self.is_watched
         exposure_start_s = (
             self.order.duration_s * CANARY_FRACTION - TIME_REPORT_PERIOD_S
         )
@@ -108,48 +113,6 @@
             self._pooled_old_tally,
         )
 
-    def record_answer(self, route: str, tally: Tally) -> None:
-        """Count an answer of the target version.
-
-        :param route: name of the route.
-        :param tally: the answer.
-        """
-        self._local_tallies[route] = self._local_tallies.get(
-            route, Tally()
-        ).add(tally)
-        self._pool_tallies({route: tally})
-
-    def record_old_answer(self, tally: Tally) -> None:
-        """Count an answer of the version in use.
-
-        :param tally: the answer.
-        """
-        self.old_tally = self.old_tally.add(tally)
-        self._pooled_old_tally = self._pooled_old_tally.add(tally)
-
-    def apply_report(self, daemon: str, report: RolloutReport) -> None:
-        """Replace the counts of another daemon.
-
-        :param daemon: name of that daemon.
-        :param report: its counts and elapsed time.
-        """
-        previous = self._peer_reports.get(
-            daemon, RolloutReport(target=report.target)
-        )
-        self._peer_reports[daemon] = report
-        self._pool_tallies(
-            {
-                route: report.tallies.get(route, Tally()).subtract(
-                    previous.tallies.get(route, Tally())
-                )
-                for route in report.tallies.keys() | previous.tallies.keys()
-            }
-        )
-        self._pooled_old_tally = self._pooled_old_tally.add(
-            report.old_tally
-        ).subtract(previous.old_tally)
-        self.ordered_at = min(self.ordered_at, self.clock() - report.elapsed_s)
-
     def apply_state(self, state: RolloutState) -> None:
         """Apply a status that was written.
 
@@ -157,6 +120,8 @@
         """
         if state is RolloutState.SUCCEEDED and state is not self.state:
             self.succeeded_at = self.clock()
+            # Others know more answers than led to a rejection here.
+            self.is_rejected = False
         self.state = state
 
     def apply_shift(self, shift: RolloutShift) -> None:
@@ -166,15 +131,11 @@
         """
         self.shift_at_s = shift.shift_at_s
 
-    def describe_evidence(self) -> dict[str, Mapping[str, int]]:
-        """Return the pooled counts of both versions, for logs."""
-        tally = self._pooled_tallies.get(ALL_ROUTES, Tally())
-        return {'counts': asdict(tally), 'old': asdict(self._pooled_old_tally)}
-
     def find_rejected_route(self) -> tuple[str, Tally] | None:
         """Return the route whose answers reject the version, and its counts."""
+        is_bad = should_withdraw if self.is_settled else should_reject
         for route, tally in self._pooled_tallies.items():
-            if should_reject(tally, self._pooled_old_tally):
+            if is_bad(tally, self._pooled_old_tally):
                 return route, tally
         return None
 
@@ -205,6 +166,8 @@
         :param canary_share: the share before the shift.
         """
         duration_s = self.order.duration_s
+        if self.is_rejected:
+            return 0
         if self.state is RolloutState.SUCCEEDED:
             since_s = self.clock() - self.succeeded_at
             left_s = duration_s - compute_success_s(duration_s)
@@ -235,7 +198,7 @@
 
         :param delay_s: seconds for which other daemons write it first.
         """
-        if not self.is_undecided or self.shift_at_s is not None:
+        if self.is_settled or self.is_rejected or self.shift_at_s is not None:
             return None
         earliest_s = self.order.duration_s * SHIFT_FRACTION
         elapsed_s = self.elapsed_s
@@ -268,13 +231,15 @@
         )
 
     def _is_report_due(self, local_tally: Tally, is_first_member: bool) -> bool:
-        if self.is_settled:
+        if self.is_settled and not self.is_watched:
             return False
         if local_tally.bad_answers != self._reported_tally.bad_answers:
             return True
         if self.old_tally.failures < self._reported_old_failures:
             # Answers that crashing requests broke count no more.
             return True
+        if self.is_settled:
+            return False
         since_report_s = self.clock() - self._reported_at
         if (
             local_tally.has_more(self._reported_tally)
@@ -284,13 +249,6 @@
             return True
         return is_first_member and since_report_s > TIME_REPORT_PERIOD_S
 
-    def _pool_tallies(self, changes: Mapping[str, Tally]) -> None:
-        for route, change in changes.items():
-            for name in (route, ALL_ROUTES):
-                self._pooled_tallies[name] = self._pooled_tallies.get(
-                    name, Tally()
-                ).add(change)
-
 
 def _sum_tallies(tallies: Mapping[str, Tally]) -> Tally:
     total = Tally()
--- a/laurelwind/coordination/rollouts/registry.py
+++ b/laurelwind/coordination/rollouts/registry.py
@@ -60,11 +60,12 @@
 
     @property
     def has_unsettled(self) -> bool:
-        """Whether any order has no final status yet, or a lost one."""
+        """Whether any order is open or watched, or its status was lost."""
         if self._lost:
             return True
         return any(
-            not rollout.is_settled for rollout in self._rollouts.values()
+            rollout.is_watched or not rollout.is_settled
+            for rollout in self._rollouts.values()
         )
 
     @property
@@ -218,6 +219,7 @@
         target_endpoints = split[1]
         old_endpoints = exclude_versions(split[0], rejected)
         if rollout.state is RolloutState.SUCCEEDED:
+            rollout.has_old_endpoints = bool(old_endpoints)
             share = rollout.get_session_share(self._canary_share)
             if hash_fraction(session) < share:
                 return target_endpoints or split[0]
