Concentrate trials on few endpoints where load is reported

Cause: a trial share spread over all endpoints of a version loads none of them as it will be later, so that faults under load did not show.

Change: where endpoints report their load, sessions before the time limit go to the first k endpoints in rendezvous order, alike in all daemons; k gives each about 1.5 times its later load, and more share the trial where over 0.8 of the slots would be taken. Endpoints that a request has left are replaced. The occupancy is measured twice a second, not for each request.

Ruled out: comparing slowness at equal occupancy, since a slow version raises its own occupancy; trials at all services, since those without reports may have no free slot.

--- a/laurelwind/coordination/rollouts/progress.py
+++ b/laurelwind/coordination/rollouts/progress.py
@@ -3,8 +3,9 @@
 from collections.abc import Mapping
 from typing import Final
 
-from attrs import define, field
+from attrs import Factory, define, field
 
+from laurelwind.coordination.rollouts.concentration import TrialLoad
 from laurelwind.coordination.rollouts.counts import (
     ALL_ROUTES,
     RolloutCounts,
@@ -53,12 +54,16 @@
     :ivar is_rejected: whether this daemon rejected the target version, or
         withdrew it after its success.
     :ivar rejected_at: moment of the rejection.
+    :ivar trial_load: load of the endpoints that serve the trial.
     """
 
     state: RolloutState | None = None
     shift_at_s: float | None = None
     has_old_endpoints: bool = False
     is_rejected: bool = False
+    trial_load: TrialLoad = field(
+        default=Factory(lambda rollout: TrialLoad(clock=rollout.clock), True)
+    )
     rejected_at: float = 0
     succeeded_at: float = 0
     _reported_tally: Tally = field(factory=Tally)
--- a/laurelwind/coordination/rollouts/registry.py
+++ b/laurelwind/coordination/rollouts/registry.py
@@ -1,9 +1,10 @@
 """Roll-outs of all services: assigns requests to versions."""
 
-from collections.abc import Callable, Iterator, Sequence, Set
+from collections.abc import Callable, Collection, Iterator, Sequence, Set
 from typing import Final
 
 from laurelwind.coordination.rollouts.answer_records import AnswerRecorder
+from laurelwind.coordination.rollouts.concentration import OccupancyReader
 from laurelwind.coordination.rollouts.lost_decisions import LostDecisions
 from laurelwind.coordination.rollouts.progress import RolloutProgress
 from laurelwind.coordination.rollouts.ranks import compute_rank_delay
@@ -68,21 +69,6 @@
             for rollout in self._rollouts.values()
         )
 
-    @property
-    def is_target_in_use(self) -> bool:
-        """Whether an unconfirmed target version is in use or soon will be."""
-        return any(
-            rollout.is_target_in_use for rollout in self._rollouts.values()
-        )
-
-    def is_rolling_out(self, service: str) -> bool:
-        """Return whether a service has a roll-out that is not settled.
-
-        :param service: name of the service.
-        """
-        rollout = self._rollouts.get(service)
-        return rollout is not None and not rollout.is_settled
-
     def record_read(self, age_s: float = 0) -> None:
         """Record a complete read of the statuses and reports.
 
@@ -99,7 +85,7 @@
     def retire_services(self, left: Set[str], remaining: Set[str]) -> None:
         """Forget the roll-outs of services that left long before others.
 
-        A service may return, and then a rejected version must stay rejected.
+        A service may return, with its rejected versions.
 
         :param left: names of the services that left.
         :param remaining: names of the services that are there.
@@ -202,6 +188,8 @@
         endpoints: Sequence[EndpointRecord],
         *,
         allows_target: bool = True,
+        left: Collection[str] = (),
+        read_occupancy: OccupancyReader | None = None,
     ) -> Sequence[EndpointRecord]:
         """Return the endpoints of the version assigned to a request.
 
@@ -210,6 +198,8 @@
         :param endpoints: the service's endpoints that accept new work.
         :param allows_target: whether the request may use a target version that
             is not accepted yet.
+        :param left: names of endpoints that the request has left.
+        :param read_occupancy: returns the occupancy of an endpoint.
         """
         rejected = self._rejected_versions.get(service, ())
         rollout = self._rollouts.get(service)
@@ -231,7 +221,9 @@
             self._canary_share, self._clock() - self._statuses_read_at
         )
         if target_endpoints and hash_fraction(session) < share:
-            return target_endpoints
+            trial = rollout.trial_load
+            trial.review(old_endpoints, read_occupancy)
+            return trial.select(target_endpoints, old_endpoints, share, left)
         return old_endpoints or target_endpoints
 
     def collect_due_reports(
