Accept the further arguments of the selection of versions in a stub

The stub of test_old_version_with_room_is_used_during_a_rollout named each argument, so that it failed with those that trials on few endpoints add. It checks what it did.

--- a/tests/test_load_gate.py
+++ b/tests/test_load_gate.py
@@ -109,7 +109,7 @@
     )
     harness.rollouts.is_rolling_out = lambda service: True
     harness.rollouts.filter_endpoints = (
-        lambda service, key, endpoints, allows_target: [
+        lambda service, key, endpoints, *, allows_target, **_: [
             endpoint
             for endpoint in endpoints
             if (endpoint.name == 'e3') is not allows_target
