--- a/laurelwind/coordination/request_placement.py
+++ b/laurelwind/coordination/request_placement.py
@@ -213,6 +213,4 @@
             job.sticky_key,
             self.regions.select_endpoints(ready, job.allowed_regions),
             allows_target=not job.avoids_target_version,
-            left=job.excluded_endpoints | job.fallback_endpoints,
-            read_occupancy=self.placement.get_occupancy,
         )
--- a/laurelwind/coordination/rollouts/answer_records.py
+++ b/laurelwind/coordination/rollouts/answer_records.py
@@ -46,21 +46,6 @@
         """
         self._listeners.append(listener)
 
-    @property
-    def is_target_in_use(self) -> bool:
-        """Whether an unconfirmed target version is in use or soon will be."""
-        return any(
-            rollout.is_target_in_use for rollout in self._rollouts.values()
-        )
-
-    def is_rolling_out(self, service: str) -> bool:
-        """Return whether a service has a roll-out that is not settled.
-
-        :param service: name of the service.
-        """
-        rollout = self._rollouts.get(service)
-        return rollout is not None and not rollout.is_settled
-
     def is_undecided(self, service: str) -> bool:
         """Return whether answers count for or against a version.
 
@@ -138,13 +123,8 @@
     def _compare_latency(
         self, endpoint: EndpointRecord, group: LatencyGroup, latency: Latency
     ) -> Tally:
-        is_target = self._is_target_version(endpoint)
-        load_ratio: float = 1
-        if is_target:
-            trial_load = self._rollouts[endpoint.service].trial_load
-            load_ratio = trial_load.load_ratio
-        is_slow = self.baselines.is_slow(group, latency, load_ratio)
-        if not is_target and not latency.is_overdue:
+        is_slow = self.baselines.is_slow(group, latency)
+        if not self._is_target_version(endpoint) and not latency.is_overdue:
             self.baselines.record(group, latency)
         return Tally(timed=int(is_slow is not None), slow=int(bool(is_slow)))
 
@@ -171,10 +151,9 @@
             return
         route, tally = rejected
         rollout.reject()
-        if not rollout.is_settled:
-            self._remember_rejected(service, rollout.order.target)
+        self._remember_rejected(service, rollout.order.target)
         self._log.log_warning(
-            'version_withdrawn' if rollout.is_settled else 'version_rejected',
+            'version_rejected',
             service=service,
             target=rollout.order.target,
             route=route,
--- a/laurelwind/coordination/rollouts/evidence.py
+++ b/laurelwind/coordination/rollouts/evidence.py
@@ -23,10 +23,7 @@
 # by more than chance explains: a version as good as the old one shows as many
 # with at most the probability MAX_FALSE_REJECTION.
 MIN_BAD_RATIO: Final = 1.5
-MAX_FALSE_REJECTION: Final = 0.001
-# From this factor on, a weaker proof suffices.
-FAR_BAD_RATIO: Final = 4.0
-MAX_FALSE_REJECTION_FAR: Final = 0.015
+MAX_FALSE_REJECTION: Final = 0.015
 # A version is accepted only if its share of failures is below this multiple of
 # the old version's, and below MAX_ACCEPTED_SHARE: a handful of good answers
 # would rule out a higher share.
@@ -39,8 +36,6 @@
 MAX_FALSE_ACCEPTANCE: Final = 0.01
 # Above this share of bad answers no version can be told from a worse one.
 _MAX_BAD_SHARE: Final = 0.9
-# Share of failures from which sessions leave a version that had succeeded.
-MIN_WITHDRAWAL_SHARE: Final = 0.02
 
 
 @frozen(kw_only=True)
@@ -118,24 +113,6 @@
     )
 
 
-def should_withdraw(tally: Tally, old_tally: Tally) -> bool:
-    """Return whether a version that succeeded fails too much to keep it.
-
-    The old version gives no answers meanwhile, so that only failures count and
-    its share is estimated cautiously: slowness may come from the load.
-
-    :param tally: counts of the version's answers.
-    :param old_tally: counts of the old version's answers before.
-    """
-    old_share = (old_tally.failures + 1) / (old_tally.answers + 1)
-    far_share = min(FAR_BAD_RATIO * old_share, MAX_ACCEPTED_SHARE)
-    min_share = max(MIN_WITHDRAWAL_SHARE, far_share, MIN_BAD_RATIO * old_share)
-    return (
-        tally.failures >= SUFFICIENT_FAILURES
-        and tally.failures > min_share * tally.answers
-    )
-
-
 def _get_share(bad: int, count: int) -> float:
     return bad / count if count else 0
 
@@ -152,10 +129,7 @@
     divergence = _compute_divergence(
         tally.failures / tally.answers, min(old_share, _MAX_BAD_SHARE)
     )
-    chance = math.exp(-tally.answers * divergence)
-    if tally.failures > FAR_BAD_RATIO * old_share * tally.answers:
-        return chance <= MAX_FALSE_REJECTION_FAR
-    return chance <= MAX_FALSE_REJECTION
+    return math.exp(-tally.answers * divergence) <= MAX_FALSE_REJECTION
 
 
 def _excludes_share(bad: int, answers: int, share: float) -> bool:
--- a/laurelwind/coordination/rollouts/latencies.py
+++ b/laurelwind/coordination/rollouts/latencies.py
@@ -104,18 +104,11 @@
             if group[0] in names:
                 self._samples.pop(group)
 
-    def is_slow(
-        self, group: LatencyGroup, latency: Latency, load_ratio: float = 1
-    ) -> bool | None:
+    def is_slow(self, group: LatencyGroup, latency: Latency) -> bool | None:
         """Return whether an answer is slow, or ``None`` if that is not known.
 
-        An endpoint below its slots answers more slowly at most in proportion to
-        its requests.
-
         :param group: group of the answer.
         :param latency: its latency.
-        :param load_ratio: requests of its endpoint, as a multiple of those of
-            an endpoint of the version in use.
         """
         if latency.is_overdue:
             return True
@@ -126,7 +119,7 @@
             return False
         baseline_s = max(statistics.median(samples.units), MIN_BASELINE_S)
         ratio = SLOW_RATIO if self._is_current(samples) else OUTDATED_SLOW_RATIO
-        return latency.unit_s > baseline_s * ratio * load_ratio
+        return latency.unit_s > baseline_s * ratio
 
     def get_overdue_s(self, group: LatencyGroup) -> float | None:
         """Return the seconds after which an answer under way is overdue.
--- a/laurelwind/coordination/rollouts/progress.py
+++ b/laurelwind/coordination/rollouts/progress.py
@@ -1,36 +1,36 @@
 """Progress of one roll-out: its phases, and the counts of its answers."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
-from attrs import Factory, define, field
+from attrs import asdict, define, field
 
-from laurelwind.coordination.rollouts.concentration import TrialLoad
-from laurelwind.coordination.rollouts.counts import (
-    ALL_ROUTES,
-    RolloutCounts,
-)
 from laurelwind.coordination.rollouts.evidence import (
     should_accept,
     should_reject,
-    should_withdraw,
-)
-from laurelwind.coordination.rollouts.phases import (
-    CANARY_FRACTION,
-    MAX_STATUS_AGE_S,
-    SHIFT_FRACTION,
-    SHIFT_NOTICE_S,
-    WATCH_S,
-    compute_moved_share,
-    compute_success_s,
 )
 from laurelwind.state.rollouts import (
+    RolloutOrder,
     RolloutReport,
     RolloutShift,
     RolloutState,
     Tally,
 )
 
+ALL_ROUTES: Final = '*'
+# Fractions of an order's time limit. A session may not change its version in
+# the first half; then the target version serves some sessions, then all.
+CANARY_FRACTION: Final = 0.51
+SHIFT_FRACTION: Final = 0.66
+SUCCESS_FRACTION: Final = 0.92
+# Seconds of the time limit reserved for writing the final status.
+SUCCESS_MARGIN_S: Final = 0.8
+# Age of the last read of the statuses above which a daemon does not use the
+# target version, since it may have been rolled back.
+MAX_STATUS_AGE_S: Final = 3.0
+# Seconds between the decision to shift and the shift. A daemon that has not
+# read the decision by then does not use the target version at all.
+SHIFT_NOTICE_S: Final = MAX_STATUS_AGE_S
 # Seconds after which a daemon reports new good answers, until the pooled
 # answers suffice, however few each daemon counts.
 REPORT_DELAY_S: Final = 0.8
@@ -40,32 +40,35 @@
 
 
 @define(kw_only=True)
-class RolloutProgress(RolloutCounts):
+class RolloutProgress:
     """State of one order, as known to one daemon.
 
     All moments are on the clock that is passed in.
 
+    :ivar order: the operator's order.
+    :ivar clock: returns the current time in seconds.
+    :ivar ordered_at: moment of the order.
     :ivar state: the last status that was written, or ``None``.
-    :ivar shift_at_s: seconds since the order at which more sessions move to the
+    :ivar shift_at_s: seconds since the order at which all sessions move to the
         target version, or ``None`` before that is decided.
-    :ivar succeeded_at: moment at which this daemon learnt of the success.
-    :ivar has_old_endpoints: whether endpoints of the old version were known as
-        a request was last placed after the success.
-    :ivar is_rejected: whether this daemon rejected the target version, or
-        withdrew it after its success.
+    :ivar is_rejected: whether this daemon rejected the target version.
     :ivar rejected_at: moment of the rejection.
-    :ivar trial_load: load of the endpoints that serve the trial.
+    :ivar old_tally: this daemon's answers of the version in use.
     """
 
+    order: RolloutOrder
+    clock: Callable[[], float]
+    ordered_at: float
     state: RolloutState | None = None
     shift_at_s: float | None = None
-    has_old_endpoints: bool = False
     is_rejected: bool = False
-    trial_load: TrialLoad = field(
-        default=Factory(lambda rollout: TrialLoad(clock=rollout.clock), True)
-    )
     rejected_at: float = 0
-    succeeded_at: float = 0
+    old_tally: Tally = field(factory=Tally)
+    _local_tallies: dict[str, Tally] = field(factory=dict)
+    _peer_reports: dict[str, RolloutReport] = field(factory=dict)
+    # Sums over all daemons, updated with each answer and report.
+    _pooled_tallies: dict[str, Tally] = field(factory=dict)
+    _pooled_old_tally: Tally = field(factory=Tally)
     _reported_tally: Tally = field(factory=Tally)
     _reported_old_failures: int = 0
     _reported_at: float = 0
@@ -88,23 +91,13 @@
     @property
     def is_undecided(self) -> bool:
         """Whether answers still count for or against the target version."""
-        is_open = not self.is_settled or self.is_watched
-        return is_open and not self.is_rejected
-
-    @property
-    def is_watched(self) -> bool:
-        """Whether the version succeeded and its sessions can still return."""
-        return (
-            self.state is RolloutState.SUCCEEDED
-            and self.has_old_endpoints
-            and self.clock() - self.succeeded_at < WATCH_S
-        )
+        return not self.is_rejected and not self.is_settled
 
     @property
     def is_target_in_use(self) -> bool:
         """Whether the unconfirmed target version serves, or soon will."""
         if self.is_settled:
-            return self.is_watched
+            return False
         exposure_start_s = (
             self.order.duration_s * CANARY_FRACTION - TIME_REPORT_PERIOD_S
         )
@@ -118,16 +111,47 @@
             self._pooled_old_tally,
         )
 
-    def apply_state(self, state: RolloutState) -> None:
-        """Apply a status that was written.
+    def record_answer(self, route: str, tally: Tally) -> None:
+        """Count an answer of the target version.
 
-        :param state: the status.
+        :param route: name of the route.
+        :param tally: the answer.
         """
-        if state is RolloutState.SUCCEEDED and state is not self.state:
-            self.succeeded_at = self.clock()
-            # Others know more answers than led to a rejection here.
-            self.is_rejected = False
-        self.state = state
+        self._local_tallies[route] = self._local_tallies.get(
+            route, Tally()
+        ).add(tally)
+        self._pool_tallies({route: tally})
+
+    def record_old_answer(self, tally: Tally) -> None:
+        """Count an answer of the version in use.
+
+        :param tally: the answer.
+        """
+        self.old_tally = self.old_tally.add(tally)
+        self._pooled_old_tally = self._pooled_old_tally.add(tally)
+
+    def apply_report(self, daemon: str, report: RolloutReport) -> None:
+        """Replace the counts of another daemon.
+
+        :param daemon: name of that daemon.
+        :param report: its counts and elapsed time.
+        """
+        previous = self._peer_reports.get(
+            daemon, RolloutReport(target=report.target)
+        )
+        self._peer_reports[daemon] = report
+        self._pool_tallies(
+            {
+                route: report.tallies.get(route, Tally()).subtract(
+                    previous.tallies.get(route, Tally())
+                )
+                for route in report.tallies.keys() | previous.tallies.keys()
+            }
+        )
+        self._pooled_old_tally = self._pooled_old_tally.add(
+            report.old_tally
+        ).subtract(previous.old_tally)
+        self.ordered_at = min(self.ordered_at, self.clock() - report.elapsed_s)
 
     def apply_shift(self, shift: RolloutShift) -> None:
         """Apply the decision to shift.
@@ -136,11 +160,15 @@
         """
         self.shift_at_s = shift.shift_at_s
 
+    def describe_evidence(self) -> dict[str, Mapping[str, int]]:
+        """Return the pooled counts of both versions, for logs."""
+        tally = self._pooled_tallies.get(ALL_ROUTES, Tally())
+        return {'counts': asdict(tally), 'old': asdict(self._pooled_old_tally)}
+
     def find_rejected_route(self) -> tuple[str, Tally] | None:
         """Return the route whose answers reject the version, and its counts."""
-        is_bad = should_withdraw if self.is_settled else should_reject
         for route, tally in self._pooled_tallies.items():
-            if is_bad(tally, self._pooled_old_tally):
+            if should_reject(tally, self._pooled_old_tally):
                 return route, tally
         return None
 
@@ -160,27 +188,10 @@
         is_too_early = self.elapsed_fraction < CANARY_FRACTION
         if is_too_early or status_age_s > MAX_STATUS_AGE_S:
             return 0
-        return self.get_session_share(canary_share)
-
-    def get_session_share(self, canary_share: float) -> float:
-        """Return the share of the sessions that moved by now.
-
-        A daemon that learns of the success without the order's age, as after a
-        restart, moves the others after the time that is usually left then.
-
-        :param canary_share: the share before the shift.
-        """
-        duration_s = self.order.duration_s
-        if self.is_rejected:
-            return 0
-        if self.state is RolloutState.SUCCEEDED:
-            since_s = self.clock() - self.succeeded_at
-            left_s = duration_s - compute_success_s(duration_s)
-            if self.shift_at_s is None or since_s >= left_s:
-                return 1
-        return compute_moved_share(
-            canary_share, self.elapsed_s, self.shift_at_s, duration_s
+        has_shifted = (
+            self.shift_at_s is not None and self.elapsed_s >= self.shift_at_s
         )
+        return 1 if has_shifted else canary_share
 
     def find_due_state(self, delay_s: float) -> RolloutState | None:
         """Return the status that is due, whether or not it is written.
@@ -193,7 +204,10 @@
             is_due = self.clock() - self.rejected_at >= delay_s
             return RolloutState.ROLLED_BACK if is_due else None
         elapsed_s = self.elapsed_s - delay_s
-        success_due_s = compute_success_s(self.order.duration_s)
+        duration_s = self.order.duration_s
+        success_due_s = min(
+            duration_s * SUCCESS_FRACTION, duration_s - SUCCESS_MARGIN_S
+        )
         if elapsed_s > success_due_s and self.is_accepted:
             return RolloutState.SUCCEEDED
         return RolloutState.ACTIVE if elapsed_s > 0 else None
@@ -203,7 +217,7 @@
 
         :param delay_s: seconds for which other daemons write it first.
         """
-        if self.is_settled or self.is_rejected or self.shift_at_s is not None:
+        if not self.is_undecided or self.shift_at_s is not None:
             return None
         earliest_s = self.order.duration_s * SHIFT_FRACTION
         elapsed_s = self.elapsed_s
@@ -236,15 +250,13 @@
         )
 
     def _is_report_due(self, local_tally: Tally, is_first_member: bool) -> bool:
-        if self.is_settled and not self.is_watched:
+        if self.is_settled:
             return False
         if local_tally.bad_answers != self._reported_tally.bad_answers:
             return True
         if self.old_tally.failures < self._reported_old_failures:
             # Answers that crashing requests broke count no more.
             return True
-        if self.is_settled:
-            return False
         since_report_s = self.clock() - self._reported_at
         if (
             local_tally.has_more(self._reported_tally)
@@ -254,6 +266,13 @@
             return True
         return is_first_member and since_report_s > TIME_REPORT_PERIOD_S
 
+    def _pool_tallies(self, changes: Mapping[str, Tally]) -> None:
+        for route, change in changes.items():
+            for name in (route, ALL_ROUTES):
+                self._pooled_tallies[name] = self._pooled_tallies.get(
+                    name, Tally()
+                ).add(change)
+
 
 def _sum_tallies(tallies: Mapping[str, Tally]) -> Tally:
     total = Tally()
--- a/laurelwind/coordination/rollouts/registry.py
+++ b/laurelwind/coordination/rollouts/registry.py
@@ -1,10 +1,9 @@
 """Roll-outs of all services: assigns requests to versions."""
 
-from collections.abc import Callable, Collection, Iterator, Sequence, Set
+from collections.abc import Callable, Iterator, Sequence, Set
 from typing import Final
 
 from laurelwind.coordination.rollouts.answer_records import AnswerRecorder
-from laurelwind.coordination.rollouts.concentration import OccupancyReader
 from laurelwind.coordination.rollouts.lost_decisions import LostDecisions
 from laurelwind.coordination.rollouts.progress import RolloutProgress
 from laurelwind.coordination.rollouts.ranks import compute_rank_delay
@@ -61,14 +60,28 @@
 
     @property
     def has_unsettled(self) -> bool:
-        """Whether any order is open or watched, or its status was lost."""
+        """Whether any order has no final status yet, or a lost one."""
         if self._lost:
             return True
         return any(
-            rollout.is_watched or not rollout.is_settled
-            for rollout in self._rollouts.values()
+            not rollout.is_settled for rollout in self._rollouts.values()
         )
 
+    @property
+    def is_target_in_use(self) -> bool:
+        """Whether an unconfirmed target version is in use or soon will be."""
+        return any(
+            rollout.is_target_in_use for rollout in self._rollouts.values()
+        )
+
+    def is_rolling_out(self, service: str) -> bool:
+        """Return whether a service has a roll-out that is not settled.
+
+        :param service: name of the service.
+        """
+        rollout = self._rollouts.get(service)
+        return rollout is not None and not rollout.is_settled
+
     def record_read(self, age_s: float = 0) -> None:
         """Record a complete read of the statuses and reports.
 
@@ -85,7 +98,7 @@
     def retire_services(self, left: Set[str], remaining: Set[str]) -> None:
         """Forget the roll-outs of services that left long before others.
 
-        A service may return, with its rejected versions.
+        A service may return, and then a rejected version must stay rejected.
 
         :param left: names of the services that left.
         :param remaining: names of the services that are there.
@@ -141,7 +154,7 @@
                 state=status.state,
                 **rollout.describe_evidence(),
             )
-        rollout.apply_state(status.state)
+        rollout.state = status.state
         self._lost.discard_status(service)
 
     def apply_shift(self, service: str, shift: RolloutShift) -> None:
@@ -188,8 +201,6 @@
         endpoints: Sequence[EndpointRecord],
         *,
         allows_target: bool = True,
-        left: Collection[str] = (),
-        read_occupancy: OccupancyReader | None = None,
     ) -> Sequence[EndpointRecord]:
         """Return the endpoints of the version assigned to a request.
 
@@ -198,33 +209,25 @@
         :param endpoints: the service's endpoints that accept new work.
         :param allows_target: whether the request may use a target version that
             is not accepted yet.
-        :param left: names of endpoints that the request has left.
-        :param read_occupancy: returns the occupancy of an endpoint.
         """
         rejected = self._rejected_versions.get(service, ())
         rollout = self._rollouts.get(service)
         if rollout is None:
             return exclude_versions(endpoints, rejected)
-        split = split_versions(endpoints, rollout.order.target)
-        target_endpoints = split[1]
-        old_endpoints = exclude_versions(split[0], rejected)
+        target = rollout.order.target
+        old_endpoints, target_endpoints = split_versions(endpoints, target)
+        if rollout.state is RolloutState.ROLLED_BACK:
+            return exclude_versions(old_endpoints, rejected)
         if rollout.state is RolloutState.SUCCEEDED:
-            rollout.has_old_endpoints = bool(old_endpoints)
-            share = rollout.get_session_share(self._canary_share)
-            if hash_fraction(session) < share:
-                return target_endpoints or split[0]
-            return old_endpoints or target_endpoints
-        is_ruled_out = rollout.is_rejected or not allows_target
-        if is_ruled_out or rollout.state is RolloutState.ROLLED_BACK:
-            return old_endpoints
+            return target_endpoints or old_endpoints
+        if rollout.is_rejected or not allows_target:
+            return exclude_versions(old_endpoints, rejected)
         share = rollout.compute_target_share(
             self._canary_share, self._clock() - self._statuses_read_at
         )
         if target_endpoints and hash_fraction(session) < share:
-            trial = rollout.trial_load
-            trial.review(old_endpoints, read_occupancy)
-            return trial.select(target_endpoints, old_endpoints, share, left)
-        return old_endpoints or target_endpoints
+            return target_endpoints
+        return exclude_versions(old_endpoints, rejected) or target_endpoints
 
     def collect_due_reports(
         self, rank: int
--- a/laurelwind/coordination/scheduling/observations.py
+++ b/laurelwind/coordination/scheduling/observations.py
@@ -121,18 +121,6 @@
         state.reported_at = read_monotonic_clock()
         state.in_flight_at_report = state.in_flight
 
-    def get_occupancy(self, endpoint: EndpointRecord) -> float | None:
-        """Return the share of the slots that is taken, by the last report.
-
-        It is above one with a queue, and ``None`` without a recent report.
-
-        :param endpoint: the endpoint.
-        """
-        report = self._get_state(endpoint).get_report(read_monotonic_clock())
-        if report is None or report.slots <= 0:
-            return None
-        return (report.running + report.waiting) / report.slots
-
     def record_success(self, endpoint: EndpointRecord) -> None:
         """Record a served request, and end the endpoint's backoff.
 
--- a/laurelwind/coordination/topics/budgets.py
+++ b/laurelwind/coordination/topics/budgets.py
@@ -25,7 +25,7 @@
 
 from attrs import define, frozen
 
-from laurelwind.coordination.rollouts.phases import MAX_STATUS_AGE_S
+from laurelwind.coordination.rollouts.progress import MAX_STATUS_AGE_S
 from laurelwind.protocol.keyed_store import Topic
 
 # Wait of a source for a change, and the age up to which its copy may grow
