--- a/laurelwind/coordination/scheduling/placement.py
+++ b/laurelwind/coordination/scheduling/placement.py
@@ -102,7 +102,9 @@
         :param requirements: requirements of the request.
         """
         if self._has_pace(endpoints):
-            if self._by_forecast:
+            # Requests without a prompt last some milliseconds, less than what
+            # predictions are wrong by.
+            if self._by_forecast and requirements.traits.prompt_tokens:
                 option = self._choose_option(endpoints, requirements)
                 return None if option is None else option.candidate.endpoint
             endpoints = self._list_with_memory(endpoints, requirements)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -244,3 +244,15 @@
     assert placer.is_paced(endpoint.service) is uses_pace
     forecast = placer.forecast([endpoint], PlacementRequirements(), Work())
     assert (forecast is not None) is uses_pace
+
+
+def test_requests_without_a_prompt_are_placed_by_cost(monkeypatch):
+    """Bookings were late, as they followed predictions for long answers."""
+    placer = Placement(zone='a', by_forecast=True)
+    endpoints = [build_endpoint_record(name, slots=6) for name in ('e1', 'e2')]
+    report = LoadReport(running=1, waiting=0, slots=6, slowdown=1.5)
+    for endpoint in endpoints:
+        placer.record_report(endpoint, report)
+    placer.record_sent(endpoints[0], 0.5)
+    monkeypatch.setattr(placer, '_choose_option', None)
+    assert placer.choose(endpoints, PlacementRequirements()) is endpoints[1]
