Ignore load reports in answers to requests without a prompt

Bookings last some milliseconds. Reports with a pace count only from answers to requests with a prompt now.

--- a/laurelwind/coordination/endpoint_notices.py
+++ b/laurelwind/coordination/endpoint_notices.py
@@ -11,7 +11,7 @@
 from laurelwind.coordination.relay_attempts import Attempt
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.decisions import DecisionLog
-from laurelwind.protocol.exchanges import AnswerHead
+from laurelwind.protocol.exchanges import AnswerHead, LoadReport
 from laurelwind.state.directory import EndpointDirectory, EndpointRecord
 
 # Longest pause that an endpoint is granted, in seconds. An endpoint that asks
@@ -56,7 +56,7 @@
             self.limits.record_answer(attempt, head.rate_limits)
             if self.limits.cold is not None:
                 self.limits.cold.record_answer(endpoint, attempt.sent_at)
-        if head.load is not None:
+        if head.load is not None and _is_useful(attempt, head.load):
             self.placement.record_report(endpoint, head.load)
         if head.is_leaving:
             self._record_leaving(endpoint)
@@ -85,6 +85,15 @@
             self.placement.record_pause(endpoint, pause_s)
 
 
+def _is_useful(attempt: Attempt, report: LoadReport) -> bool:
+    """Return whether a report says something of the next requests.
+
+    Requests without a prompt last some milliseconds, less than their endpoint's
+    pace and queue stay the same.
+    """
+    return report.slowdown is None or attempt.prompt_tokens > 0
+
+
 def parse_pause(text: str) -> float:
     """Return the seconds of a pause, at most ``MAX_PAUSE_S``.
 
--- a/laurelwind/coordination/relay_attempts.py
+++ b/laurelwind/coordination/relay_attempts.py
@@ -24,6 +24,7 @@
     :ivar sent_at: moment of sending.
     :ivar model: name of the model, or empty.
     :ivar prefill_s: estimated prefill time of the prompt, in seconds.
+    :ivar prompt_tokens: tokens of the prompt, or zero without one.
     :ivar expected_delay_s: time to first byte estimated at sending, in seconds.
     :ivar reservation: what it holds at an endpoint that reports its pace.
     :ivar first_byte_at: moment of the first byte, or zero before it.
@@ -40,6 +41,7 @@
     sent_at: float
     model: str = ''
     prefill_s: float = 0
+    prompt_tokens: int = 0
     expected_delay_s: float = 0
     reservation: Reservation | None = None
     first_byte_at: float = 0
--- a/laurelwind/coordination/sending.py
+++ b/laurelwind/coordination/sending.py
@@ -184,6 +184,7 @@
             sent_at=sent_at,
             model=dispatch.model,
             prefill_s=job.prefill_s,
+            prompt_tokens=job.request.prompt_tokens,
             expected_delay_s=delay.expected_s,
             reservation=delay.reservation,
         )
