--- a/laurelwind/coordination/answer_heads.py
+++ b/laurelwind/coordination/answer_heads.py
@@ -1,5 +1,6 @@
 """Waits for the heads of answers."""
 
+from collections.abc import Set
 from typing import Final
 
 from laurelwind.coordination.relay_attempts import Attempt
@@ -73,6 +74,13 @@
         )
         return head
 
+    def discard_routes(self, names: Set[str]) -> None:
+        """Discard the waits of routes that were removed.
+
+        :param names: names of the routes.
+        """
+        self._silence_timeouts.discard_routes(names)
+
     def _record_wait(self, job: Job, attempt: Attempt) -> None:
         self._silence_timeouts.record_wait(
             _get_silence_group(job, attempt),
--- a/laurelwind/coordination/delivery.py
+++ b/laurelwind/coordination/delivery.py
@@ -82,12 +82,13 @@
     """Validates the answers of endpoints and delivers them to callers.
 
     :param dependencies: collaborators of the delivery.
+    :ivar heads: reads the heads of answers.
     """
 
     def __init__(self, *, dependencies: DeliveryDependencies) -> None:
         self._dependencies = dependencies
         self._timings = AttemptTimings(rollouts=dependencies.rollouts)
-        self._heads = HeadReader(
+        self.heads = HeadReader(
             placement=dependencies.placement, monitor=dependencies.monitor
         )
 
@@ -110,7 +111,7 @@
     async def _deliver(
         self, job: Job, attempt: Attempt, answer: CallerAnswer
     ) -> bool:
-        head = await self._heads.read(job, attempt)
+        head = await self.heads.read(job, attempt)
         self._dependencies.notices.apply(attempt, head)
         check_head(head)
         if answer.has_begun:
--- a/laurelwind/coordination/limits/endpoint_permits.py
+++ b/laurelwind/coordination/limits/endpoint_permits.py
@@ -135,7 +135,7 @@
         """
         self.limits.table.retain(names)
         self.refusals.retain(names)
-        self._asks.held.retain(names)
+        self._asks.retain(names)
 
     def _record_refusal(
         self, request_id: str, ask: PermitAsk, answer: PermitAnswer | None
--- a/laurelwind/coordination/limits/holders.py
+++ b/laurelwind/coordination/limits/holders.py
@@ -1,9 +1,9 @@
 """Chooses the daemon that holds the permits of an endpoint."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Sequence, Set
 
 from laurelwind.protocol.platform import ListedInstance
-from laurelwind.state.rate_limits import EndpointProcess
+from laurelwind.state.rate_limits import EndpointProcess, discard_removed
 from laurelwind.state.rendezvous import compute_rendezvous_hash
 
 
@@ -24,6 +24,13 @@
         self._members: Sequence[ListedInstance] = ()
         self._holders: dict[EndpointProcess, str] = {}
 
+    def retain(self, names: Set[str]) -> None:
+        """Discard the holders of endpoints that were removed.
+
+        :param names: names of the endpoints that remain.
+        """
+        discard_removed(self._holders, names)
+
     def find_holder(self, process: EndpointProcess, zone: str) -> str | None:
         """Return the address of the holder for peers, or ``None`` if unknown.
 
--- a/laurelwind/coordination/limits/permit_asks.py
+++ b/laurelwind/coordination/limits/permit_asks.py
@@ -127,6 +127,14 @@
         elif holder is not None:
             self._send_later(holder, returned)
 
+    def retain(self, names: set[str]) -> None:
+        """Discard what is known of endpoints that were removed.
+
+        :param names: names of the endpoints that remain.
+        """
+        self.held.retain(names)
+        self._holders.retain(names)
+
     def _resolve_holder(self, ask: PermitAsk) -> str | None:
         """Return the address of the holder, or ``None`` if it is unknown.
 
--- a/laurelwind/coordination/relay.py
+++ b/laurelwind/coordination/relay.py
@@ -1,5 +1,6 @@
 """Relays requests unchanged, from route lookup to delivery of the answer."""
 
+from collections.abc import Set
 from typing import Final
 
 import anyio
@@ -138,6 +139,13 @@
         job = await self._dependencies.admission.admit(request, arrived_at)
         await self._serve_job(job, answer)
 
+    def discard_routes(self, names: Set[str]) -> None:
+        """Discard what is known of routes that were removed.
+
+        :param names: names of the routes.
+        """
+        self._dependencies.delivery.heads.discard_routes(names)
+
     async def _serve_job(self, job: Job, answer: CallerAnswer) -> None:
         try:
             await self._serve_or_fail(job, answer)
--- a/laurelwind/coordination/rollouts/answer_records.py
+++ b/laurelwind/coordination/rollouts/answer_records.py
@@ -1,6 +1,7 @@
 """Counts the answers of versions, and rejects a version by them."""
 
 from collections.abc import Callable
+from typing import Final
 
 from laurelwind.coordination.rollouts.evidence import AnswerOutcome
 from laurelwind.coordination.rollouts.latencies import (
@@ -13,6 +14,9 @@
 from laurelwind.state.directory import EndpointRecord
 from laurelwind.state.rollouts import Tally
 
+# Rejected versions of a service that are remembered; the newest ones count.
+MAX_REJECTED: Final = 64
+
 
 class AnswerRecorder:
     """Counts answers for and against the target versions of roll-outs.
@@ -27,7 +31,7 @@
         self._log = log
         self._clock = clock
         self._rollouts: dict[str, RolloutProgress] = {}
-        self._rejected_versions: dict[str, set[str]] = {}
+        self._rejected_versions: dict[str, dict[str, None]] = {}
         self._listeners: list[Callable[[], None]] = []
 
     def add_listener(self, listener: Callable[[], None]) -> None:
@@ -77,6 +81,13 @@
         tally = self._compare_latency(endpoint, group, latency)
         self._count(endpoint, route, tally)
 
+    def _remember_rejected(self, service: str, version: str) -> None:
+        versions = self._rejected_versions.setdefault(service, {})
+        versions.pop(version, None)
+        versions[version] = None
+        if len(versions) > MAX_REJECTED:
+            versions.pop(next(iter(versions)))
+
     def _is_target_version(self, endpoint: EndpointRecord) -> bool:
         rollout = self._rollouts.get(endpoint.service)
         return rollout is not None and endpoint.version == rollout.order.target
@@ -110,9 +121,7 @@
             return
         route, tally = rejected
         rollout.reject()
-        self._rejected_versions.setdefault(service, set()).add(
-            rollout.order.target
-        )
+        self._remember_rejected(service, rollout.order.target)
         self._log.log_warning(
             'version_rejected',
             service=service,
--- a/laurelwind/coordination/rollouts/latencies.py
+++ b/laurelwind/coordination/rollouts/latencies.py
@@ -2,7 +2,7 @@
 
 import statistics
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Sequence, Set
 from typing import Final
 
 from attrs import frozen
@@ -86,6 +86,24 @@
         while len(self._samples) > MAX_GROUPS:
             self._samples.pop(next(iter(self._samples)))
 
+    def discard_routes(self, names: Set[str]) -> None:
+        """Discard the latencies of routes that were removed.
+
+        :param names: names of the routes.
+        """
+        for group in tuple(self._samples):
+            if group[1] in names:
+                self._samples.pop(group)
+
+    def discard_services(self, names: Set[str]) -> None:
+        """Discard the latencies of services that were removed.
+
+        :param names: names of the services.
+        """
+        for group in tuple(self._samples):
+            if group[0] in names:
+                self._samples.pop(group)
+
     def is_slow(self, group: LatencyGroup, latency: Latency) -> bool | None:
         """Return whether an answer is slow, or ``None`` if that is not known.
 
--- a/laurelwind/coordination/rollouts/order_history.py
+++ b/laurelwind/coordination/rollouts/order_history.py
@@ -11,6 +11,8 @@
 # Replaced orders of a service that are remembered.  A copy of the store some
 # seconds old holds one of the last few.
 _MAX_REPLACED: Final = 16
+# Services whose orders are remembered; the first ones are forgotten.
+MAX_KEYS: Final = 1024
 
 
 @define(kw_only=True)
@@ -45,6 +47,8 @@
         """
         era = decode_position(record.offset).era
         known = self._known.get(record.key)
+        if known is None and len(self._known) >= MAX_KEYS:
+            self._known.pop(next(iter(self._known)))
         if known is None:
             self._known[record.key] = _KnownOrder(body=body, era=era)
             return True
--- a/laurelwind/coordination/rollouts/registry.py
+++ b/laurelwind/coordination/rollouts/registry.py
@@ -1,6 +1,6 @@
 """Roll-outs of all services: assigns requests to versions."""
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence, Set
 from typing import Final
 
 from laurelwind.coordination.rollouts.answer_records import AnswerRecorder
@@ -12,6 +12,7 @@
     split_versions,
 )
 from laurelwind.decisions import DecisionLog
+from laurelwind.state.departed_names import DepartedNames
 from laurelwind.state.directory import EndpointRecord
 from laurelwind.state.load import read_monotonic_clock
 from laurelwind.state.rollouts import (
@@ -26,6 +27,8 @@
 # Share of the requests that go to the target version during the canary phase,
 # as a factor of the exposure limit that the operator sets.
 CANARY_EXPOSURE_FACTOR: Final = 1.0
+# Services that left whose roll-outs are remembered; the newest ones count.
+MAX_RETIRED: Final = 64
 
 
 class RolloutRegistry(AnswerRecorder):
@@ -52,6 +55,7 @@
         self._statuses: dict[str, RolloutStatus] = {}
         self._shifts: dict[str, RolloutShift] = {}
         self._statuses_read_at = self._clock()
+        self._retired = DepartedNames(limit=MAX_RETIRED)
         self._lost = LostDecisions(rollouts=self._rollouts, clock=clock)
 
     @property
@@ -91,6 +95,20 @@
         """Write known decisions again, as a restored store may lack them."""
         self._lost.handle_restore()
 
+    def retire_services(self, left: Set[str], remaining: Set[str]) -> None:
+        """Forget the roll-outs of services that left long before others.
+
+        A service may return, and then a rejected version must stay rejected.
+
+        :param left: names of the services that left.
+        :param remaining: names of the services that are there.
+        """
+        for name in remaining:
+            self._retired.discard(name)
+        for name in left:
+            for forgotten in self._retired.add(name):
+                self._forget(forgotten)
+
     def apply_order(self, order: RolloutOrder) -> None:
         """Apply an operator's order.
 
@@ -122,11 +140,9 @@
             return
         self._statuses[service] = status
         if status.state is RolloutState.ROLLED_BACK:
-            self._rejected_versions.setdefault(service, set()).add(
-                status.target
-            )
+            self._remember_rejected(service, status.target)
         if status.state is RolloutState.SUCCEEDED:
-            self._rejected_versions.get(service, set()).discard(status.target)
+            self._rejected_versions.get(service, {}).pop(status.target, None)
         rollout = self._rollouts.get(service)
         if rollout is None or rollout.order.target != status.target:
             return
@@ -255,6 +271,14 @@
             if shift is not None:
                 yield service, shift
 
+    def _forget(self, service: str) -> None:
+        self._rollouts.pop(service, None)
+        self._statuses.pop(service, None)
+        self._shifts.pop(service, None)
+        self._rejected_versions.pop(service, None)
+        self._lost.discard_status(service)
+        self._lost.discard_shift(service)
+
     def _is_outdated(self, service: str, status: RolloutStatus) -> bool:
         """Return whether a status is from before the known final one."""
         known = self._statuses.get(service)
--- a/laurelwind/coordination/rollouts/versions.py
+++ b/laurelwind/coordination/rollouts/versions.py
@@ -1,6 +1,6 @@
 """Selects the endpoints whose version a request may use."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from laurelwind.state.directory import EndpointRecord
 
@@ -21,7 +21,7 @@
 
 def exclude_versions(
     endpoints: Sequence[EndpointRecord],
-    rejected_versions: Sequence[str] | set[str],
+    rejected_versions: Collection[str],
 ) -> Sequence[EndpointRecord]:
     """Return the endpoints of versions that were not rejected.
 
--- a/laurelwind/coordination/scheduling/fleet_retry_budget.py
+++ b/laurelwind/coordination/scheduling/fleet_retry_budget.py
@@ -1,8 +1,8 @@
 """Retry budget of the fleet, divided among daemons without coordination."""
 
 from collections import deque
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Iterable, MutableMapping
+from typing import Any, Final
 
 from laurelwind.state.load import read_monotonic_clock
 
@@ -131,6 +131,18 @@
         """
         self._held[service] = max(self._held.get(service, 0) - count, 0)
 
+    def discard(self, services: Iterable[str]) -> None:
+        """Discard the counts of services that were removed.
+
+        Those for which retries are held stay.
+
+        :param services: names of the services.
+        """
+        for service in services:
+            if not self._held.get(service):
+                for counts in self._list_counts():
+                    counts.pop(service, None)
+
     def get_remaining_ratio(self, service: str) -> float:
         """Return the fraction of the retry budget that remains, 0 to 1.
 
@@ -141,6 +153,9 @@
             return 0
         return 1 - made / allowed
 
+    def _list_counts(self) -> Iterable[MutableMapping[str, Any]]:
+        return self._requests, self._retries, self._held
+
     def _count_retries(self, service: str) -> tuple[int, float]:
         """Return the retries made or held, and the retries allowed."""
         now = read_monotonic_clock()
--- a/laurelwind/coordination/scheduling/silence.py
+++ b/laurelwind/coordination/scheduling/silence.py
@@ -7,6 +7,7 @@
 """
 
 from collections import deque
+from collections.abc import Set
 from typing import Final
 
 # Recent waits that are considered, and the fewest from which a time-out is
@@ -44,6 +45,15 @@
             self._excess_waits[group] = deque(maxlen=_MAX_SAMPLES)
         self._excess_waits[group].append(max(waited_s - expected_delay_s, 0))
 
+    def discard_routes(self, names: Set[str]) -> None:
+        """Discard the waits of routes that were removed.
+
+        :param names: names of the routes.
+        """
+        for group in tuple(self._excess_waits):
+            if group[0] in names:
+                self._excess_waits.pop(group)
+
     def compute_timeout(
         self,
         group: tuple[str, str],
--- a/laurelwind/coordination/topics/copies.py
+++ b/laurelwind/coordination/topics/copies.py
@@ -1,6 +1,7 @@
 """In-memory copies of topics that a daemon serves to its peers."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from typing import Final
 
 import anyio
 
@@ -15,6 +16,9 @@
 )
 from laurelwind.state.leases import NEVER, read_boot_clock
 
+# Removals that are kept for readers that have not seen them.
+MAX_REMOVED: Final = 4096
+
 
 class TopicCopy:
     """The newest record of each key of a topic, with the age of the copy.
@@ -32,6 +36,8 @@
         self._budget = budget
         self._clock = clock
         self._records: dict[str, KeyedRecord] = {}
+        # Removals, oldest first.
+        self._removed: dict[str, KeyedRecord] = {}
         self._first_offset = 0
         self._next_offset = 0
         self._as_of = NEVER
@@ -55,8 +61,10 @@
         was_stale = self.age_s > self._budget.copy_age_s
         if is_snapshot:
             self._records = {}
+            self._removed = {}
             self._first_offset = batch.next_offset
-        self._records.update({record.key: record for record in batch.records})
+        for record in batch.records:
+            self._apply_record(record)
         self._next_offset = batch.next_offset
         self._as_of = max(self._as_of, as_of)
         if batch.records or is_snapshot or was_stale:
@@ -99,23 +107,35 @@
             lag_s=started_at - self._as_of,
         )
 
+    def _apply_record(self, record: KeyedRecord) -> None:
+        self._records.pop(record.key, None)
+        self._removed.pop(record.key, None)
+        if record.body is not None:
+            self._records[record.key] = record
+            return
+        self._removed[record.key] = record
+        if len(self._removed) > MAX_REMOVED:
+            oldest = self._removed.pop(next(iter(self._removed)))
+            # Readers that miss this removal read all records anew.
+            self._first_offset = max(self._first_offset, oldest.offset + 1)
+
     async def _wait_for_change(self, wait_s: float) -> None:
         with anyio.move_on_after(wait_s):
             await self._changed.wait()
 
+    def _iterate_all(self) -> Iterator[KeyedRecord]:
+        yield from self._records.values()
+        yield from self._removed.values()
+
     def _list_records(self, offset: int | None) -> Sequence[KeyedRecord]:
         if offset is None:
-            records = [
-                record
-                for record in self._records.values()
-                if record.body is not None
-            ]
+            records = list(self._records.values())
         elif offset < self._first_offset:
             raise HistoryLostError
         else:
             records = [
                 record
-                for record in self._records.values()
+                for record in self._iterate_all()
                 if record.offset >= offset
             ]
         records.sort(key=lambda record: record.offset)
--- a/laurelwind/relay_daemon.py
+++ b/laurelwind/relay_daemon.py
@@ -11,9 +11,6 @@
 from laurelwind.coordination.loop_lag import LoopLag
 from laurelwind.coordination.relay import Relay, build_relay
 from laurelwind.coordination.rollouts.registry import RolloutRegistry
-from laurelwind.coordination.scheduling.fleet_retry_budget import (
-    FleetRetryBudget,
-)
 from laurelwind.coordination.scheduling.placement import Placement
 from laurelwind.coordination.sending import SenderDependencies
 from laurelwind.coordination.suspects.gossip import CrashGossip
@@ -24,8 +21,9 @@
 )
 from laurelwind.decisions import DecisionLog
 from laurelwind.errors import ConfigurationError
+from laurelwind.relay_departures import build_departures
 from laurelwind.relay_gauges import register_gauges
-from laurelwind.relay_limits import TableLimits
+from laurelwind.relay_limits import TableLimits, build_retry_budget
 from laurelwind.relay_metrics import RelayMetrics
 from laurelwind.relay_permits import build_permits
 from laurelwind.relay_settings import RelaySettings
@@ -114,7 +112,6 @@
         self.tracker = tracking.tracker
         self._apply_absence_age(bounds.apply_s)
         self.placement = Placement(zone=settings.daemon.zone)
-        self.tracker.add_listener(self._discard_removed_endpoints)
         self.gateway = HttpGateway(codec=adapters.headers)
         self.datagrams = PeerDatagrams(
             address=settings.listen.peers, log=self.log
@@ -140,7 +137,9 @@
         )
         self.permits = build_permits(self)
         self._limits = TableLimits(tracker=self.tracker)
+        self.retry_budget = build_retry_budget(bounds, self.membership)
         self.relay = self._build_relay()
+        self.departures = build_departures(self)
         self.application = RelayApplication(
             relay=self.relay,
             codec=adapters.headers,
@@ -200,9 +199,14 @@
         self.loop_lag.start(group)
         self.tracker.start(group)
         await self.datagrams.start(group)
-        self.hints.start(group)
-        self.gossip.start(group)
-        self.permits.start(group)
+        for component in (
+            self.hints,
+            self.gossip,
+            self.permits,
+            self.gateway,
+            self.departures,
+        ):
+            component.start(group)
         applications: dict[str, ASGIApp] = {
             self.settings.listen.callers: self.application,
             self.settings.listen.peers: TopicApplication(copies=self.copies),
@@ -281,7 +285,6 @@
         self.tracker.max_absence_age_s = apply_s * MAX_ABSENCE_AGE_SHARE
 
     def _build_relay(self) -> Relay:
-        bounds = self.settings.bounds
         return build_relay(
             dependencies=SenderDependencies(
                 tracker=self.tracker,
@@ -292,12 +295,7 @@
                 permits=self.permits,
                 screen=self.screen,
                 stop=self.stop,
-                retry_budget=FleetRetryBudget(
-                    retry_ratio=bounds.retry_share,
-                    extra_retries=bounds.retry_extra,
-                    window_s=bounds.retry_window_s,
-                    count_members=self.membership.count_known,
-                ),
+                retry_budget=self.retry_budget,
                 gateway=self.gateway,
                 notify_work=self.hints.notify_work,
                 notify_loss=self.hints.notify_loss,
@@ -309,8 +307,3 @@
 
     def _log_timeout(self, kind: TimeoutKind) -> None:
         self.log.log_info('connection_timed_out', kind=kind)
-
-    def _discard_removed_endpoints(self) -> None:
-        names = self.directory.list_names()
-        self.placement.retain_endpoints(names)
-        self.permits.retain(names)
--- a/laurelwind/relay_gauges.py
+++ b/laurelwind/relay_gauges.py
@@ -40,6 +40,11 @@
         'Endpoints that take new work.',
         lambda: sum(daemon.directory.count_ready().values()),
     )
+    add_gauge(
+        'laurelwind_idle_connections',
+        'Idle connections to endpoints.',
+        lambda: daemon.gateway.idle.count,
+    )
     add_gauge(
         'laurelwind_limited_endpoints',
         'Endpoints that state a rate limit.',
--- a/laurelwind/relay_limits.py
+++ b/laurelwind/relay_limits.py
@@ -1,6 +1,11 @@
-"""Limits on callers, from the routing table in force."""
+"""Limits on callers and on retries."""
 
+from laurelwind.coordination.members import FleetMembership
+from laurelwind.coordination.scheduling.fleet_retry_budget import (
+    FleetRetryBudget,
+)
 from laurelwind.coordination.tracker import Tracker
+from laurelwind.relay_settings import BoundSettings
 from laurelwind.state.routes import CallerLimits
 from laurelwind.transport.timed_protocol import (
     HEADER_TIMEOUT_S,
@@ -39,3 +44,19 @@
     def _limits(self) -> CallerLimits:
         table = self._tracker.table
         return CallerLimits() if table is None else table.limits
+
+
+def build_retry_budget(
+    bounds: BoundSettings, membership: FleetMembership
+) -> FleetRetryBudget:
+    """Build the retry budget of a daemon.
+
+    :param bounds: bounds of the settings.
+    :param membership: the live daemons.
+    """
+    return FleetRetryBudget(
+        retry_ratio=bounds.retry_share,
+        extra_retries=bounds.retry_extra,
+        window_s=bounds.retry_window_s,
+        count_members=membership.count_known,
+    )
--- a/laurelwind/relay_metrics.py
+++ b/laurelwind/relay_metrics.py
@@ -1,6 +1,7 @@
 """Prometheus metrics of a relay daemon."""
 
-from collections.abc import Callable, Iterator
+import contextlib
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final
 
 from prometheus_client import CollectorRegistry, Counter, Histogram
@@ -65,6 +66,12 @@
             ('outcome',),
             registry=self.registry,
         )
+        self._departures = Counter(
+            'laurelwind_departures',
+            'Names that have left, by what they name.',
+            ('subject',),
+            registry=self.registry,
+        )
         self.cut_answers = Counter(
             'laurelwind_cut_answers',
             'Answers that this daemon ended before they were complete.',
@@ -105,6 +112,23 @@
         """
         self._store_calls.labels(call, outcome).inc()
 
+    def count_departures(self, subject: str, count: int) -> None:
+        """Count names that left.
+
+        :param subject: what they name.
+        :param count: number of names.
+        """
+        self._departures.labels(subject).inc(count)
+
+    def discard_routes(self, names: Iterable[str]) -> None:
+        """Discard the time series of routes that were removed.
+
+        :param names: names of the routes.
+        """
+        for name in names:
+            with contextlib.suppress(KeyError):
+                self.answer_seconds.remove(name)
+
     def add_gauge(
         self, name: str, help_text: str, read_value: Callable[[], float]
     ) -> None:
--- a/laurelwind/state/directory.py
+++ b/laurelwind/state/directory.py
@@ -5,6 +5,8 @@
 
 from attrs import evolve, frozen
 
+from laurelwind.state.departed_names import DepartedNames
+
 # Seconds within which lapsed records reappear after an outage of the store; its
 # documentation states about two.
 LAPSE_GRACE_S: Final = 2.2
@@ -12,6 +14,9 @@
 # The most endpoints of which is kept that they leave; the newest notes count.
 # Peers tell of them as well, also of endpoints that no record names.
 MAX_LEAVING: Final = 4096
+# The most endpoints that left whose last report is remembered; the newest
+# count.
+MAX_DEPARTED: Final = 4096
 
 
 @frozen(kw_only=True)
@@ -67,6 +72,7 @@
         self._offsets: dict[str, int] = {}
         self._progress_by_name: dict[str, tuple[int, int]] = {}
         self._leaving: dict[str, int] = {}
+        self._departed = DepartedNames(limit=MAX_DEPARTED)
         self.changes = 0
 
     @property
@@ -94,6 +100,15 @@
         """Return the names of all endpoints in the directory."""
         return set(self._entries)
 
+    def list_addresses(self) -> set[str]:
+        """Return the addresses of all endpoints in the directory."""
+        return {entry.record.address for entry in self._entries.values()}
+
+    def list_versions(self) -> set[str]:
+        """Return the versions of all endpoints, as ``SERVICE@VERSION``."""
+        records = (entry.record for entry in self._entries.values())
+        return {f'{record.service}@{record.version}' for record in records}
+
     def apply(
         self,
         name: str,
@@ -116,6 +131,8 @@
         if offset <= self._offsets.get(name, -1):
             return False
         self._offsets[name] = offset
+        if name not in self._entries:
+            self._forget_oldest(name)
         if record is None:
             return self._remove(name, offset, grace_until)
         previous = self._entries.get(name)
@@ -125,6 +142,7 @@
             return False
         self._progress_by_name[name] = record.progress
         self._entries[name] = _Entry(record=record, offset=offset)
+        self._departed.discard(name)
         if previous is not None and _is_unchanged(previous, record):
             return False
         self._rebuild()
@@ -186,7 +204,7 @@
             if entry.drop_at is not None and entry.drop_at <= now
         ]
         for name in expired:
-            self._entries.pop(name)
+            self._drop(name)
         if expired:
             self._rebuild()
         return bool(expired)
@@ -198,7 +216,7 @@
         if entry is None:
             return False
         if grace_until is None or entry.record.is_draining:
-            self._entries.pop(name)
+            self._drop(name)
             self._rebuild()
             return True
         if entry.drop_at is None:
@@ -207,6 +225,19 @@
             )
         return True
 
+    def _drop(self, name: str) -> None:
+        self._entries.pop(name)
+        self._forget_oldest(name)
+
+    def _forget_oldest(self, name: str) -> None:
+        """Keep the offset and progress of a name, and forget older ones.
+
+        Without them, an outdated report would bring an endpoint back.
+        """
+        for forgotten in self._departed.add(name):
+            self._offsets.pop(forgotten, None)
+            self._progress_by_name.pop(forgotten, None)
+
     def _rebuild(self) -> None:
         self.changes += 1
         self._ready_by_service = {}
