--- a/review/standins2/stand_ins.py
+++ b/review/standins2/stand_ins.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -23,6 +24,9 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = '127.0.0.1'
 PARTITIONS = 24
+# Below the range of outgoing channels.
+PORTS = range(20000, 32000)
+_given_ports: set[int] = set()
 KEY = 'n2ctnfzs989anu6wsjnb'
 CALLER_HOST = 'ficu95.example'
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -31,10 +35,15 @@
 
 
 def find_free_port() -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a port that is free, and that no outgoing channel gets."""
+    for port in random.SystemRandom().sample(PORTS, len(PORTS)):
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            _given_ports.add(port)
+            return port
+    raise RuntimeError('no free port')
 
 
 class Record:
@@ -129,7 +138,8 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.is_silent: Callable[[str], bool] = lambda _: False
+        # Seconds by which each answer is late.
+        self.delay_s = 0.0
         self._topics: dict[str, list[bytes]] = {}
         self._changed = asyncio.Event()
         self._members: dict[str, float] = {}
@@ -183,9 +193,8 @@
             query = dict(
                 pair.partition('=')[::2] for pair in text.split('&') if pair
             )
-            if self.is_silent(path):
-                await asyncio.sleep(3600)
             status, answer = await self._answer(method, path, query, body)
+            await asyncio.sleep(self.delay_s)
             head = (
                 f'HTTP/1.1 {status} X\r\nContent-Length: {len(answer)}\r\n\r\n'
             )
@@ -437,6 +446,8 @@
     :param case: returns whether the rule held.
     :param folder: folder of the case, for its record.
     """
+    # The daemons end with the script, also if it is stopped.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Record(folder / 'record.txt')
     record.write(f'trouble: {has_trouble}')
@@ -447,7 +458,7 @@
                 asyncio.wait_for(case(record, Path(work), has_trouble), limit_s)
             )
             status = HELD if held else BROKEN
-    except Exception as error:  # The case could not run.
+    except (Exception, KeyboardInterrupt) as error:  # It could not run.
         record.write(f'could not run: {error!r}')
     record.write(f'exit status {status}')
     sys.exit(status)
