--- a/review/standins2/stand_ins.py
+++ b/review/standins2/stand_ins.py
@@ -440,16 +440,19 @@
 Case = Callable[[Record, Path, bool], Awaitable[bool]]
 
 
-def run_case(case: Case, folder: Path, limit_s: float = 110) -> None:
+def run_case(
+    case: Case, path: Path, *, has_trouble: bool, limit_s: float = 110
+) -> None:
     """Run a case, and exit with its status.
 
     :param case: returns whether the rule held.
-    :param folder: folder of the case, for its record.
+    :param path: file of its record.
+    :param has_trouble: whether the case has its disruption.
+    :param limit_s: longest time of the case in seconds.
     """
     # The daemons end with the script, also if it is stopped.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
-    record = Record(folder / 'record.txt')
+    record = Record(path)
     record.write(f'trouble: {has_trouble}')
     status = NOT_RUN
     try:
